--- /dev/null
+++ b/src/libs/base/text.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace endiverail {
+
+/// ASCII comparison without regard to case, as for HTTP field names.
+bool equalIgnoringCase(std::string_view Left, std::string_view Right);
+
+/// \p Text without spaces and tabs at its ends.
+std::string_view trimmed(std::string_view Text);
+
+/// The parts of \p Text between \p Separator, empty ones included.
+std::vector<std::string_view> split(std::string_view Text, char Separator);
+
+/// A decimal number without sign or blanks; nothing for any other text.
+std::optional<std::uint64_t> parseDecimal(std::string_view Text);
+
+/// Lets associative containers of strings be searched by view.
+struct text_hash {
+  using is_transparent = void; // NOLINT(readability-identifier-naming)
+  std::size_t operator()(std::string_view Text) const {
+    return std::hash<std::string_view>{}(Text);
+  }
+};
+
+} // namespace endiverail
--- /dev/null
+++ b/src/libs/connection/caller_connection.cpp
@@ -0,0 +1,35 @@
+#include "connection/caller_connection.h"
+
+#include <utility>
+
+namespace endiverail {
+
+result<void> caller_connection::receive(std::string_view Bytes) {
+  if (Buffer.size() + Bytes.size() > Limits.HeadBytes + Limits.BodyBytes)
+    return fail(error_kind::BodyTooLarge, "too much is sent ahead");
+  Buffer.append(Bytes);
+  return {};
+}
+
+result<std::optional<request_frame>> caller_connection::awaitedFrame() const {
+  if (InProgress || Buffer.empty())
+    return std::optional<request_frame>{};
+  return frameRequest(Buffer, Limits);
+}
+
+result<std::optional<received_request>> caller_connection::takeRequest() {
+  BOOST_LEAF_AUTO(Frame, awaitedFrame());
+  if (!Frame || Buffer.size() < Frame->size())
+    return std::optional<received_request>{};
+  InProgress = true;
+  ++LastSequence;
+  std::string Ahead = Buffer.substr(Frame->size());
+  Buffer.resize(Frame->size());
+  Buffer.erase(0, Frame->HeadBytes);
+  std::optional<received_request> Request;
+  Request.emplace(received_request{LastSequence, std::move(*Frame),
+                                   std::exchange(Buffer, std::move(Ahead))});
+  return Request;
+}
+
+} // namespace endiverail
--- /dev/null
+++ b/src/libs/connection/request_framing.cpp
@@ -0,0 +1,130 @@
+#include "connection/request_framing.h"
+
+#include "base/text.h"
+
+#include <algorithm>
+#include <array>
+
+namespace endiverail {
+namespace {
+
+constexpr std::string_view LineEnd = "\r\n";
+constexpr std::string_view HeadEnd = "\r\n\r\n";
+constexpr std::array<std::string_view, 6> Methods{"GET", "HEAD",  "POST",
+                                                  "PUT", "PATCH", "DELETE"};
+
+bool isTokenCharacter(char Letter) {
+  constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
+  return (Letter >= '0' && Letter <= '9') || (Letter >= 'a' && Letter <= 'z') ||
+         (Letter >= 'A' && Letter <= 'Z') ||
+         Marks.find(Letter) != std::string_view::npos;
+}
+
+bool isToken(std::string_view Text) {
+  return !Text.empty() && std::ranges::all_of(Text, isTokenCharacter);
+}
+
+/// Field values and targets hold no control characters but the tab.
+bool isVisible(std::string_view Text) {
+  return std::ranges::none_of(Text, [](unsigned char Letter) {
+    return (Letter < ' ' && Letter != '\t') || Letter == 0x7f;
+  });
+}
+
+struct length_fields {
+  std::optional<std::string_view> Length;
+  bool Chunked = false;
+};
+
+result<void> readRequestLine(std::string_view Line, request_frame &Frame) {
+  auto Parts = split(Line, ' ');
+  if (Parts.size() != 3 || !isToken(Parts[0]) || !isVisible(Parts[1]) ||
+      !Parts[1].starts_with('/'))
+    return fail(error_kind::BadRequest, "malformed request line");
+  if (Parts[2] != "HTTP/1.1" && Parts[2] != "HTTP/1.0")
+    return fail(error_kind::BadRequest, "unsupported protocol version");
+  if (std::ranges::find(Methods, Parts[0]) == Methods.end())
+    return fail(error_kind::MethodNotSupported, "unsupported method");
+  Frame.Method = Parts[0];
+  Frame.Target = Parts[1];
+  Frame.ReadsChunks = Parts[2] == "HTTP/1.1";
+  Frame.KeepAlive = Frame.ReadsChunks;
+  return {};
+}
+
+result<void> readField(std::string_view Line, request_frame &Frame,
+                       length_fields &Lengths) {
+  std::size_t Colon = Line.find(':');
+  if (Colon == std::string_view::npos || !isToken(Line.substr(0, Colon)))
+    return fail(error_kind::BadRequest, "malformed header field");
+  std::string_view Name = Line.substr(0, Colon);
+  std::string_view Value = trimmed(Line.substr(Colon + 1));
+  if (!isVisible(Value))
+    return fail(error_kind::BadRequest, "control character in a header field");
+  if (equalIgnoringCase(Name, "Content-Length")) {
+    if (Lengths.Length)
+      return fail(error_kind::BadRequest, "two Content-Length fields");
+    Lengths.Length = Value;
+  }
+  if (equalIgnoringCase(Name, "Transfer-Encoding"))
+    Lengths.Chunked = true;
+  if (equalIgnoringCase(Name, "Expect"))
+    Frame.ExpectsContinue = equalIgnoringCase(Value, "100-continue");
+  if (equalIgnoringCase(Name, "Connection")) {
+    if (equalIgnoringCase(Value, "close"))
+      Frame.KeepAlive = false;
+    if (equalIgnoringCase(Value, "keep-alive"))
+      Frame.KeepAlive = true;
+  }
+  Frame.Fields.push_back({std::string(Name), std::string(Value)});
+  return {};
+}
+
+result<void> applyLengths(const length_fields &Lengths,
+                          const framing_limits &Limits, request_frame &Frame) {
+  if (Lengths.Chunked && Lengths.Length)
+    return fail(error_kind::BadRequest,
+                "Content-Length together with Transfer-Encoding");
+  if (Lengths.Chunked)
+    return fail(error_kind::LengthRequired,
+                "send a Content-Length in place of chunks");
+  if (!Lengths.Length)
+    return {};
+  auto Length = parseDecimal(*Lengths.Length);
+  if (!Length)
+    return fail(error_kind::BadRequest, "malformed Content-Length");
+  if (*Length > Limits.BodyBytes)
+    return fail(error_kind::BodyTooLarge, "the body is too large");
+  Frame.BodyBytes = *Length;
+  return {};
+}
+
+} // namespace
+
+result<std::optional<request_frame>>
+frameRequest(std::string_view Bytes, const framing_limits &Limits) {
+  std::size_t End = Bytes.substr(0, Limits.HeadBytes).find(HeadEnd);
+  if (End == std::string_view::npos) {
+    if (Bytes.size() >= Limits.HeadBytes)
+      return fail(error_kind::HeadTooLarge, "the head is too large");
+    return std::optional<request_frame>{};
+  }
+
+  request_frame Frame;
+  Frame.HeadBytes = End + HeadEnd.size();
+  std::string_view Head = Bytes.substr(0, End);
+  std::size_t FirstEnd = std::min(Head.find(LineEnd), Head.size());
+  BOOST_LEAF_CHECK(readRequestLine(Head.substr(0, FirstEnd), Frame));
+
+  length_fields Lengths;
+  Head.remove_prefix(std::min(FirstEnd + LineEnd.size(), Head.size()));
+  while (!Head.empty()) {
+    std::size_t LineLength = std::min(Head.find(LineEnd), Head.size());
+    BOOST_LEAF_CHECK(readField(Head.substr(0, LineLength), Frame, Lengths));
+    Head.remove_prefix(std::min(LineLength + LineEnd.size(), Head.size()));
+  }
+  BOOST_LEAF_CHECK(applyLengths(Lengths, Limits, Frame));
+  return std::optional<request_frame>{Frame};
+}
+
+} // namespace endiverail
--- /dev/null
+++ b/src/libs/http/answer_text.cpp
@@ -0,0 +1,57 @@
+#include "http/answer_text.h"
+
+#include "base/text.h"
+
+#include <pistache/http_defs.h>
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+
+namespace endiverail {
+namespace {
+
+constexpr std::array<std::string_view, 9> HopByHopFields{
+    "Connection", "Keep-Alive",        "Proxy-Authenticate",
+    "TE",         "Transfer-Encoding", "Proxy-Authorization",
+    "Trailer",    "Upgrade",           "Content-Length"};
+
+bool mayHaveBody(int Status) {
+  return Status >= 200 && Status != 204 && Status != 304;
+}
+
+} // namespace
+
+std::string answerHeadText(const answer_head &Head, body_framing Framing,
+                           bool KeepAlive) {
+  std::string Text;
+  auto Out = std::back_inserter(Text);
+  fmt::format_to(
+      Out, "HTTP/1.1 {} {}\r\n", Head.Status,
+      Pistache::Http::codeString(static_cast<Pistache::Http::Code>(Head.Status)));
+  for (const header_field &Field : Head.Headers)
+    fmt::format_to(Out, "{}: {}\r\n", Field.Name, Field.Value);
+  fmt::format_to(Out, "Endiverail-Outcome: {}\r\n", outcomeName(Head.Outcome));
+  if (Framing == body_framing::Length && mayHaveBody(Head.Status))
+    fmt::format_to(Out, "Content-Length: {}\r\n", Head.Length.value_or(0));
+  if (Framing == body_framing::Chunked)
+    Text += "Transfer-Encoding: chunked\r\n";
+  fmt::format_to(Out, "Connection: {}\r\n\r\n",
+                 KeepAlive ? "keep-alive" : "close");
+  return Text;
+}
+
+std::string chunkText(std::string_view Bytes) {
+  return fmt::format("{:x}\r\n{}\r\n", Bytes.size(), Bytes);
+}
+
+bool isHopByHop(std::string_view Name, std::string_view Connection) {
+  auto IsName = [&](std::string_view Other) {
+    return equalIgnoringCase(Name, trimmed(Other));
+  };
+  return std::ranges::any_of(HopByHopFields, IsName) ||
+         std::ranges::any_of(split(Connection, ','), IsName);
+}
+
+} // namespace endiverail
--- /dev/null
+++ b/src/libs/http/answer_text.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "request/caller_request.h"
+
+#include <string>
+#include <string_view>
+
+namespace endiverail {
+
+/// How the body of an answer is delimited.
+enum class body_framing { None, Length, Chunked };
+
+/// The head of an answer as HTTP/1.1 text.
+std::string answerHeadText(const answer_head &Head, body_framing Framing,
+                           bool KeepAlive);
+
+/// One chunk of a chunked body.
+std::string chunkText(std::string_view Bytes);
+
+inline constexpr std::string_view LastChunk = "0\r\n\r\n";
+inline constexpr std::string_view ContinueText = "HTTP/1.1 100 Continue\r\n\r\n";
+
+/// Whether a field concerns one connection only, so a proxy must not pass it
+/// on. \p Connection is the value of the message's Connection field.
+bool isHopByHop(std::string_view Name, std::string_view Connection);
+
+} // namespace endiverail
--- /dev/null
+++ b/src/libs/http/connection_io.cpp
@@ -0,0 +1,54 @@
+#include "http/connection_io.h"
+
+#include <sys/socket.h>
+#include <sys/timerfd.h>
+#include <unistd.h>
+
+#include <exception>
+
+namespace endiverail::detail {
+
+void writeTo(const std::shared_ptr<Pistache::Tcp::Peer> &Peer,
+             std::string Bytes, std::function<void()> Written) {
+  std::size_t Size = Bytes.size();
+  Peer->send(Pistache::RawBuffer(std::move(Bytes), Size), MSG_NOSIGNAL)
+      .then([Peer, Written = std::move(Written)](ssize_t) { Written(); },
+            [Peer](const std::exception_ptr &) { breakConnection(*Peer); });
+}
+
+void breakConnection(const Pistache::Tcp::Peer &Peer) {
+  ::shutdown(Peer.fd(), SHUT_RDWR);
+}
+
+void endSending(const Pistache::Tcp::Peer &Peer) {
+  ::shutdown(Peer.fd(), SHUT_WR);
+}
+
+timer_descriptor::timer_descriptor()
+    : Descriptor(timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC)) {}
+
+timer_descriptor::~timer_descriptor() {
+  if (Descriptor >= 0)
+    close(Descriptor);
+}
+
+void timer_descriptor::arm(steady_time At) {
+  ArmedFor = At;
+  auto SinceBoot = std::chrono::duration_cast<std::chrono::nanoseconds>(
+      At.time_since_epoch());
+  auto Seconds = std::chrono::floor<std::chrono::seconds>(SinceBoot);
+  itimerspec Spec{};
+  Spec.it_value.tv_sec = Seconds.count();
+  // A value of zero would disarm the timer.
+  Spec.it_value.tv_nsec = std::max<long>(1, (SinceBoot - Seconds).count());
+  timerfd_settime(Descriptor, TFD_TIMER_ABSTIME, &Spec, nullptr);
+}
+
+void timer_descriptor::clear() {
+  std::uint64_t Expirations = 0;
+  [[maybe_unused]] ssize_t Ignored =
+      read(Descriptor, &Expirations, sizeof(Expirations));
+  ArmedFor.reset();
+}
+
+} // namespace endiverail::detail
--- /dev/null
+++ b/src/libs/http/connection_worker.h
@@ -0,0 +1,338 @@
+#pragma once
+
+#include "connection/answer_message.h"
+#include "connection/caller_connection.h"
+#include "http/answer_text.h"
+#include "http/connection_io.h"
+#include "process/mailbox.h"
+#include "process/memory_budget.h"
+
+#include <algorithm>
+#include <atomic>
+#include <concepts>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+namespace endiverail {
+
+struct front_end_settings {
+  std::string Address;
+  std::uint16_t Port = 0;
+  std::size_t Workers = 1;
+  framing_limits Limits;
+  /// From a request's first byte to its last.
+  milliseconds ReceiveTimeout{10'000};
+  /// Between requests of a connection.
+  milliseconds IdleTimeout{60'000};
+};
+
+/// What takes the requests of callers. Called on the connection threads.
+template <typename T>
+concept caller_request_sink =
+    answer_observer<T> &&
+    requires(T Sink, const caller_ticket &Ticket, received_request Request) {
+      { Sink.onRequest(Ticket, std::move(Request)) };
+    };
+
+namespace detail {
+
+/// All callers' connections of one connection thread. Only that thread calls
+/// it, but for post().
+template <caller_request_sink Sink> class connection_worker {
+public:
+  connection_worker(std::size_t Index, const front_end_settings &Settings,
+                    Sink &To, memory_budget &Memory, event_descriptor Event)
+      : Index(Index), Settings(Settings), To(To), Memory(Memory),
+        Inbox(std::move(Event)) {}
+
+  void post(answer_message &&Message) { Inbox.post(std::move(Message)); }
+  int inboxDescriptor() const { return Inbox.descriptor(); }
+  int timerDescriptor() const { return Timer.descriptor(); }
+  std::size_t connections() const {
+    return Count.load(std::memory_order_relaxed);
+  }
+
+  void onConnected(const std::shared_ptr<Pistache::Tcp::Peer> &Peer) {
+    auto Added = Connections.try_emplace(Peer->getID(), Peer, Settings.Limits);
+    Count.store(Connections.size(), std::memory_order_relaxed);
+    expectBy(Added.first->second, Settings.ReceiveTimeout);
+  }
+
+  void onInput(std::uint64_t Id, std::string_view Bytes) {
+    auto Found = Connections.find(Id);
+    if (Found == Connections.end() || Found->second.Closing)
+      return;
+    entry &Entry = Found->second;
+    bool FirstBytes = !Entry.State.inProgress() && !Entry.State.hasBytes();
+    handleFailure(
+        [&]() -> result<void> { return Entry.State.receive(Bytes); },
+        [&](const failure &Failure) { refuse(Entry, Failure); });
+    if (FirstBytes)
+      expectBy(Entry, Settings.ReceiveTimeout);
+    takeRequests(Entry);
+  }
+
+  void onDisconnected(std::uint64_t Id) {
+    auto Found = Connections.find(Id);
+    if (Found == Connections.end())
+      return;
+    entry &Entry = Found->second;
+    releaseMemory(Entry);
+    caller_ticket Ticket = ticket(Entry);
+    bool Owed = Entry.State.inProgress();
+    Connections.erase(Found);
+    Count.store(Connections.size(), std::memory_order_relaxed);
+    if (Owed)
+      To.onCallerGone(Ticket);
+  }
+
+  void onInbox() {
+    for (answer_message &Message : Inbox.takeAll())
+      std::visit([&](auto &Part) { take(Part); }, Message);
+  }
+
+  void onTimer(steady_time Now) {
+    Timer.clear();
+    std::optional<steady_time> Next;
+    for (auto &[Id, Entry] : Connections) {
+      if (Entry.State.inProgress() && !Entry.Closing)
+        continue;
+      if (Now >= Entry.ExpectedBy)
+        timeOut(Entry);
+      else if (!Next || Entry.ExpectedBy < *Next)
+        Next = Entry.ExpectedBy;
+    }
+    if (Next)
+      Timer.arm(*Next);
+  }
+
+private:
+  static constexpr milliseconds LingerTime{2'000};
+
+  struct entry {
+    entry(std::shared_ptr<Pistache::Tcp::Peer> Peer, framing_limits Limits)
+        : Peer(std::move(Peer)), State(Limits) {}
+
+    std::shared_ptr<Pistache::Tcp::Peer> Peer;
+    caller_connection State;
+    std::size_t ReservedBytes = 0;
+    steady_time ExpectedBy;
+    bool ContinueSent = false;
+    bool KeepAlive = true;
+    bool ReadsChunks = true;
+    bool NoBody = false;
+    bool Closing = false;
+    body_framing Framing = body_framing::None;
+    /// Texts that wait for the one before them to leave.
+    std::deque<std::pair<std::string, std::size_t>> Unsent;
+    bool Sending = false;
+    bool AnswerEnded = false;
+  };
+
+  caller_ticket ticket(const entry &Entry) const {
+    return {Index, Entry.Peer->getID(), Entry.State.lastSequence()};
+  }
+
+  void expectBy(entry &Entry, milliseconds Wait) {
+    Entry.ExpectedBy = steadyNow() + Wait;
+    if (!Timer.armedFor() || Entry.ExpectedBy < *Timer.armedFor())
+      Timer.arm(Entry.ExpectedBy);
+  }
+
+  void timeOut(entry &Entry) {
+    if (Entry.Closing)
+      breakConnection(*Entry.Peer);
+    else if (Entry.State.hasBytes())
+      refuse(Entry, {error_kind::RequestTimeout, "the request came too slowly"});
+    else
+      close(Entry);
+  }
+
+  void close(entry &Entry) {
+    Entry.Closing = true;
+    breakConnection(*Entry.Peer);
+  }
+
+  /// Closes after an answer: the caller may still be sending, and a reset in
+  /// reply to that would take the answer away from it.
+  void closeGently(entry &Entry) {
+    Entry.Closing = true;
+    endSending(*Entry.Peer);
+    expectBy(Entry, LingerTime);
+  }
+
+  /// Takes whole requests as long as none is in progress.
+  void takeRequests(entry &Entry) {
+    if (Entry.Closing)
+      return;
+    handleFailure(
+        [&]() -> result<void> {
+          BOOST_LEAF_AUTO(Awaited, Entry.State.awaitedFrame());
+          if (!Awaited)
+            return {};
+          BOOST_LEAF_CHECK(reserveMemory(Entry, Awaited->BodyBytes));
+          BOOST_LEAF_AUTO(Request, Entry.State.takeRequest());
+          if (Request)
+            start(Entry, std::move(*Request));
+          else if (Awaited->ExpectsContinue &&
+                   !std::exchange(Entry.ContinueSent, true))
+            send(Entry, std::string(ContinueText), 0);
+          return {};
+        },
+        [&](const failure &Failure) { refuse(Entry, Failure); });
+  }
+
+  /// Counts a body before it is here, so that many callers at once can't use
+  /// more than the process has.
+  result<void> reserveMemory(entry &Entry, std::size_t Bytes) {
+    if (Entry.ReservedBytes != 0 || Bytes == 0)
+      return {};
+    if (!Memory.reserve(Bytes))
+      return fail(error_kind::MemoryLimit, "no room for the body now");
+    Entry.ReservedBytes = Bytes;
+    return {};
+  }
+
+  void releaseMemory(entry &Entry) {
+    Memory.release(std::exchange(Entry.ReservedBytes, 0));
+  }
+
+  void start(entry &Entry, received_request Request) {
+    Entry.KeepAlive = Request.Frame.KeepAlive;
+    Entry.ReadsChunks = Request.Frame.ReadsChunks;
+    Entry.NoBody = Request.Frame.Method == "HEAD";
+    Entry.ContinueSent = false;
+    Entry.AnswerEnded = false;
+    Entry.Framing = body_framing::None;
+    To.onRequest(ticket(Entry), std::move(Request));
+  }
+
+  /// Answers what can't be read as a request; nothing more is read after it.
+  void refuse(entry &Entry, const failure &Failure) {
+    if (Entry.State.inProgress())
+      return close(Entry);
+    std::string Body(errorAnswer(Failure.Kind).Name);
+    Body.append(": ").append(Failure.Detail).push_back('\n');
+    answer_head Head = errorHead(Failure.Kind);
+    Head.Length = Body.size();
+    Entry.Closing = true;
+    Entry.KeepAlive = false;
+    Entry.AnswerEnded = true;
+    releaseMemory(Entry);
+    send(Entry, answerHeadText(Head, body_framing::Length, false) + Body, 0);
+  }
+
+  /// The connection that an answer belongs to, if it still waits for it. This
+  /// fence is what keeps a late answer from any other request.
+  entry *awaiting(const caller_ticket &Ticket) {
+    auto Found = Connections.find(Ticket.Connection);
+    if (Found == Connections.end() || Found->second.AnswerEnded ||
+        !Found->second.State.awaitsAnswer(Ticket.Sequence))
+      return nullptr;
+    return &Found->second;
+  }
+
+  void take(answer_begin &Begin) {
+    entry *Entry = awaiting(Begin.Ticket);
+    if (!Entry)
+      return;
+    Entry->Framing = Begin.Head.Length ? body_framing::Length
+                                       : body_framing::Chunked;
+    if (Entry->Framing == body_framing::Chunked && !Entry->ReadsChunks) {
+      // Without a length such a caller could not tell a cut answer.
+      close(*Entry);
+      return;
+    }
+    send(*Entry, answerHeadText(Begin.Head, Entry->Framing, Entry->KeepAlive),
+         0);
+  }
+
+  void take(answer_piece &Piece) {
+    entry *Entry = awaiting(Piece.Ticket);
+    if (!Entry)
+      return;
+    std::size_t Size = Piece.Bytes.size();
+    if (Entry->NoBody)
+      return To.onWritten(Piece.Ticket, Size);
+    if (Entry->Framing == body_framing::Chunked)
+      Piece.Bytes = chunkText(Piece.Bytes);
+    send(*Entry, std::move(Piece.Bytes), Size);
+  }
+
+  void take(answer_end &End) {
+    entry *Entry = awaiting(End.Ticket);
+    if (!Entry)
+      return;
+    Entry->AnswerEnded = true;
+    if (Entry->Framing == body_framing::Chunked && !Entry->NoBody)
+      send(*Entry, std::string(LastChunk), 0);
+    finishIfSent(*Entry);
+  }
+
+  void take(answer_break &Break) {
+    if (entry *Entry = awaiting(Break.Ticket))
+      close(*Entry);
+  }
+
+  /// One text at a time: the next one goes when the one before has left, so
+  /// that a caller that stalls holds no more than what is queued for it.
+  void send(entry &Entry, std::string Text, std::size_t PieceBytes) {
+    Entry.Unsent.emplace_back(std::move(Text), PieceBytes);
+    sendNext(Entry);
+  }
+
+  void sendNext(entry &Entry) {
+    if (Entry.Sending || Entry.Unsent.empty())
+      return;
+    Entry.Sending = true;
+    auto [Text, PieceBytes] = std::move(Entry.Unsent.front());
+    Entry.Unsent.pop_front();
+    std::uint64_t Id = Entry.Peer->getID();
+    writeTo(Entry.Peer, std::move(Text),
+            [this, Id, PieceBytes = PieceBytes] { onSent(Id, PieceBytes); });
+  }
+
+  void onSent(std::uint64_t Id, std::size_t PieceBytes) {
+    auto Found = Connections.find(Id);
+    if (Found == Connections.end())
+      return;
+    entry &Entry = Found->second;
+    Entry.Sending = false;
+    if (PieceBytes != 0)
+      To.onWritten(ticket(Entry), PieceBytes);
+    sendNext(Entry);
+    finishIfSent(Entry);
+  }
+
+  void finishIfSent(entry &Entry) {
+    if (!Entry.AnswerEnded || Entry.Sending || !Entry.Unsent.empty())
+      return;
+    if (!Entry.KeepAlive) {
+      closeGently(Entry);
+      return;
+    }
+    if (!Entry.State.inProgress())
+      return;
+    releaseMemory(Entry);
+    Entry.State.finishAnswer();
+    expectBy(Entry, Entry.State.hasBytes() ? Settings.ReceiveTimeout
+                                           : Settings.IdleTimeout);
+    takeRequests(Entry);
+  }
+
+  std::size_t Index;
+  front_end_settings Settings;
+  Sink &To;
+  memory_budget &Memory;
+  mailbox<answer_message> Inbox;
+  timer_descriptor Timer;
+  std::unordered_map<std::uint64_t, entry> Connections;
+  std::atomic<std::size_t> Count = 0;
+};
+
+} // namespace detail
+} // namespace endiverail
--- /dev/null
+++ b/src/libs/http/curl_exchange.cpp
@@ -0,0 +1,171 @@
+#include "http/curl_exchange.h"
+
+#include "base/text.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace endiverail::detail {
+namespace {
+
+constexpr std::size_t MostHeadBytes = std::size_t{64} * 1024;
+constexpr long ReceiveBufferBytes = 64L * 1024;
+constexpr long ConnectTimeoutMilliseconds = 1'000;
+
+std::string headerLine(const header_field &Field) {
+  // The library leaves a field without a value out, unless it ends like this.
+  return Field.Value.empty() ? Field.Name + ";"
+                             : Field.Name + ": " + Field.Value;
+}
+
+bool hasBody(int Status) {
+  return Status >= 200 && Status != 204 && Status != 304;
+}
+
+error_kind kindOf(CURLcode Code) {
+  switch (Code) {
+  case CURLE_COULDNT_CONNECT:
+  case CURLE_COULDNT_RESOLVE_HOST:
+  case CURLE_URL_MALFORMAT:
+    return error_kind::BackendUnreachable;
+  case CURLE_OPERATION_TIMEDOUT:
+    return error_kind::BackendTimeout;
+  case CURLE_WEIRD_SERVER_REPLY:
+  case CURLE_UNSUPPORTED_PROTOCOL:
+  case CURLE_BAD_CONTENT_ENCODING:
+    return error_kind::BackendMalformed;
+  default:
+    return error_kind::BackendCut;
+  }
+}
+
+} // namespace
+
+curl_exchange::curl_exchange(const attempt_request &Request)
+    : Id(Request.Id), IsHead(Request.Method == "HEAD"),
+      Handle(curl_easy_init()) {
+  CURL *Easy = Handle.get();
+  std::string Url = "http://" + std::string(Request.Server) + "/";
+  std::string Target(Request.Target);
+  curl_easy_setopt(Easy, CURLOPT_URL, Url.c_str());
+  curl_easy_setopt(Easy, CURLOPT_REQUEST_TARGET, Target.c_str());
+  curl_easy_setopt(Easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(Easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(Easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(Easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(Easy, CURLOPT_BUFFERSIZE, ReceiveBufferBytes);
+  curl_easy_setopt(Easy, CURLOPT_CONNECTTIMEOUT_MS, ConnectTimeoutMilliseconds);
+  curl_easy_setopt(Easy, CURLOPT_TIMEOUT_MS,
+                   std::max<long>(1, Request.Timeout.count()));
+  if (Request.Connection == connection_choice::Fresh)
+    curl_easy_setopt(Easy, CURLOPT_FRESH_CONNECT, 1L);
+  setMethod(Request);
+  setHeaders(Request);
+}
+
+void curl_exchange::setMethod(const attempt_request &Request) {
+  CURL *Easy = Handle.get();
+  bool MayHaveBody = Request.Method == "POST" || Request.Method == "PUT" ||
+                     Request.Method == "PATCH" || !Request.Body.empty();
+  if (IsHead) {
+    curl_easy_setopt(Easy, CURLOPT_NOBODY, 1L);
+    return;
+  }
+  if (MayHaveBody) {
+    curl_easy_setopt(Easy, CURLOPT_POST, 1L);
+    curl_easy_setopt(Easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(Request.Body.size()));
+    curl_easy_setopt(Easy, CURLOPT_POSTFIELDS, Request.Body.data());
+  }
+  std::string Method(Request.Method);
+  curl_easy_setopt(Easy, CURLOPT_CUSTOMREQUEST, Method.c_str());
+}
+
+void curl_exchange::setHeaders(const attempt_request &Request) {
+  auto Append = [&](const std::string &Line) {
+    Headers.reset(curl_slist_append(Headers.release(), Line.c_str()));
+  };
+  for (const header_field &Field : Request.Headers)
+    Append(headerLine(Field));
+  // The library would add these by itself.
+  for (std::string Name : {"Accept", "Content-Type", "Expect"})
+    if (findHeader(Request.Headers, Name).empty())
+      Append(Name + ":");
+  curl_easy_setopt(Handle.get(), CURLOPT_HTTPHEADER, Headers.get());
+}
+
+result<bool> curl_exchange::readHeaderLine(std::string_view Line) {
+  if (HeadComplete)
+    return false;
+  HeadBytes += Line.size();
+  if (HeadBytes > MostHeadBytes)
+    return fail(error_kind::BackendMalformed, "the answer's head is endless");
+  while (!Line.empty() && (Line.back() == '\r' || Line.back() == '\n'))
+    Line.remove_suffix(1);
+  if (Line.starts_with("HTTP/")) {
+    Head = {};
+    std::size_t Space = std::min(Line.find(' '), Line.size() - 1);
+    std::string_view Status = Line.substr(Space + 1, 3);
+    Head.Status = static_cast<int>(parseDecimal(Status).value_or(0));
+    return false;
+  }
+  if (Line.empty()) {
+    if (Head.Status < 200)
+      return false;
+    BOOST_LEAF_CHECK(checkFraming());
+    HeadComplete = true;
+    return true;
+  }
+  std::size_t Colon = Line.find(':');
+  if (Colon == std::string_view::npos)
+    return fail(error_kind::BackendMalformed, "a header field has no colon");
+  Head.Headers.push_back({std::string(Line.substr(0, Colon)),
+                          std::string(trimmed(Line.substr(Colon + 1)))});
+  return false;
+}
+
+result<void> curl_exchange::checkFraming() {
+  auto Count = [&](std::string_view Name) {
+    return std::ranges::count_if(Head.Headers, [&](const header_field &Field) {
+      return equalIgnoringCase(Field.Name, Name);
+    });
+  };
+  auto Lengths = Count("Content-Length");
+  bool Chunked = Count("Transfer-Encoding") > 0;
+  if (Lengths > 1 || (Lengths > 0 && Chunked))
+    return fail(error_kind::BackendMalformed, "the answer has two lengths");
+  if (Lengths == 1) {
+    Head.Length = parseDecimal(findHeader(Head.Headers, "Content-Length"));
+    if (!Head.Length)
+      return fail(error_kind::BackendMalformed, "malformed Content-Length");
+  }
+  if (!hasBody(Head.Status))
+    Head.Length = 0;
+  // An answer that ends with its connection can't be told from a cut one.
+  if (!Head.Length && !Chunked && !IsHead)
+    return fail(error_kind::BackendMalformed, "the answer has no length");
+  if (IsHead && !Head.Length)
+    Head.Length = 0;
+  return {};
+}
+
+attempt_end curl_exchange::end(CURLcode Code) const {
+  if (Code == CURLE_OK && !Aborted)
+    return {};
+  long SentBytes = 0;
+  curl_easy_getinfo(Handle.get(), CURLINFO_REQUEST_SIZE, &SentBytes);
+  attempt_failure Failure;
+  Failure.ProvenNotRun = SentBytes == 0;
+  Failure.Kind = Aborted.value_or(kindOf(Code));
+  if (Failure.ProvenNotRun)
+    Failure.Kind = error_kind::BackendUnreachable;
+  return {Failure, curl_easy_strerror(Code)};
+}
+
+void initialiseCurl() {
+  static const CURLcode Done = curl_global_init(CURL_GLOBAL_DEFAULT);
+  static_cast<void>(Done);
+}
+
+} // namespace endiverail::detail
--- /dev/null
+++ b/src/libs/http/curl_exchange.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "connection/backend_attempt.h"
+#include "process/event_loop.h"
+
+#include <curl/curl.h>
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace endiverail::detail {
+
+struct free_easy {
+  void operator()(CURL *Handle) const { curl_easy_cleanup(Handle); }
+};
+struct free_multi {
+  void operator()(CURLM *Handle) const { curl_multi_cleanup(Handle); }
+};
+struct free_list {
+  void operator()(curl_slist *List) const { curl_slist_free_all(List); }
+};
+using easy_handle = std::unique_ptr<CURL, free_easy>;
+using multi_handle = std::unique_ptr<CURLM, free_multi>;
+using header_list = std::unique_ptr<curl_slist, free_list>;
+
+/// One exchange in progress: the library's handle and what has been read of
+/// the answer's head.
+class curl_exchange {
+public:
+  explicit curl_exchange(const attempt_request &Request);
+
+  attempt_id id() const { return Id; }
+  CURL *handle() const { return Handle.get(); }
+
+  /// Takes one line of the head. Returns true when the head of the final
+  /// answer is complete, and fails with BackendMalformed.
+  result<bool> readHeaderLine(std::string_view Line);
+
+  backend_head takeHead() { return std::move(Head); }
+
+  /// Ends the exchange from within a callback of the library.
+  void abortWith(error_kind Kind) { Aborted = Kind; }
+  bool aborted() const { return Aborted.has_value(); }
+
+  /// Reads the library's verdict.
+  attempt_end end(CURLcode Code) const;
+
+private:
+  void setMethod(const attempt_request &Request);
+  void setHeaders(const attempt_request &Request);
+  result<void> checkFraming();
+
+  attempt_id Id;
+  bool IsHead;
+  easy_handle Handle;
+  header_list Headers;
+  backend_head Head;
+  std::size_t HeadBytes = 0;
+  /// Lines after the head are trailers.
+  bool HeadComplete = false;
+  std::optional<error_kind> Aborted;
+};
+
+/// Initialises the library once for the process, before any thread.
+void initialiseCurl();
+
+} // namespace endiverail::detail
--- /dev/null
+++ b/src/libs/http/front_end.h
@@ -0,0 +1,195 @@
+#pragma once
+
+#include "http/connection_worker.h"
+
+#include <pistache/listener.h>
+#include <pistache/tcp.h>
+#include <pistache/transport.h>
+
+#include <exception>
+#include <memory>
+#include <ranges>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace endiverail {
+namespace detail {
+
+/// Hands what Pistache reads to the worker of its thread.
+template <caller_request_sink Sink>
+class front_handler final : public Pistache::Tcp::Handler {
+public:
+  explicit front_handler(connection_worker<Sink> *Worker) : Worker(Worker) {}
+
+  std::shared_ptr<Pistache::Tcp::Handler> clone() const override {
+    return std::make_shared<front_handler>(Worker);
+  }
+  void onConnection(const std::shared_ptr<Pistache::Tcp::Peer> &Peer) override {
+    Worker->onConnected(Peer);
+  }
+  void onInput(const char *Bytes, std::size_t Size,
+               const std::shared_ptr<Pistache::Tcp::Peer> &Peer) override {
+    Worker->onInput(Peer->getID(), {Bytes, Size});
+  }
+  void
+  onDisconnection(const std::shared_ptr<Pistache::Tcp::Peer> &Peer) override {
+    Worker->onDisconnected(Peer->getID());
+  }
+
+private:
+  connection_worker<Sink> *Worker;
+};
+
+/// Pistache's transport with two descriptors more: the worker's mailbox and
+/// its timer, so that all of a connection's work runs on its own thread.
+template <caller_request_sink Sink>
+class front_transport final : public Pistache::Tcp::Transport {
+public:
+  using worker_list = std::vector<std::unique_ptr<connection_worker<Sink>>>;
+
+  front_transport(worker_list &Workers, std::size_t &NextWorker,
+                  connection_worker<Sink> *Worker)
+      : Transport(std::make_shared<front_handler<Sink>>(Worker)),
+        Workers(Workers), NextWorker(NextWorker), Worker(Worker) {}
+
+  /// Pistache clones the transport once for each of its threads.
+  std::shared_ptr<Pistache::Aio::Handler> clone() const override {
+    auto &Next = Workers[NextWorker++ % Workers.size()];
+    return std::make_shared<front_transport>(Workers, NextWorker, Next.get());
+  }
+
+  void registerPoller(Pistache::Polling::Epoll &Poller) override {
+    Transport::registerPoller(Poller);
+    addDescriptor(Poller, Worker->inboxDescriptor());
+    addDescriptor(Poller, Worker->timerDescriptor());
+  }
+
+  void onReady(const Pistache::Aio::FdSet &Ready) override {
+    std::vector<Pistache::Polling::Event> Others;
+    for (const auto &Entry : Ready) {
+      if (Entry.getTag() == tagOf(Worker->inboxDescriptor()))
+        Worker->onInbox();
+      else if (Entry.getTag() == tagOf(Worker->timerDescriptor()))
+        Worker->onTimer(steadyNow());
+      else
+        Others.push_back(copyOf(Entry));
+    }
+    if (!Others.empty())
+      Transport::onReady(Pistache::Aio::FdSet(std::move(Others)));
+  }
+
+private:
+  static Pistache::Polling::Tag tagOf(int Descriptor) {
+    return Pistache::Polling::Tag(static_cast<std::uint64_t>(Descriptor));
+  }
+
+  static void addDescriptor(Pistache::Polling::Epoll &Poller, int Descriptor) {
+    Poller.addFd(Descriptor,
+                 Pistache::Flags<Pistache::Polling::NotifyOn>(
+                     Pistache::Polling::NotifyOn::Read),
+                 tagOf(Descriptor));
+  }
+
+  static Pistache::Polling::Event
+  copyOf(const Pistache::Aio::FdSet::Entry &Entry) {
+    using Pistache::Polling::NotifyOn;
+    Pistache::Polling::Event Event(Entry.getTag());
+    if (Entry.isReadable())
+      Event.flags.setFlag(NotifyOn::Read);
+    if (Entry.isWritable())
+      Event.flags.setFlag(NotifyOn::Write);
+    if (Entry.isHangup())
+      Event.flags.setFlag(NotifyOn::Hangup);
+    return Event;
+  }
+
+  worker_list &Workers;
+  std::size_t &NextWorker;
+  connection_worker<Sink> *Worker;
+};
+
+} // namespace detail
+
+/// Accepts callers' connections by Pistache and keeps each answer on the
+/// connection and the request that it belongs to. Pistache's exceptions end
+/// here.
+template <caller_request_sink Sink> class front_end {
+public:
+  /// Listens at once. \p To and \p Memory outlive the front end. Fails with
+  /// BadSettings when the address can't be used.
+  static result<std::unique_ptr<front_end>>
+  create(const front_end_settings &Settings, Sink &To, memory_budget &Memory) {
+    std::unique_ptr<front_end> Created(new front_end);
+    for (std::size_t Index = 0; Index < Settings.Workers; ++Index) {
+      BOOST_LEAF_AUTO(Event, event_descriptor::create());
+      Created->Workers.push_back(
+          std::make_unique<detail::connection_worker<Sink>>(
+              Index, Settings, To, Memory, std::move(Event)));
+    }
+    try {
+      Created->listen(Settings);
+    } catch (const std::exception &Error) {
+      return fail(error_kind::BadSettings, "can't listen on " +
+                                               Settings.Address + ": " +
+                                               Error.what());
+    }
+    return Created;
+  }
+
+  front_end(const front_end &) = delete;
+  front_end &operator=(const front_end &) = delete;
+  ~front_end() { shutdown(); }
+
+  /// Hands a part of an answer to the connection's thread. Safe on any thread.
+  void post(answer_message Message) {
+    std::size_t Worker = ticketOf(Message).Worker;
+    Workers[Worker]->post(std::move(Message));
+  }
+
+  /// Connections that are open now.
+  std::size_t connections() const {
+    std::size_t Sum = 0;
+    for (const auto &Worker : Workers)
+      Sum += Worker->connections();
+    return Sum;
+  }
+
+  /// The port that callers connect to.
+  std::uint16_t port() const { return Listener->getPort(); }
+
+  /// Stops listening and closes all connections. Callers should have their
+  /// answers by then: Pistache waits for none.
+  void shutdown() {
+    if (Listener && !std::exchange(Stopped, true))
+      Listener->shutdown();
+  }
+
+private:
+  front_end() = default;
+
+  void listen(const front_end_settings &Settings) {
+    using Pistache::Tcp::Options;
+    Listener = std::make_unique<Pistache::Tcp::Listener>();
+    Listener->init(Settings.Workers,
+                   Pistache::Flags<Options>(Options::ReuseAddr) |
+                       Options::NoDelay | Options::CloseOnExec,
+                   "connection");
+    Listener->setTransportFactory([this] {
+      return std::make_shared<detail::front_transport<Sink>>(
+          Workers, NextWorker, Workers.front().get());
+    });
+    Listener->setHandler(std::make_shared<detail::front_handler<Sink>>(
+        Workers.front().get()));
+    Listener->bind(Pistache::Address(Settings.Address, Settings.Port));
+    Listener->runThreaded();
+  }
+
+  typename detail::front_transport<Sink>::worker_list Workers;
+  std::size_t NextWorker = 0;
+  bool Stopped = false;
+  /// Ends before the workers that its threads use.
+  std::unique_ptr<Pistache::Tcp::Listener> Listener;
+};
+
+} // namespace endiverail
--- /dev/null
+++ b/src/libs/process/answer_times.cpp
@@ -0,0 +1,31 @@
+#include "process/answer_times.h"
+
+#include <algorithm>
+
+namespace endiverail {
+
+namespace accumulators = boost::accumulators;
+
+answer_times::quantile answer_times::makeQuantile(double Probability) {
+  return quantile(accumulators::quantile_probability = Probability);
+}
+
+void answer_times::add(microseconds Time, steady_time Now) {
+  double Milliseconds = static_cast<double>(Time.count()) / 1000;
+  Median(Milliseconds);
+  High(Milliseconds);
+  if (Now - WindowStart < Window ||
+      accumulators::count(Median) < EnoughAnswers)
+    return;
+  auto Rounded = [](const quantile &Of) {
+    return milliseconds(
+        static_cast<std::int64_t>(accumulators::p_square_quantile(Of) + 1));
+  };
+  Usual = Rounded(Median);
+  Patience = std::max(LeastPatience, Rounded(High) * PatienceFactor);
+  WindowStart = Now;
+  Median = makeQuantile(0.5);
+  High = makeQuantile(0.95);
+}
+
+} // namespace endiverail
--- /dev/null
+++ b/src/libs/process/answer_times.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "base/time.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+
+namespace endiverail {
+
+/// How long a kind of work takes its pool to the first byte of the answer,
+/// over the last windows of time.
+class answer_times {
+public:
+  /// \p Target stands in until enough answers were seen.
+  explicit answer_times(milliseconds Target)
+      : Target(Target), Usual(Target / 4), Patience(Target) {}
+
+  void add(microseconds Time, steady_time Now);
+
+  /// About the median.
+  milliseconds usual() const { return Usual; }
+
+  /// The time in which the pool nearly always answers.
+  milliseconds patience() const { return Patience; }
+
+private:
+  using quantile = boost::accumulators::accumulator_set<
+      double,
+      boost::accumulators::stats<boost::accumulators::tag::count,
+                                 boost::accumulators::tag::p_square_quantile>>;
+
+  static constexpr std::size_t EnoughAnswers = 50;
+  static constexpr std::chrono::seconds Window{10};
+  static constexpr int PatienceFactor = 4;
+  static constexpr milliseconds LeastPatience{50};
+
+  static quantile makeQuantile(double Probability);
+
+  milliseconds Target;
+  milliseconds Usual;
+  milliseconds Patience;
+  steady_time WindowStart;
+  quantile Median = makeQuantile(0.5);
+  quantile High = makeQuantile(0.95);
+};
+
+} // namespace endiverail
--- /dev/null
+++ b/src/libs/process/fleet_key.cpp
@@ -0,0 +1,70 @@
+#include "process/fleet_key.h"
+
+#include "base/hash.h"
+#include "base/text.h"
+
+namespace endiverail {
+namespace {
+
+constexpr char Separator = '~';
+constexpr std::size_t MacBytes = 8;
+
+std::string shortMac(std::string_view Secret, std::string_view Text) {
+  std::string Mac = hmacSha256(Secret, Text).substr(0, MacBytes);
+  return toHex({reinterpret_cast<const std::uint8_t *>(Mac.data()), Mac.size()});
+}
+
+std::string join(std::initializer_list<std::string_view> Parts) {
+  std::string Text;
+  for (std::string_view Part : Parts) {
+    if (!Text.empty())
+      Text += Separator;
+    Text += Part;
+  }
+  return Text;
+}
+
+std::string hopText(std::string_view ProxyId, std::string_view Method,
+                    std::string_view Target) {
+  return join({"hop", ProxyId, Method, Target});
+}
+
+} // namespace
+
+std::string fleet_key::issuePrefix(std::string_view ProxyId,
+                                   std::uint64_t Incarnation,
+                                   std::string_view Nonce,
+                                   std::string_view FleetSecret) {
+  std::string Text = join({ProxyId, std::to_string(Incarnation), Nonce});
+  return join({Text, shortMac(FleetSecret, "key" + Text)});
+}
+
+std::optional<fleet_key> fleet_key::parse(std::string_view Key,
+                                          std::string_view FleetSecret) {
+  auto Parts = split(Key, Separator);
+  if (Parts.size() != 5 || Parts[4].empty())
+    return std::nullopt;
+  auto Incarnation = parseDecimal(Parts[1]);
+  std::string Text = join({Parts[0], Parts[1], Parts[2]});
+  if (!Incarnation ||
+      !equalConstantTime(Parts[3], shortMac(FleetSecret, "key" + Text)))
+    return std::nullopt;
+  return fleet_key{std::string(Parts[0]), *Incarnation};
+}
+
+std::string hopProof(std::string_view ProxyId, std::string_view Method,
+                     std::string_view Target, std::string_view FleetSecret) {
+  return join({ProxyId,
+               shortMac(FleetSecret, hopText(ProxyId, Method, Target))});
+}
+
+bool checkHopProof(std::string_view Proof, std::string_view Method,
+                   std::string_view Target, std::string_view FleetSecret) {
+  auto Parts = split(Proof, Separator);
+  return Parts.size() == 2 &&
+         equalConstantTime(Parts[1],
+                           shortMac(FleetSecret,
+                                    hopText(Parts[0], Method, Target)));
+}
+
+} // namespace endiverail
--- /dev/null
+++ b/src/libs/process/mailbox.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "base/error_kind.h"
+
+#include <mutex>
+#include <utility>
+#include <vector>
+
+namespace endiverail {
+
+/// A file descriptor of the kernel's event counter, closed at the end.
+class event_descriptor {
+public:
+  static result<event_descriptor> create();
+
+  event_descriptor(event_descriptor &&Other) noexcept
+      : Descriptor(std::exchange(Other.Descriptor, -1)) {}
+  event_descriptor &operator=(event_descriptor &&Other) noexcept {
+    std::swap(Descriptor, Other.Descriptor);
+    return *this;
+  }
+  event_descriptor(const event_descriptor &) = delete;
+  event_descriptor &operator=(const event_descriptor &) = delete;
+  ~event_descriptor();
+
+  int descriptor() const { return Descriptor; }
+  void notify() const;
+  void clear() const;
+
+private:
+  explicit event_descriptor(int Descriptor) : Descriptor(Descriptor) {}
+  int Descriptor;
+};
+
+/// Messages from any thread to the one that owns the mailbox. The owner waits
+/// on the descriptor; nobody polls.
+template <typename Message> class mailbox {
+public:
+  explicit mailbox(event_descriptor Event) : Event(std::move(Event)) {}
+
+  void post(Message &&Posted) {
+    bool WasEmpty = false;
+    {
+      std::lock_guard Lock(Mutex);
+      WasEmpty = Waiting.empty();
+      Waiting.push_back(std::move(Posted));
+    }
+    if (WasEmpty)
+      Event.notify();
+  }
+
+  /// Takes all that waits, in the order of the posts.
+  std::vector<Message> takeAll() {
+    Event.clear();
+    std::lock_guard Lock(Mutex);
+    return std::exchange(Waiting, {});
+  }
+
+  int descriptor() const { return Event.descriptor(); }
+
+private:
+  event_descriptor Event;
+  std::mutex Mutex;
+  std::vector<Message> Waiting;
+};
+
+} // namespace endiverail
--- /dev/null
+++ b/src/libs/process/metrics.cpp
@@ -0,0 +1,98 @@
+#include "process/metrics.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <iterator>
+
+namespace endiverail {
+
+namespace accumulators = boost::accumulators;
+
+latency_summary::latency_summary()
+    : Times(accumulators::extended_p_square_probabilities = Quantiles) {}
+
+void latency_summary::add(microseconds Time) {
+  Times(static_cast<double>(Time.count()) / 1000);
+}
+
+std::uint64_t latency_summary::count() const {
+  return accumulators::count(Times);
+}
+
+double latency_summary::sumMilliseconds() const {
+  return accumulators::sum(Times);
+}
+
+double latency_summary::quantileMilliseconds(double Quantile) const {
+  if (count() == 0)
+    return 0;
+  return accumulators::quantile(
+      Times, accumulators::quantile_probability = Quantile);
+}
+
+void process_metrics::onAnswer(std::string_view Service, rank Rank,
+                               outcome Outcome, std::string_view Error,
+                               microseconds Time) {
+  std::lock_guard Lock(Mutex);
+  ++Answers[{std::string(Service), Rank, Outcome, std::string(Error)}];
+  Latencies[{std::string(Service), Rank}].add(Time);
+}
+
+void process_metrics::onRetry(std::string_view Service) {
+  std::lock_guard Lock(Mutex);
+  ++Retries[std::string(Service)];
+}
+
+void process_metrics::onForward(std::string_view Service) {
+  std::lock_guard Lock(Mutex);
+  ++Forwards[std::string(Service)];
+}
+
+void process_metrics::setGauge(std::string_view Name, double Value) {
+  std::lock_guard Lock(Mutex);
+  Gauges[std::string(Name)] = Value;
+}
+
+std::string process_metrics::text() const {
+  std::lock_guard Lock(Mutex);
+  std::string Text;
+  auto Out = std::back_inserter(Text);
+  Text += "# TYPE endiverail_answers_total counter\n";
+  for (const auto &[Key, Count] : Answers)
+    fmt::format_to(Out,
+                   "endiverail_answers_total{{service=\"{}\",rank=\"{}\","
+                   "outcome=\"{}\",error=\"{}\"}} {}\n",
+                   Key.Service, rankName(Key.Rank), outcomeName(Key.Outcome),
+                   Key.Error, Count);
+  Text += "# TYPE endiverail_answer_milliseconds summary\n";
+  for (const auto &[Key, Summary] : Latencies) {
+    for (double Quantile : latency_summary::Quantiles)
+      fmt::format_to(Out,
+                     "endiverail_answer_milliseconds{{service=\"{}\","
+                     "rank=\"{}\",quantile=\"{}\"}} {:.3f}\n",
+                     Key.Service, rankName(Key.Rank), Quantile,
+                     Summary.quantileMilliseconds(Quantile));
+    fmt::format_to(Out,
+                   "endiverail_answer_milliseconds_count{{service=\"{}\","
+                   "rank=\"{}\"}} {}\n",
+                   Key.Service, rankName(Key.Rank), Summary.count());
+    fmt::format_to(Out,
+                   "endiverail_answer_milliseconds_sum{{service=\"{}\","
+                   "rank=\"{}\"}} {:.3f}\n",
+                   Key.Service, rankName(Key.Rank), Summary.sumMilliseconds());
+  }
+  Text += "# TYPE endiverail_retries_total counter\n";
+  for (const auto &[Service, Count] : Retries)
+    fmt::format_to(Out, "endiverail_retries_total{{service=\"{}\"}} {}\n",
+                   Service, Count);
+  Text += "# TYPE endiverail_forwards_total counter\n";
+  for (const auto &[Service, Count] : Forwards)
+    fmt::format_to(Out, "endiverail_forwards_total{{service=\"{}\"}} {}\n",
+                   Service, Count);
+  for (const auto &[Name, Value] : Gauges)
+    fmt::format_to(Out, "# TYPE endiverail_{0} gauge\nendiverail_{0} {1}\n",
+                   Name, Value);
+  return Text;
+}
+
+} // namespace endiverail
--- /dev/null
+++ b/src/libs/process/metrics.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "base/error_kind.h"
+#include "base/time.h"
+#include "version/rank.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/mean.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+namespace endiverail {
+
+/// Quantiles of a stream of times in constant memory.
+class latency_summary {
+public:
+  static constexpr std::array<double, 3> Quantiles{0.5, 0.9, 0.99};
+
+  latency_summary();
+
+  void add(microseconds Time);
+  std::uint64_t count() const;
+  double sumMilliseconds() const;
+  /// \p Quantile is one of Quantiles. 0 when nothing was added.
+  double quantileMilliseconds(double Quantile) const;
+
+private:
+  boost::accumulators::accumulator_set<
+      double, boost::accumulators::stats<
+                  boost::accumulators::tag::count,
+                  boost::accumulators::tag::sum,
+                  boost::accumulators::tag::extended_p_square_quantile>>
+      Times;
+};
+
+/// Counters and summaries of one process, from all of its threads.
+class process_metrics {
+public:
+  /// An answer was given for \p Service; \p Error is empty for "done".
+  void onAnswer(std::string_view Service, rank Rank, outcome Outcome,
+                std::string_view Error, microseconds Time);
+  void onRetry(std::string_view Service);
+  void onForward(std::string_view Service);
+  void setGauge(std::string_view Name, double Value);
+
+  /// All of it in the text format that scrapers read.
+  std::string text() const;
+
+private:
+  struct answer_key {
+    std::string Service;
+    rank Rank;
+    outcome Outcome;
+    std::string Error;
+    auto operator<=>(const answer_key &) const = default;
+  };
+  struct service_rank {
+    std::string Service;
+    rank Rank;
+    auto operator<=>(const service_rank &) const = default;
+  };
+
+  mutable std::mutex Mutex;
+  std::map<answer_key, std::uint64_t> Answers;
+  std::map<service_rank, latency_summary> Latencies;
+  std::map<std::string, std::uint64_t, std::less<>> Retries;
+  std::map<std::string, std::uint64_t, std::less<>> Forwards;
+  std::map<std::string, double, std::less<>> Gauges;
+};
+
+} // namespace endiverail
--- /dev/null
+++ b/src/libs/process/outcome_table.cpp
@@ -0,0 +1,60 @@
+#include "process/outcome_table.h"
+
+namespace endiverail {
+
+key_state outcome_table::begin(std::string_view Key, steady_time Now) {
+  expire(Now);
+  if (auto Found = Entries.find(Key); Found != Entries.end())
+    return Found->second.Answer ? key_state::Finished : key_state::InProgress;
+  std::size_t Size = EntryBytes + Key.size();
+  if (Bytes + Size > MaxBytes)
+    return key_state::Full;
+  Entries.emplace(Key, entry{std::nullopt, Now + KeyLife, Size});
+  Ends.emplace_back(Now + KeyLife, Key);
+  Bytes += Size;
+  return key_state::Fresh;
+}
+
+const stored_answer *outcome_table::find(std::string_view Key) const {
+  auto Found = Entries.find(Key);
+  return Found != Entries.end() && Found->second.Answer
+             ? &*Found->second.Answer
+             : nullptr;
+}
+
+void outcome_table::finish(std::string_view Key, stored_answer Answer,
+                           steady_time Now) {
+  auto Found = Entries.find(Key);
+  if (Found == Entries.end() || Found->second.Answer)
+    return;
+  entry &Entry = Found->second;
+  // The caller's key lives on from the answer, not from the request.
+  Entry.Until = Now + KeyLife;
+  Ends.emplace_back(Entry.Until, Key);
+  Entry.Bytes += Answer.Body.size();
+  Bytes += Answer.Body.size();
+  Entry.Answer = std::move(Answer);
+}
+
+void outcome_table::forget(std::string_view Key) {
+  auto Found = Entries.find(Key);
+  if (Found == Entries.end() || Found->second.Answer)
+    return;
+  Bytes -= Found->second.Bytes;
+  Entries.erase(Found);
+}
+
+void outcome_table::expire(steady_time Now) {
+  while (!Ends.empty() && Ends.front().first <= Now) {
+    auto Found = Entries.find(Ends.front().second);
+    bool Over = Found != Entries.end() && Found->second.Until <= Now &&
+                Found->second.Answer;
+    if (Over) {
+      Bytes -= Found->second.Bytes;
+      Entries.erase(Found);
+    }
+    Ends.pop_front();
+  }
+}
+
+} // namespace endiverail
--- /dev/null
+++ b/src/libs/process/rank_queue.cpp
@@ -0,0 +1,84 @@
+#include "process/rank_queue.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace endiverail {
+
+rank_queue::organisation_queue &
+rank_queue::queueOf(const std::string &Organisation) {
+  auto Found = std::ranges::find(Turns, Organisation,
+                                 &organisation_queue::Organisation);
+  if (Found != Turns.end())
+    return *Found;
+  return Turns.emplace_back(organisation_queue{Organisation, {}});
+}
+
+void rank_queue::dropEmpty() {
+  std::erase_if(Turns, [](const organisation_queue &Queue) {
+    return Queue.Requests.empty();
+  });
+}
+
+std::optional<waiting_request> rank_queue::push(waiting_request Request) {
+  queueOf(Request.Organisation).Requests.push_back(std::move(Request));
+  if (++Count <= Limit)
+    return std::nullopt;
+  auto Longest = std::ranges::max_element(
+      Turns, {},
+      [](const organisation_queue &Queue) { return Queue.Requests.size(); });
+  waiting_request Dropped = std::move(Longest->Requests.back());
+  Longest->Requests.pop_back();
+  --Count;
+  dropEmpty();
+  return Dropped;
+}
+
+void rank_queue::pushFront(waiting_request Request) {
+  queueOf(Request.Organisation).Requests.push_front(std::move(Request));
+  ++Count;
+}
+
+const waiting_request *rank_queue::front() const {
+  return Turns.empty() ? nullptr : &Turns.front().Requests.front();
+}
+
+waiting_request rank_queue::pop() {
+  organisation_queue Turn = std::move(Turns.front());
+  Turns.pop_front();
+  waiting_request Request = std::move(Turn.Requests.front());
+  Turn.Requests.pop_front();
+  --Count;
+  if (!Turn.Requests.empty())
+    Turns.push_back(std::move(Turn));
+  return Request;
+}
+
+bool rank_queue::remove(request_id Id) {
+  std::size_t Removed = 0;
+  for (organisation_queue &Queue : Turns)
+    Removed += std::erase_if(Queue.Requests, [&](const waiting_request &R) {
+      return R.Id == Id;
+    });
+  Count -= Removed;
+  dropEmpty();
+  return Removed != 0;
+}
+
+std::vector<waiting_request> rank_queue::takeExpired(steady_time Now) {
+  std::vector<waiting_request> Expired;
+  for (organisation_queue &Queue : Turns) {
+    auto Gone = std::stable_partition(
+        Queue.Requests.begin(), Queue.Requests.end(),
+        [&](const waiting_request &R) {
+          return Now + R.UsualTime < R.Deadline;
+        });
+    std::move(Gone, Queue.Requests.end(), std::back_inserter(Expired));
+    Queue.Requests.erase(Gone, Queue.Requests.end());
+  }
+  Count -= Expired.size();
+  dropEmpty();
+  return Expired;
+}
+
+} // namespace endiverail
--- /dev/null
+++ b/src/libs/process/retry_budget.cpp
@@ -0,0 +1,23 @@
+#include "process/retry_budget.h"
+
+#include <algorithm>
+
+namespace endiverail {
+
+void retry_budget::onSuccess(rank Rank) {
+  double &Left = Tokens[rankIndex(Rank)];
+  Left = std::min(MostRetries, Left + RetriesPerSuccess);
+}
+
+bool retry_budget::take(rank Rank) {
+  if (!available(Rank))
+    return false;
+  Tokens[rankIndex(Rank)] -= 1;
+  return true;
+}
+
+bool retry_budget::available(rank Rank) const {
+  return Tokens[rankIndex(Rank)] >= 1;
+}
+
+} // namespace endiverail
--- /dev/null
+++ b/src/libs/process/server_evidence.cpp
@@ -0,0 +1,63 @@
+#include "process/server_evidence.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace endiverail {
+namespace {
+
+constexpr double RateHalfLifeSeconds = 10;
+
+double seconds(steady_time::duration Time) {
+  return std::chrono::duration<double>(Time).count();
+}
+
+} // namespace
+
+double failure_rate::decay(steady_time Now) const {
+  return std::exp2(-std::max(0.0, seconds(Now - Last)) / RateHalfLifeSeconds);
+}
+
+void failure_rate::observe(bool IsBad, steady_time Now) {
+  double Factor = decay(Now);
+  Total = Total * Factor + 1;
+  Bad = Bad * Factor + (IsBad ? 1 : 0);
+  Last = std::max(Last, Now);
+}
+
+double failure_rate::total(steady_time Now) const { return Total * decay(Now); }
+
+double failure_rate::bad(steady_time Now) const { return Bad * decay(Now); }
+
+void server_evidence::observe(attempt_signal Signal, double Baseline,
+                              steady_time Now) {
+  if (Signal == attempt_signal::Shed)
+    return;
+  bool Bad = Signal != attempt_signal::Good;
+  Rate.observe(Bad, Now);
+  if (Now - PeriodStart >= Period) {
+    PeriodStart = Now;
+    PeriodGains.fill(0);
+  }
+  for (std::size_t Test = 0; Test < Alternatives.size(); ++Test) {
+    // With a baseline near the alternative the two can't be told apart.
+    double Usual = std::min(Baseline, Alternatives[Test] * 0.8);
+    double Gain = Bad ? std::log(Alternatives[Test] / Usual)
+                      : std::log((1 - Alternatives[Test]) / (1 - Usual));
+    Gain = std::min(Gain, MostPerPeriod - PeriodGains[Test]);
+    PeriodGains[Test] += std::max(0.0, Gain);
+    // The cap keeps a long failure from delaying the return without bound.
+    Sums[Test] = std::clamp(Sums[Test] + Gain, 0.0, Threshold * 1.5);
+  }
+}
+
+double server_evidence::suspicion() const {
+  return std::ranges::max(Sums) / Threshold;
+}
+
+void server_evidence::clear() {
+  Sums.fill(0);
+  PeriodGains.fill(0);
+}
+
+} // namespace endiverail
--- /dev/null
+++ b/src/libs/process/server_evidence.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "base/time.h"
+
+#include <array>
+#include <cstdint>
+
+namespace endiverail {
+
+/// What real work has shown of a backend server.
+enum class attempt_signal {
+  /// A whole answer in the usual time.
+  Good,
+  /// No answer in the time in which the pool nearly always answers.
+  Slow,
+  /// An error, a cut answer, a time-out or no connection.
+  Failed,
+  /// Refused for lack of capacity: says nothing of its health.
+  Shed,
+};
+
+/// Recent share of bad signals, decaying with time.
+class failure_rate {
+public:
+  void observe(bool Bad, steady_time Now);
+  /// Weight of the observations that are still remembered.
+  double total(steady_time Now) const;
+  double bad(steady_time Now) const;
+
+private:
+  double decay(steady_time Now) const;
+  double Total = 0;
+  double Bad = 0;
+  steady_time Last;
+};
+
+/// Sequential test of "this backend server fails more than its pool" over the
+/// signals of real work: two one-sided cumulative sums of log likelihood
+/// ratios, one for nearly complete and one for partial failure.
+class server_evidence {
+public:
+  /// Takes one signal. \p Baseline is the share of bad signals that the rest
+  /// of the pool shows.
+  void observe(attempt_signal Signal, double Baseline, steady_time Now);
+
+  /// 0 for no evidence, 1 and more for enough to eject.
+  double suspicion() const;
+
+  /// Enough evidence to prefer any other backend server.
+  bool suspected() const { return suspicion() >= SuspectedFrom; }
+
+  /// Enough evidence to eject.
+  bool condemned() const { return suspicion() >= 1; }
+
+  const failure_rate &rate() const { return Rate; }
+
+  /// Forgets the evidence, as after a return.
+  void clear();
+
+private:
+  static constexpr double SuspectedFrom = 0.35;
+  /// Log of the mean number of signals between two false alarms.
+  static constexpr double Threshold = 21;
+  /// One burst counts at most this much, so that a single pause of a backend
+  /// server, which hits all its requests at once, ejects nobody.
+  static constexpr double MostPerPeriod = 8;
+  static constexpr milliseconds Period{200};
+  /// Failure shares of the two alternatives that are tested for.
+  static constexpr std::array<double, 2> Alternatives{0.9, 0.25};
+
+  std::array<double, 2> Sums{};
+  std::array<double, 2> PeriodGains{};
+  steady_time PeriodStart;
+  failure_rate Rate;
+};
+
+} // namespace endiverail
--- /dev/null
+++ b/src/libs/process/service_scheduler.cpp
@@ -0,0 +1,371 @@
+#include "process/service_scheduler.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <ranges>
+
+namespace endiverail {
+namespace {
+
+constexpr double WarmingLimit = 2;
+constexpr double LimitCut = 0.7;
+constexpr double LeastLimit = 1;
+constexpr std::size_t GoodTrialsToReturn = 3;
+constexpr milliseconds FirstTrialPause{500};
+constexpr milliseconds LongestTrialPause{30'000};
+/// After this long without an ejection a flapping history is forgotten.
+constexpr std::chrono::minutes FlapMemory{10};
+/// How far the host list may lag behind a backend server's own word.
+constexpr std::chrono::seconds HostListLag{60};
+/// Share of bad signals that a healthy pool shows now and then.
+constexpr double LeastBaseline = 0.01;
+constexpr double BaselinePriorWeight = 100;
+constexpr double MostBaseline = 0.7;
+
+milliseconds trialPause(std::size_t Ejections) {
+  auto Doublings = std::min<std::size_t>(Ejections, 6);
+  return std::min(FirstTrialPause * (1 << Doublings), LongestTrialPause);
+}
+
+} // namespace
+
+std::string_view standingName(server_standing Standing) {
+  switch (Standing) {
+  case server_standing::Serving:
+    return "serving";
+  case server_standing::Warming:
+    return "warming";
+  case server_standing::Suspected:
+    return "suspected";
+  case server_standing::Ejected:
+    return "ejected";
+  case server_standing::Leaving:
+    break;
+  }
+  return "leaving";
+}
+
+service_scheduler::service_scheduler(const service_definition &Definition,
+                                     std::uint64_t Seed)
+    : Definition(Definition), Random(Seed) {
+  for (rank Rank : AllRanks)
+    Queues.emplace_back(Definition.QueueLimit[rankIndex(Rank)]);
+}
+
+void service_scheduler::configure(const service_definition &NewDefinition,
+                                  std::span<const backend_server> NewServers,
+                                  steady_time Now) {
+  bool First = Servers.empty();
+  Definition = NewDefinition;
+  for (rank Rank : AllRanks)
+    Queues[rankIndex(Rank)].setLimit(Definition.QueueLimit[rankIndex(Rank)]);
+  for (server_slot &Server : Servers)
+    Server.Gone = true;
+  for (const backend_server &Listed : NewServers) {
+    server_slot *Known = find(Listed.Address);
+    if (!Known) {
+      Known = &Servers.emplace_back();
+      Known->Address = Listed.Address;
+      Known->NextTrial = Now;
+      // A proxy that has just started can't tell which ones are cold.
+      Known->Warm = First;
+      Known->Limit = First ? static_cast<double>(Definition.SlotsPerServer)
+                           : WarmingLimit;
+    }
+    Known->Gone = false;
+    Known->Leaving = Listed.State == server_state::Leaving ||
+                     Now < Known->SaidLeavingUntil;
+    Known->Limit = std::min(Known->Limit,
+                            static_cast<double>(Definition.SlotsPerServer));
+  }
+  dropGone();
+}
+
+void service_scheduler::dropGone() {
+  std::erase_if(Servers, [](const server_slot &Server) {
+    return Server.Gone && Server.InUse == 0;
+  });
+}
+
+std::optional<request_id> service_scheduler::submit(waiting_request Request) {
+  auto Dropped = Queues[rankIndex(Request.Rank)].push(std::move(Request));
+  return Dropped ? std::optional(Dropped->Id) : std::nullopt;
+}
+
+void service_scheduler::resubmit(waiting_request Request) {
+  Queues[rankIndex(Request.Rank)].pushFront(std::move(Request));
+}
+
+double service_scheduler::guaranteedSlots(rank Rank) const {
+  double Share =
+      static_cast<double>(Definition.SharePercent[rankIndex(Rank)]) / 100;
+  return std::ceil(static_cast<double>(capacity()) * Share);
+}
+
+bool service_scheduler::mayStart(rank Rank) const {
+  const waiting_request *Front = Queues[rankIndex(Rank)].front();
+  if (!Front)
+    return false;
+  if (!Front->Bulk)
+    return true;
+  // Bulk work keeps its slots long, so it leaves the guaranteed slots of the
+  // more urgent ranks alone even while they are unused.
+  auto Held = [&](rank Other) {
+    return std::max(guaranteedSlots(Other),
+                    static_cast<double>(InUseByRank[rankIndex(Other)]));
+  };
+  double Reserved = 0;
+  for (rank Other : AllRanks)
+    if (Other < Rank)
+      Reserved += Held(Other);
+  double Open = std::max(guaranteedSlots(Rank),
+                         static_cast<double>(capacity()) - Reserved);
+  return static_cast<double>(InUseByRank[rankIndex(Rank)]) < Open;
+}
+
+std::optional<rank> service_scheduler::chooseRank() const {
+  auto Ready = AllRanks | std::views::filter(
+                              [&](rank Rank) { return mayStart(Rank); });
+  auto BelowShare = std::ranges::find_if(Ready, [&](rank Rank) {
+    return static_cast<double>(InUseByRank[rankIndex(Rank)]) <
+           guaranteedSlots(Rank);
+  });
+  if (BelowShare != Ready.end())
+    return *BelowShare;
+  auto MostUrgent = Ready.begin();
+  return MostUrgent == Ready.end() ? std::nullopt : std::optional(*MostUrgent);
+}
+
+server_standing service_scheduler::standing(const server_slot &Server) const {
+  if (Server.Leaving || Server.Gone)
+    return server_standing::Leaving;
+  if (Server.Ejected)
+    return server_standing::Ejected;
+  if (Server.Evidence.suspected())
+    return server_standing::Suspected;
+  return Server.Warm ? server_standing::Serving : server_standing::Warming;
+}
+
+bool service_scheduler::hasFreeSlot(const server_slot &Server,
+                                    steady_time Now) const {
+  switch (standing(Server)) {
+  case server_standing::Leaving:
+    return false;
+  case server_standing::Ejected:
+    return Server.InUse == 0 && Now >= Server.NextTrial;
+  default:
+    return static_cast<double>(Server.InUse) < std::floor(Server.Limit);
+  }
+}
+
+service_scheduler::server_slot *
+service_scheduler::chooseServer(const waiting_request &Request,
+                                steady_time Now) {
+  struct choice {
+    server_slot *Server = nullptr;
+    double Cost = 0;
+  };
+  constexpr double AvoidCost = 1000;
+  constexpr double SuspectedCost = 100;
+  constexpr double TrialGain = -10;
+  std::uniform_real_distribution<double> Tie(0, 0.01);
+
+  choice Best;
+  for (server_slot &Server : Servers) {
+    if (!hasFreeSlot(Server, Now))
+      continue;
+    bool Avoided =
+        std::ranges::find(Request.Avoid, Server.Address) != Request.Avoid.end();
+    bool Trial = Server.Ejected || Server.Evidence.suspected();
+    // A trial risks the request, so it goes to one that can be repeated.
+    bool TrialFits = Request.Idempotent && !Avoided && Request.Avoid.empty();
+    if (Server.Ejected && !TrialFits)
+      continue;
+    double Cost = static_cast<double>(Server.InUse) / std::max(1.0, Server.Limit) +
+                  Server.Evidence.suspicion() + Tie(Random);
+    if (Avoided)
+      Cost += AvoidCost;
+    if (Trial) {
+      bool Due = TrialFits && Server.InUse == 0 && Now >= Server.NextTrial;
+      Cost += Due ? TrialGain : SuspectedCost;
+    }
+    if (!Best.Server || Cost < Best.Cost)
+      Best = {&Server, Cost};
+  }
+  return Best.Server;
+}
+
+std::optional<slot_assignment> service_scheduler::next(steady_time Now) {
+  auto Rank = chooseRank();
+  if (!Rank)
+    return std::nullopt;
+  rank_queue &Queue = Queues[rankIndex(*Rank)];
+  server_slot *Server = chooseServer(*Queue.front(), Now);
+  if (!Server)
+    return std::nullopt;
+  waiting_request Request = Queue.pop();
+  if (Server->Ejected || Server->Evidence.suspected())
+    Server->NextTrial = Now + (Server->Ejected ? trialPause(Server->Ejections)
+                                               : milliseconds(100));
+  ++Server->InUse;
+  ++InUseByRank[rankIndex(*Rank)];
+  return slot_assignment{Request.Id, Server->Address};
+}
+
+void service_scheduler::release(std::string_view Address, rank Rank,
+                                steady_time) {
+  --InUseByRank[rankIndex(Rank)];
+  if (server_slot *Server = find(Address)) {
+    --Server->InUse;
+    dropGone();
+  }
+}
+
+void service_scheduler::grow(server_slot &Server) {
+  double Slots = static_cast<double>(Definition.SlotsPerServer);
+  Server.Limit = std::min(Slots, Server.Limit + 1 / std::max(1.0, Server.Limit));
+  if (Server.Limit >= Slots - 0.5)
+    Server.Warm = true;
+}
+
+double service_scheduler::baselineFor(const server_slot &Server,
+                                      steady_time Now) const {
+  double Bad = LeastBaseline * BaselinePriorWeight;
+  double Total = BaselinePriorWeight;
+  for (const server_slot &Other : Servers) {
+    if (&Other == &Server)
+      continue;
+    Bad += Other.Evidence.rate().bad(Now);
+    Total += Other.Evidence.rate().total(Now);
+  }
+  return std::clamp(Bad / Total, LeastBaseline, MostBaseline);
+}
+
+void service_scheduler::observe(std::string_view Address,
+                                attempt_signal Signal, steady_time Now) {
+  server_slot *Server = find(Address);
+  if (!Server)
+    return;
+  if (Signal == attempt_signal::Shed) {
+    Server->Limit = std::max(LeastLimit, Server->Limit * LimitCut);
+    return;
+  }
+  Server->Evidence.observe(Signal, baselineFor(*Server, Now), Now);
+  bool Good = Signal == attempt_signal::Good;
+  if (Good)
+    grow(*Server);
+  if (Server->Ejected)
+    Server->GoodTrials = Good ? Server->GoodTrials + 1 : 0;
+}
+
+void service_scheduler::markLeaving(std::string_view Address,
+                                    steady_time Now) {
+  if (server_slot *Server = find(Address)) {
+    Server->Leaving = true;
+    Server->SaidLeavingUntil = Now + HostListLag;
+  }
+}
+
+void service_scheduler::setEjected(std::string_view Address, bool Ejected,
+                                   steady_time Now) {
+  server_slot *Server = find(Address);
+  if (!Server || Server->Ejected == Ejected)
+    return;
+  Server->Ejected = Ejected;
+  Server->GoodTrials = 0;
+  if (Ejected) {
+    if (Now - Server->LastEjection > FlapMemory)
+      Server->Ejections = 0;
+    ++Server->Ejections;
+    Server->LastEjection = Now;
+    Server->NextTrial = Now + trialPause(Server->Ejections);
+    return;
+  }
+  Server->Evidence.clear();
+  Server->Limit = std::min(Server->Limit, WarmingLimit);
+  Server->Warm = false;
+}
+
+bool service_scheduler::cancel(request_id Id) {
+  return std::ranges::any_of(
+      Queues, [&](rank_queue &Queue) { return Queue.remove(Id); });
+}
+
+std::vector<waiting_request>
+service_scheduler::takeExpired(steady_time Now) {
+  std::vector<waiting_request> Expired;
+  for (rank_queue &Queue : Queues)
+    std::ranges::move(Queue.takeExpired(Now), std::back_inserter(Expired));
+  return Expired;
+}
+
+std::vector<endpoint_text> service_scheduler::condemned() const {
+  std::vector<endpoint_text> Found;
+  for (const server_slot &Server : Servers)
+    if (!Server.Ejected && !Server.Leaving && Server.Evidence.condemned())
+      Found.push_back(Server.Address);
+  return Found;
+}
+
+std::vector<endpoint_text> service_scheduler::recovered() const {
+  std::vector<endpoint_text> Found;
+  for (const server_slot &Server : Servers)
+    if (Server.Ejected && Server.GoodTrials >= GoodTrialsToReturn)
+      Found.push_back(Server.Address);
+  return Found;
+}
+
+service_scheduler::server_slot *
+service_scheduler::find(std::string_view Address) {
+  auto Found = std::ranges::find(Servers, Address, &server_slot::Address);
+  return Found == Servers.end() ? nullptr : &*Found;
+}
+
+const service_scheduler::server_slot *
+service_scheduler::find(std::string_view Address) const {
+  auto Found = std::ranges::find(Servers, Address, &server_slot::Address);
+  return Found == Servers.end() ? nullptr : &*Found;
+}
+
+std::size_t service_scheduler::waiting() const {
+  return std::transform_reduce(Queues.begin(), Queues.end(), std::size_t{0},
+                               std::plus{},
+                               [](const rank_queue &Q) { return Q.size(); });
+}
+
+std::size_t service_scheduler::inUse() const {
+  return std::reduce(InUseByRank.begin(), InUseByRank.end());
+}
+
+std::size_t service_scheduler::capacity() const {
+  double Slots = 0;
+  for (const server_slot &Server : Servers)
+    if (!Server.Leaving && !Server.Gone && !Server.Ejected)
+      Slots += std::floor(Server.Limit);
+  return static_cast<std::size_t>(Slots);
+}
+
+bool service_scheduler::hasServers() const {
+  return std::ranges::any_of(Servers, [](const server_slot &Server) {
+    return !Server.Leaving && !Server.Gone;
+  });
+}
+
+std::vector<server_status> service_scheduler::status() const {
+  std::vector<server_status> Rows;
+  for (const server_slot &Server : Servers)
+    Rows.push_back({Server.Address, standing(Server), Server.InUse,
+                    Server.Limit, Server.Evidence.suspicion()});
+  return Rows;
+}
+
+std::optional<steady_time> service_scheduler::nextTrial() const {
+  std::optional<steady_time> Next;
+  for (const server_slot &Server : Servers)
+    if (Server.Ejected && (!Next || Server.NextTrial < *Next))
+      Next = Server.NextTrial;
+  return Next;
+}
+
+} // namespace endiverail
--- /dev/null
+++ b/src/libs/process/swim.cpp
@@ -0,0 +1,332 @@
+#include "process/swim.h"
+
+#include <algorithm>
+#include <cmath>
+#include <ranges>
+#include <tuple>
+#include <utility>
+
+namespace endiverail {
+namespace {
+
+constexpr std::size_t MostHealthScore = 6;
+constexpr std::size_t MostSuggested = 4096;
+
+bool isPresent(member_state State) {
+  return State == member_state::Alive || State == member_state::Suspect;
+}
+
+/// Later statements win; of two with the same number the worse news does.
+auto precedence(const member_update &Update) {
+  return std::tuple(Update.Proxy.Incarnation, Update.Refutation,
+                    static_cast<int>(Update.State));
+}
+
+} // namespace
+
+swim::swim(proxy_member SelfMember, swim_timing Timing, std::uint64_t Seed)
+    : Self{std::move(SelfMember), 0, member_state::Alive}, Timing(Timing),
+      Random(Seed) {
+  spread(Self);
+}
+
+void swim::suggest(std::span<const endpoint_text> Addresses) {
+  for (const endpoint_text &Address : Addresses) {
+    bool Known =
+        Address == Self.Proxy.Address ||
+        std::ranges::find(Suggested, Address) != Suggested.end() ||
+        std::ranges::any_of(Members | std::views::values, [&](const member &M) {
+          return M.Update.Proxy.Address == Address &&
+                 isPresent(M.Update.State);
+        });
+    if (!Known && Suggested.size() < MostSuggested)
+      Suggested.push_back(Address);
+  }
+}
+
+milliseconds swim::stretched(milliseconds Time) const {
+  return Time * (1 + static_cast<int>(HealthScore));
+}
+
+milliseconds swim::suspicionTime() const {
+  double Factor = std::max(1.0, std::log2(static_cast<double>(size() + 1)) / 2);
+  return std::chrono::duration_cast<milliseconds>(
+      stretched(Timing.SuspicionBase) * Factor);
+}
+
+void swim::raiseHealthScore() {
+  HealthScore = std::min(HealthScore + 1, MostHealthScore);
+}
+
+void swim::spread(const member_update &Update) {
+  std::erase_if(Rumours, [&](const rumour &Rumour) {
+    return Rumour.Update.Proxy.Id == Update.Proxy.Id;
+  });
+  Rumours.push_back({Update, 0});
+}
+
+std::vector<member_update> swim::takeRumours() {
+  auto Most = static_cast<std::size_t>(
+      4 * std::ceil(std::log2(static_cast<double>(size() + 2))));
+  std::ranges::stable_sort(Rumours, {}, &rumour::Sent);
+  std::vector<member_update> Taken;
+  for (rumour &Rumour : Rumours | std::views::take(Timing.UpdatesPerMessage)) {
+    Taken.push_back(Rumour.Update);
+    ++Rumour.Sent;
+  }
+  std::erase_if(Rumours,
+                [&](const rumour &Rumour) { return Rumour.Sent >= Most; });
+  return Taken;
+}
+
+gossip_message swim::message(gossip_kind Kind, std::uint64_t Sequence) {
+  gossip_message Message;
+  Message.Kind = Kind;
+  Message.Sequence = Sequence;
+  Message.SenderId = Self.Proxy.Id;
+  Message.SenderAddress = Self.Proxy.Address;
+  Message.Updates = takeRumours();
+  // A member says itself in each datagram that it is there, so that a process
+  // that has forgotten it, or never heard of it, learns at once.
+  Message.Updates.push_back(Self);
+  return Message;
+}
+
+std::optional<std::string> swim::nextTarget() {
+  while (true) {
+    if (Order.empty()) {
+      for (const auto &[Id, Member] : Members)
+        if (isPresent(Member.Update.State))
+          Order.push_back(Id);
+      std::ranges::shuffle(Order, Random);
+    }
+    if (Order.empty())
+      return std::nullopt;
+    std::string Id = std::move(Order.back());
+    Order.pop_back();
+    auto Found = Members.find(Id);
+    if (Found != Members.end() && isPresent(Found->second.Update.State))
+      return Id;
+  }
+}
+
+void swim::startProbe(steady_time Now, std::vector<outgoing_gossip> &Out) {
+  // One suggested address a period, so that a lagging list costs little.
+  if (!Suggested.empty()) {
+    endpoint_text Address = Suggested.front();
+    Suggested.pop_front();
+    Out.push_back({Address, message(gossip_kind::Ping, NextSequence++)});
+  }
+  auto Target = nextTarget();
+  if (!Target)
+    return;
+  Probe = probe{*Target, Members.at(*Target).Update.Proxy.Address,
+                NextSequence++, Now, false};
+  gossip_message Ping = message(gossip_kind::Ping, Probe->Sequence);
+  // A suspect hears of the suspicion first, so that it can refute it.
+  if (Members.at(*Target).Update.State == member_state::Suspect)
+    Ping.Updates.push_back(Members.at(*Target).Update);
+  Out.push_back({Probe->Address, std::move(Ping)});
+}
+
+void swim::checkProbe(steady_time Now, std::vector<outgoing_gossip> &Out) {
+  if (!Probe || Probe->Indirect ||
+      Now - Probe->Sent < stretched(Timing.AckTimeout))
+    return;
+  Probe->Indirect = true;
+  std::vector<const member *> Helpers;
+  for (const auto &[Id, Member] : Members)
+    if (Id != Probe->Id && Member.Update.State == member_state::Alive)
+      Helpers.push_back(&Member);
+  std::ranges::shuffle(Helpers, Random);
+  for (const member *Helper :
+       Helpers | std::views::take(Timing.IndirectProbes)) {
+    gossip_message Request =
+        message(gossip_kind::PingRequest, Probe->Sequence);
+    Request.TargetId = Probe->Id;
+    Request.TargetAddress = Probe->Address;
+    Out.push_back({Helper->Update.Proxy.Address, std::move(Request)});
+  }
+}
+
+void swim::endProbe(steady_time Now) {
+  if (!Probe)
+    return;
+  auto Found = Members.find(Probe->Id);
+  Probe.reset();
+  raiseHealthScore();
+  if (Found == Members.end() ||
+      Found->second.Update.State != member_state::Alive)
+    return;
+  setState(Found->second, member_state::Suspect, Now);
+}
+
+void swim::setState(member &Member, member_state State, steady_time Now) {
+  Member.Update.State = State;
+  Member.Since = Now;
+  Changes.push_back({Member.Update.Proxy.Id, State});
+  spread(Member.Update);
+}
+
+void swim::endSuspicions(steady_time Now) {
+  for (member &Member : Members | std::views::values)
+    if (Member.Update.State == member_state::Suspect &&
+        Now - Member.Since >= suspicionTime())
+      setState(Member, member_state::Dead, Now);
+  std::erase_if(Members, [&](const auto &Entry) {
+    return !isPresent(Entry.second.Update.State) &&
+           Now - Entry.second.Since >= Timing.Tombstone;
+  });
+  std::erase_if(Relays,
+                [&](const auto &Entry) { return Now >= Entry.second.Until; });
+}
+
+void swim::tick(steady_time Now, std::vector<outgoing_gossip> &Out) {
+  if (Now >= NextPeriod) {
+    endProbe(Now);
+    endSuspicions(Now);
+    startProbe(Now, Out);
+    NextPeriod = Now + stretched(Timing.Period);
+  }
+  checkProbe(Now, Out);
+}
+
+steady_time swim::nextWake() const {
+  if (Probe && !Probe->Indirect)
+    return std::min(NextPeriod, Probe->Sent + stretched(Timing.AckTimeout));
+  return NextPeriod;
+}
+
+void swim::refute(const member_update &Claim) {
+  if (Claim.Proxy.Incarnation != Self.Proxy.Incarnation ||
+      Claim.State == member_state::Alive || Claim.Refutation < Self.Refutation)
+    return;
+  // Others take this process for lost: it may be the one that is late.
+  raiseHealthScore();
+  Self.Refutation = Claim.Refutation + 1;
+  spread(Self);
+}
+
+void swim::apply(const member_update &Update, steady_time Now) {
+  if (Update.Proxy.Id == Self.Proxy.Id) {
+    if (Self.State == member_state::Alive)
+      refute(Update);
+    return;
+  }
+  auto Found = Members.find(Update.Proxy.Id);
+  if (Found == Members.end()) {
+    // Tombstones of unknown members teach nothing.
+    if (!isPresent(Update.State))
+      return;
+    Members.emplace(Update.Proxy.Id, member{Update, Now});
+    Changes.push_back({Update.Proxy.Id, Update.State});
+    spread(Update);
+    return;
+  }
+  member &Known = Found->second;
+  if (precedence(Update) <= precedence(Known.Update))
+    return;
+  bool Changed = Known.Update.State != Update.State ||
+                 Known.Update.Proxy != Update.Proxy;
+  if (Known.Update.State != Update.State)
+    Known.Since = Now;
+  Known.Update = Update;
+  if (Changed)
+    Changes.push_back({Update.Proxy.Id, Update.State});
+  spread(Update);
+}
+
+void swim::learn(std::span<const member_update> Updates, steady_time Now) {
+  for (const member_update &Update : Updates)
+    apply(Update, Now);
+}
+
+void swim::receive(const gossip_message &Message, steady_time Now,
+                   std::vector<outgoing_gossip> &Out) {
+  learn(Message.Updates, Now);
+  switch (Message.Kind) {
+  case gossip_kind::Ping: {
+    gossip_message Ack = message(gossip_kind::Ack, Message.Sequence);
+    Out.push_back({Message.SenderAddress, std::move(Ack)});
+    return;
+  }
+  case gossip_kind::PingRequest: {
+    std::uint64_t Sequence = NextSequence++;
+    Relays[Sequence] = {Message.SenderAddress, Message.Sequence,
+                        Now + Timing.Period * 4};
+    Out.push_back({Message.TargetAddress, message(gossip_kind::Ping, Sequence)});
+    return;
+  }
+  case gossip_kind::Ack:
+    break;
+  }
+  if (auto Relay = Relays.find(Message.Sequence); Relay != Relays.end()) {
+    Out.push_back({Relay->second.Asker,
+                   message(gossip_kind::Ack, Relay->second.AskerSequence)});
+    Relays.erase(Relay);
+    return;
+  }
+  if (!Probe || Probe->Sequence != Message.Sequence)
+    return;
+  if (!Probe->Indirect && HealthScore > 0)
+    --HealthScore;
+  Probe.reset();
+}
+
+void swim::setOffered(bool Offered) {
+  if (Self.Proxy.Offered == Offered)
+    return;
+  Self.Proxy.Offered = Offered;
+  ++Self.Refutation;
+  spread(Self);
+}
+
+void swim::leave(std::vector<outgoing_gossip> &Out) {
+  Self.State = member_state::Left;
+  ++Self.Refutation;
+  for (const endpoint_text &Peer : randomPeers(8))
+    Out.push_back({Peer, message(gossip_kind::Ping, NextSequence++)});
+}
+
+std::vector<proxy_member> swim::members() const {
+  std::vector<proxy_member> Present;
+  if (isPresent(Self.State))
+    Present.push_back(Self.Proxy);
+  for (const member &Member : Members | std::views::values)
+    if (isPresent(Member.Update.State))
+      Present.push_back(Member.Update.Proxy);
+  std::ranges::sort(Present, {}, &proxy_member::Id);
+  return Present;
+}
+
+std::vector<member_update> swim::updates() const {
+  std::vector<member_update> All{Self};
+  for (const member &Member : Members | std::views::values)
+    All.push_back(Member.Update);
+  return All;
+}
+
+std::vector<endpoint_text> swim::randomPeers(std::size_t Count) {
+  std::vector<endpoint_text> Present;
+  for (const member &Member : Members | std::views::values)
+    if (isPresent(Member.Update.State))
+      Present.push_back(Member.Update.Proxy.Address);
+  std::vector<endpoint_text> Chosen;
+  std::ranges::sample(Present, std::back_inserter(Chosen),
+                      static_cast<std::ptrdiff_t>(Count), Random);
+  std::ranges::shuffle(Chosen, Random);
+  return Chosen;
+}
+
+std::size_t swim::size() const {
+  return 1 + static_cast<std::size_t>(std::ranges::count_if(
+                 Members | std::views::values, [](const member &Member) {
+                   return isPresent(Member.Update.State);
+                 }));
+}
+
+std::vector<member_change> swim::takeChanges() {
+  return std::exchange(Changes, {});
+}
+
+} // namespace endiverail
--- /dev/null
+++ b/src/libs/process/swim.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include "base/time.h"
+#include "version/fleet_view.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace endiverail {
+
+enum class member_state { Alive, Suspect, Dead, Left };
+
+/// What is said of one member.
+struct member_update {
+  proxy_member Proxy;
+  /// Orders statements about one incarnation; only the member raises it.
+  std::uint64_t Refutation = 0;
+  member_state State = member_state::Alive;
+
+  bool operator==(const member_update &) const = default;
+};
+
+enum class gossip_kind { Ping, Ack, PingRequest };
+
+/// One datagram between proxies, apart from its encoding.
+struct gossip_message {
+  gossip_kind Kind = gossip_kind::Ping;
+  std::uint64_t Sequence = 0;
+  std::string SenderId;
+  endpoint_text SenderAddress;
+  /// Whom a PingRequest asks to ping.
+  std::string TargetId;
+  endpoint_text TargetAddress;
+  std::vector<member_update> Updates;
+};
+
+struct outgoing_gossip {
+  endpoint_text To;
+  gossip_message Message;
+};
+
+struct swim_timing {
+  milliseconds Period{500};
+  milliseconds AckTimeout{100};
+  /// Multiplied with the logarithm of the fleet's size.
+  milliseconds SuspicionBase{700};
+  milliseconds Tombstone{60'000};
+  std::size_t IndirectProbes = 3;
+  std::size_t UpdatesPerMessage = 6;
+};
+
+/// A change in what is believed of another member.
+struct member_change {
+  std::string Id;
+  member_state State = member_state::Alive;
+};
+
+/// Membership by SWIM: one member is pinged a period, through others if it
+/// does not answer, then suspected, then believed dead; news travel with the
+/// pings. A local health score stretches the time-outs of a process that is
+/// itself late, as in Lifeguard.
+class swim {
+public:
+  swim(proxy_member Self, swim_timing Timing, std::uint64_t Seed);
+
+  /// Addresses that may be members, from the host list or the settings.
+  void suggest(std::span<const endpoint_text> Addresses);
+
+  void tick(steady_time Now, std::vector<outgoing_gossip> &Out);
+  void receive(const gossip_message &Message, steady_time Now,
+               std::vector<outgoing_gossip> &Out);
+
+  /// Takes news that came by another way, such as a whole member list.
+  void learn(std::span<const member_update> Updates, steady_time Now);
+
+  /// Tells the fleet that this proxy is, or is not, to be handed out.
+  void setOffered(bool Offered);
+  /// Tells the fleet of a graceful end.
+  void leave(std::vector<outgoing_gossip> &Out);
+
+  /// This proxy and all it believes alive or suspect, sorted by id.
+  std::vector<proxy_member> members() const;
+  std::vector<member_update> updates() const;
+  std::vector<endpoint_text> randomPeers(std::size_t Count);
+  std::size_t size() const;
+
+  /// Changes since the last call.
+  std::vector<member_change> takeChanges();
+  std::size_t localHealth() const { return HealthScore; }
+  steady_time nextWake() const;
+  const proxy_member &self() const { return Self.Proxy; }
+
+private:
+  struct member {
+    member_update Update;
+    steady_time Since;
+  };
+  struct rumour {
+    member_update Update;
+    std::size_t Sent = 0;
+  };
+  struct probe {
+    std::string Id;
+    endpoint_text Address;
+    std::uint64_t Sequence = 0;
+    steady_time Sent;
+    bool Indirect = false;
+  };
+  struct relay {
+    endpoint_text Asker;
+    std::uint64_t AskerSequence = 0;
+    steady_time Until;
+  };
+
+  void apply(const member_update &Update, steady_time Now);
+  void refute(const member_update &Claim);
+  void spread(const member_update &Update);
+  std::vector<member_update> takeRumours();
+  gossip_message message(gossip_kind Kind, std::uint64_t Sequence);
+  void startProbe(steady_time Now, std::vector<outgoing_gossip> &Out);
+  void checkProbe(steady_time Now, std::vector<outgoing_gossip> &Out);
+  void endProbe(steady_time Now);
+  void endSuspicions(steady_time Now);
+  void setState(member &Member, member_state State, steady_time Now);
+  milliseconds stretched(milliseconds Time) const;
+  milliseconds suspicionTime() const;
+  void raiseHealthScore();
+  std::optional<std::string> nextTarget();
+
+  member_update Self;
+  swim_timing Timing;
+  std::mt19937_64 Random;
+  std::map<std::string, member, std::less<>> Members;
+  std::deque<endpoint_text> Suggested;
+  std::vector<std::string> Order;
+  std::vector<rumour> Rumours;
+  std::optional<probe> Probe;
+  std::map<std::uint64_t, relay> Relays;
+  std::vector<member_change> Changes;
+  std::uint64_t NextSequence = 1;
+  std::size_t HealthScore = 0;
+  steady_time NextPeriod;
+};
+
+} // namespace endiverail
--- /dev/null
+++ b/src/libs/process/time_line.cpp
@@ -0,0 +1,68 @@
+#include "process/time_line.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+
+namespace endiverail {
+
+hybrid_time hybrid_clock::tick(wall_time Now) {
+  std::int64_t Wall = Now.time_since_epoch().count();
+  if (Wall > Last.WallMilliseconds)
+    Last = {Wall, 0};
+  else
+    ++Last.Counter;
+  return Last;
+}
+
+void hybrid_clock::witness(hybrid_time Seen, wall_time Now) {
+  std::int64_t Most = (Now.time_since_epoch() + MostAhead).count();
+  if (Seen.WallMilliseconds <= Most)
+    Last = std::max(Last, Seen);
+}
+
+std::string_view eventName(event_kind Kind) {
+  constexpr std::array<std::string_view, EventKindCount> Names{
+      "started",           "version-in-force", "member-joined",
+      "member-suspected",  "member-lost",      "ownership-changed",
+      "server-suspected",  "server-ejected",   "server-returned",
+      "server-leaving",    "request-quarantined", "flood-started",
+      "flood-ended",       "self-suspected",   "store-lost",
+      "store-back",        "record-skipped",   "drain-started",
+      "stopped"};
+  return Names[static_cast<std::size_t>(Kind)];
+}
+
+void time_line::note(event_kind Kind, std::string Service, std::string Subject,
+                     std::string Detail) {
+  spdlog::info("timeline: {} {} {} {}", eventName(Kind), Service, Subject,
+               Detail);
+  std::lock_guard Lock(Mutex);
+  if (Events.size() == Limit)
+    Events.pop_front();
+  Events.push_back({Clock.tick(wallNow()), Kind, std::move(Service),
+                    std::move(Subject), std::move(Detail)});
+}
+
+void time_line::witness(hybrid_time Seen) {
+  std::lock_guard Lock(Mutex);
+  Clock.witness(Seen, wallNow());
+}
+
+hybrid_time time_line::now() {
+  std::lock_guard Lock(Mutex);
+  return Clock.tick(wallNow());
+}
+
+std::vector<time_line_event> time_line::since(hybrid_time After) const {
+  std::lock_guard Lock(Mutex);
+  std::vector<time_line_event> Found;
+  std::ranges::copy_if(
+      Events, std::back_inserter(Found),
+      [&](const time_line_event &Event) { return Event.Time > After; });
+  return Found;
+}
+
+} // namespace endiverail
--- /dev/null
+++ b/src/libs/request/caller_request.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "base/error_kind.h"
+#include "base/time.h"
+#include "version/configuration.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace endiverail {
+
+/// Unique within the process.
+using request_id = std::uint64_t;
+
+struct header_field {
+  std::string Name;
+  std::string Value;
+};
+
+/// Value of the first field called \p Name, without regard to case; empty when
+/// there is none.
+std::string_view findHeader(std::span<const header_field> Fields,
+                            std::string_view Name);
+
+/// The connection and the request on it that an answer belongs to.
+struct caller_ticket {
+  /// Index of the connection thread.
+  std::size_t Worker = 0;
+  /// Never used again within the process.
+  std::uint64_t Connection = 0;
+  /// Counts the requests of the connection.
+  std::uint64_t Sequence = 0;
+
+  bool operator==(const caller_ticket &) const = default;
+};
+
+/// One caller's request, decoded and placed. It owns all that it needs.
+struct caller_request {
+  request_id Id = 0;
+  caller_ticket Ticket;
+  std::string Method;
+  /// Path with query.
+  std::string Target;
+  std::vector<header_field> Headers;
+  std::string Body;
+
+  /// The service's definition stays alive as long as the request.
+  accepted_service_ref Service;
+  /// Points into Service.
+  const work_kind *Kind = nullptr;
+  std::string Organisation;
+  std::string Key;
+  /// True when a peer forwarded it; it is never forwarded again.
+  bool Forwarded = false;
+  steady_time Arrived;
+  steady_time Deadline;
+
+  std::string_view path() const {
+    return std::string_view(Target).substr(0, Target.find('?'));
+  }
+};
+
+/// Head of an answer to a caller.
+struct answer_head {
+  int Status = 200;
+  outcome Outcome = outcome::Done;
+  std::vector<header_field> Headers;
+  /// Length of the body where it is known before the end.
+  std::optional<std::uint64_t> Length;
+};
+
+} // namespace endiverail
--- /dev/null
+++ b/src/libs/version/fleet_version.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "version/configuration.h"
+#include "version/fleet_view.h"
+#include "version/ownership.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace endiverail {
+
+/// Everything that traffic threads need to know of the fleet at one time. The
+/// control thread builds it and publishes it as one shared pointer; nobody
+/// changes it afterwards.
+struct fleet_version {
+  std::uint64_t Number = 0;
+  /// False until configuration and backend servers are known.
+  bool Ready = false;
+  bool Draining = false;
+  std::string SelfId;
+  std::uint64_t SelfIncarnation = 0;
+  configuration Configuration;
+  fleet_view View;
+  /// Owners by service name.
+  std::map<std::string, service_owners, std::less<>> Owners;
+
+  /// The owners of \p Service; empty when there are none.
+  const service_owners &ownersOf(std::string_view Service) const {
+    static const service_owners None;
+    auto Found = Owners.find(Service);
+    return Found == Owners.end() ? None : Found->second;
+  }
+};
+
+using fleet_version_ref = std::shared_ptr<const fleet_version>;
+
+} // namespace endiverail
--- /dev/null
+++ b/src/libs/version/fleet_view.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace endiverail {
+
+/// An IP address and port as "a.b.c.d:port".
+using endpoint_text = std::string;
+
+/// A proxy of the fleet as this process believes it to be.
+struct proxy_member {
+  /// The host's name from its settings; unique in the fleet.
+  std::string Id;
+  std::string DataCentre;
+  /// Where callers and peers connect.
+  endpoint_text Address;
+  /// Grows with each start of the daemon on that host.
+  std::uint64_t Incarnation = 0;
+  /// False once it drains or suspects itself.
+  bool Offered = true;
+
+  bool operator==(const proxy_member &) const = default;
+};
+
+enum class server_state { Live, Leaving };
+
+/// A backend server as the host list tells of it.
+struct backend_server {
+  /// Also its identity.
+  endpoint_text Address;
+  std::string Pool;
+  std::string DataCentre;
+  server_state State = server_state::Live;
+
+  bool operator==(const backend_server &) const = default;
+};
+
+/// Proxies and backend servers at one time; immutable once published.
+struct fleet_view {
+  /// Sorted by id.
+  std::vector<proxy_member> Proxies;
+  /// Sorted by pool, then address.
+  std::vector<backend_server> Servers;
+
+  /// The backend servers of one pool.
+  std::span<const backend_server> pool(std::string_view Name) const {
+    auto Range =
+        std::ranges::equal_range(Servers, Name, {}, &backend_server::Pool);
+    return {Range.begin(), Range.end()};
+  }
+
+  /// The proxy of that id, or nullptr.
+  const proxy_member *findProxy(std::string_view Id) const {
+    auto Found = std::ranges::lower_bound(Proxies, Id, {}, &proxy_member::Id);
+    return Found == Proxies.end() || Found->Id != Id ? nullptr : &*Found;
+  }
+};
+
+} // namespace endiverail
