--- a/src/libs/base/hash.cpp
+++ b/src/libs/base/hash.cpp
@@ -114,11 +114,7 @@
   Mix(First);
   Mix(Second);
   // FNV-1a alone leaves the high bits of short texts alike.
-  Hash ^= Hash >> 33;
-  Hash *= 0xff51afd7ed558ccdULL;
-  Hash ^= Hash >> 33;
-  Hash *= 0xc4ceb9fe1a85ec53ULL;
-  return Hash ^ (Hash >> 33);
+  return mixHashes(Hash, 0);
 }
 
 result<signing_key> signing_key::generate() {
--- a/src/libs/base/hash.h
+++ b/src/libs/base/hash.h
@@ -28,6 +28,16 @@
 /// Stable 64-bit hash, alike on every host, for rendezvous choices.
 std::uint64_t stableHash(std::string_view First, std::string_view Second = {});
 
+/// Combines two stable hashes into one.
+constexpr std::uint64_t mixHashes(std::uint64_t First, std::uint64_t Second) {
+  std::uint64_t Hash = First ^ (Second * 0x9e3779b97f4a7c15ULL);
+  Hash ^= Hash >> 33;
+  Hash *= 0xff51afd7ed558ccdULL;
+  Hash ^= Hash >> 33;
+  Hash *= 0xc4ceb9fe1a85ec53ULL;
+  return Hash ^ (Hash >> 33);
+}
+
 /// Ed25519 key pair as hexadecimal texts of 32 bytes each.
 struct signing_key {
   std::string Private;
--- a/src/libs/connection/answer_message.h
+++ b/src/libs/connection/answer_message.h
@@ -39,15 +39,6 @@
   { Sink.post(std::move(Message)) };
 };
 
-/// What a caller's connection reports about an answer.
-template <typename T>
-concept answer_observer = requires(T Observer, const caller_ticket &Ticket) {
-  /// A piece of that many bytes has left.
-  { Observer.onWritten(Ticket, std::size_t{}) };
-  /// The caller has gone before the end of the answer.
-  { Observer.onCallerGone(Ticket) };
-};
-
 inline const caller_ticket &ticketOf(const answer_message &Message) {
   return std::visit(
       [](const auto &Part) -> const caller_ticket & { return Part.Ticket; },
--- /dev/null
+++ b/src/libs/daemon/proxy_daemon.cpp
@@ -0,0 +1,320 @@
+#include "daemon/proxy_daemon.h"
+
+#include "daemon/control_thread.h"
+#include "daemon/request_placement.h"
+#include "http/curl_transport.h"
+#include "http/front_end.h"
+#include "process/traffic_thread.h"
+
+#include <spdlog/spdlog.h>
+
+#include <atomic>
+#include <functional>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <ranges>
+#include <thread>
+#include <vector>
+
+namespace endiverail {
+namespace {
+
+class front_door;
+
+/// Takes answers to the front end, which is made last.
+class answer_route {
+public:
+  void post(answer_message Message);
+  void open(front_door *To) { Door = To; }
+
+private:
+  front_door *Door = nullptr;
+};
+
+/// Takes notices to the control thread, which is made after the traffic
+/// threads.
+class notice_route {
+public:
+  void notify(control_notice Notice);
+  template <typename Control> void open(Control *Thread);
+
+private:
+  std::function<void(control_notice)> Post;
+};
+
+using traffic = traffic_thread<curl_transport, answer_route, notice_route>;
+
+/// The traffic threads; a service belongs to one of them by hash.
+class traffic_threads {
+public:
+  void add(std::unique_ptr<traffic> Thread) {
+    Threads.push_back(std::move(Thread));
+  }
+  std::size_t indexOf(std::string_view Service) const {
+    return stableHash(Service) % Threads.size();
+  }
+  void tell(std::size_t Index, traffic_message Message) {
+    if (Index < Threads.size())
+      Threads[Index]->post(std::move(Message));
+  }
+  void tellAll(const traffic_message &Message) {
+    for (auto &Thread : Threads)
+      Thread->post(Message);
+  }
+  void tellOwner(std::string_view Service, traffic_message Message) {
+    tell(indexOf(Service), std::move(Message));
+  }
+  void start() {
+    for (auto &Thread : Threads)
+      Running.emplace_back([&Thread] { Thread->run(); });
+  }
+  /// Waits until all requests are answered.
+  void finish() {
+    tellAll(finish_traffic{});
+    Running.clear();
+  }
+
+private:
+  std::vector<std::unique_ptr<traffic>> Threads;
+  std::vector<std::jthread> Running;
+};
+
+using control = control_thread<curl_transport, answer_route, traffic_threads>;
+
+template <typename Control> void notice_route::open(Control *Thread) {
+  Post = [Thread](control_notice Notice) {
+    Thread->post(control_message(std::move(Notice)));
+  };
+}
+
+void notice_route::notify(control_notice Notice) {
+  if (Post)
+    Post(std::move(Notice));
+}
+
+/// Runs on the connection threads: answers what needs only the published
+/// version, and hands the rest to the thread that owns it.
+class caller_dispatch {
+public:
+  caller_dispatch(const daemon_settings &Settings,
+                  published<fleet_version> &Versions, traffic_threads &Traffic,
+                  control &Control, answer_route &Answers)
+      : Settings(Settings), Versions(Versions), Traffic(Traffic),
+        Control(Control), Answers(Answers) {}
+
+  request_owner onRequest(const caller_ticket &Ticket,
+                          received_request Request) {
+    std::string_view Target = Request.Frame.Target;
+    if (Target.starts_with("/endiverail/addresses"))
+      answerAddresses(Ticket, Target);
+    else if (Target == "/endiverail/health")
+      answerHealth(Ticket);
+    else if (Target.starts_with(FleetPathPrefix))
+      Control.post(control_call{Ticket, std::move(Request.Frame.Method),
+                                std::move(Request.Frame.Target),
+                                std::move(Request.Body)});
+    else
+      return run(Ticket, std::move(Request));
+    return NoTrafficThread;
+  }
+
+  void onWritten(request_owner Owner, const caller_ticket &Ticket,
+                 std::size_t Bytes) {
+    Traffic.tell(Owner, answer_written{Ticket, Bytes});
+  }
+
+  void onCallerGone(request_owner Owner, const caller_ticket &Ticket) {
+    Traffic.tell(Owner, caller_gone{Ticket});
+  }
+
+private:
+  static constexpr request_owner NoTrafficThread = SIZE_MAX;
+
+  request_owner run(const caller_ticket &Ticket, received_request Request) {
+    return handleFailure(
+        [&]() -> result<request_owner> {
+          auto Version = Versions.load();
+          BOOST_LEAF_AUTO(Placed, placeRequest(Ticket, std::move(Request),
+                                               *Version, Settings.FleetSecret,
+                                               steadyNow()));
+          Placed.Id = NextRequest.fetch_add(1);
+          request_owner Owner = Traffic.indexOf(Placed.Service->Definition.Name);
+          Traffic.tell(Owner, run_request{std::move(Placed)});
+          return Owner;
+        },
+        [&](const failure &Failure) {
+          postError(Answers, Ticket, Failure.Kind, Failure.Detail);
+          return NoTrafficThread;
+        });
+  }
+
+  void answerAddresses(const caller_ticket &Ticket, std::string_view Target) {
+    constexpr std::string_view Query = "?service=";
+    std::size_t At = Target.find(Query);
+    auto Version = Versions.load();
+    std::string_view Service =
+        At == std::string_view::npos ? "" : Target.substr(At + Query.size());
+    if (!Version->Ready)
+      return postError(Answers, Ticket, error_kind::NotReady, "");
+    if (!Version->Configuration.find(Service))
+      return postError(Answers, Ticket, error_kind::UnknownService, Service);
+    std::uint64_t Nonce = Nonces.fetch_add(1) ^ NonceSalt;
+    answer_head Head;
+    Head.Headers.push_back({"Content-Type", "application/json"});
+    postWhole(Answers, Ticket, std::move(Head),
+              addressAnswer(Service, chooseAddresses(*Version, Service, Nonce),
+                            Settings.AddressLifetime, std::to_string(Nonce),
+                            Settings.FleetSecret));
+  }
+
+  void answerHealth(const caller_ticket &Ticket) {
+    auto Version = Versions.load();
+    if (!Version->Ready)
+      return postError(Answers, Ticket, error_kind::NotReady, "");
+    if (Version->Draining)
+      return postError(Answers, Ticket, error_kind::Draining, "");
+    postWhole(Answers, Ticket, answer_head{}, "ready\n");
+  }
+
+  const daemon_settings &Settings;
+  published<fleet_version> &Versions;
+  traffic_threads &Traffic;
+  control &Control;
+  answer_route &Answers;
+  std::atomic<request_id> NextRequest = 1;
+  std::atomic<std::uint64_t> Nonces = 0;
+  std::uint64_t NonceSalt = std::random_device{}() * 0x100000000ULL;
+};
+
+/// The front end, once all that it hands requests to is there.
+class front_door {
+public:
+  result<void> open(const front_end_settings &Settings, caller_dispatch &To,
+                    memory_budget &Memory) {
+    BOOST_LEAF_ASSIGN(Front, front_end<caller_dispatch>::create(Settings, To,
+                                                                Memory));
+    return Front->start();
+  }
+  void post(answer_message Message) { Front->post(std::move(Message)); }
+  void shutdown() { Front->shutdown(); }
+
+private:
+  std::unique_ptr<front_end<caller_dispatch>> Front;
+};
+
+void answer_route::post(answer_message Message) {
+  Door->post(std::move(Message));
+}
+
+proxy_member selfOf(const daemon_settings &Settings) {
+  // Hosts keep nothing, so the time of the start tells incarnations apart.
+  auto Incarnation =
+      static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
+  return {Settings.Id, Settings.DataCentre, Settings.Address, Incarnation, true};
+}
+
+fleet_version_ref firstVersion(const proxy_member &Self) {
+  auto Version = std::make_shared<fleet_version>();
+  Version->SelfId = Self.Id;
+  Version->SelfIncarnation = Self.Incarnation;
+  return Version;
+}
+
+std::uint64_t randomSeed() {
+  std::random_device Source;
+  return (std::uint64_t{Source()} << 32) | Source();
+}
+
+} // namespace
+
+/// In the order in which they are made; they end in the reverse order.
+struct proxy_daemon::parts {
+  explicit parts(const daemon_settings &From)
+      : Settings(From), Self(selfOf(Settings)),
+        Events(Settings.TimeLineEvents), Versions(firstVersion(Self)),
+        Memory(Settings.BodyMemoryBytes) {}
+
+  result<void> start();
+
+  daemon_settings Settings;
+  proxy_member Self;
+  time_line Events;
+  process_metrics Metrics;
+  published<fleet_version> Versions;
+  memory_budget Memory;
+  answer_route Answers;
+  notice_route Notices;
+  traffic_threads Traffic;
+  std::unique_ptr<control> Control;
+  std::unique_ptr<caller_dispatch> Dispatch;
+  front_door Door;
+  std::jthread ControlThread;
+};
+
+result<void> proxy_daemon::parts::start() {
+  for (std::size_t Index = 0; Index < Settings.TrafficThreads; ++Index) {
+    BOOST_LEAF_AUTO(Poller, poller::create());
+    BOOST_LEAF_AUTO(Event, event_descriptor::create());
+    traffic_settings Traffics{Settings.FleetSecret,
+                              Settings.KeyMemoryBytes / Settings.TrafficThreads,
+                              Settings.KeyLife, randomSeed()};
+    Traffic.add(std::make_unique<traffic>(std::move(Poller), std::move(Event),
+                                          std::move(Traffics), Answers, Notices,
+                                          Metrics));
+  }
+  BOOST_LEAF_AUTO(Poller, poller::create());
+  BOOST_LEAF_AUTO(Event, event_descriptor::create());
+  BOOST_LEAF_AUTO(Socket, datagram_socket::create(Settings.Address));
+  control_settings Controls{Self, Settings.CustomerKeys, Settings.Seeds, {},
+                            randomSeed()};
+  BOOST_LEAF_AUTO(State, control_state::create(Controls, Events));
+  Control = std::make_unique<control>(
+      std::move(Poller), std::move(Event), std::move(Socket), Settings,
+      std::move(State), Events, Metrics, Versions, Answers, Traffic);
+  Notices.open(Control.get());
+  Dispatch = std::make_unique<caller_dispatch>(Settings, Versions, Traffic,
+                                               *Control, Answers);
+  front_end_settings Doors;
+  std::tie(Doors.Address, Doors.Port) = splitEndpoint(Settings.Address);
+  Doors.Workers = Settings.ConnectionThreads;
+  Doors.Limits.BodyBytes = Settings.MostBodyBytes;
+  Doors.ReceiveTimeout = Settings.ReceiveTimeout;
+  Answers.open(&Door);
+  BOOST_LEAF_CHECK(Door.open(Doors, *Dispatch, Memory));
+  Traffic.start();
+  ControlThread = std::jthread([this] { Control->run(); });
+  Events.note(event_kind::Started, "", Self.Id, Self.Address);
+  return {};
+}
+
+result<std::unique_ptr<proxy_daemon>>
+proxy_daemon::create(const daemon_settings &Settings) {
+  auto Parts = std::make_unique<parts>(Settings);
+  BOOST_LEAF_CHECK(Parts->start());
+  return std::unique_ptr<proxy_daemon>(new proxy_daemon(std::move(Parts)));
+}
+
+proxy_daemon::proxy_daemon(std::unique_ptr<parts> Parts)
+    : Parts(std::move(Parts)) {}
+
+proxy_daemon::~proxy_daemon() {
+  Parts->Traffic.finish();
+  Parts->Control->post(end_control{});
+  Parts->ControlThread.join();
+  Parts->Door.shutdown();
+}
+
+void proxy_daemon::drain() {
+  spdlog::info("daemon: drains");
+  Parts->Control->post(begin_drain{});
+  // Callers may hold an answer with this address for its whole lifetime.
+  std::mutex Mutex;
+  std::unique_lock Lock(Mutex);
+  std::condition_variable Never;
+  Never.wait_for(Lock, std::min(Parts->Settings.AddressLifetime,
+                                Parts->Settings.DrainTimeout));
+}
+
+} // namespace endiverail
--- a/src/libs/http/answer_text.cpp
+++ b/src/libs/http/answer_text.cpp
@@ -1,22 +1,13 @@
 #include "http/answer_text.h"
 
-#include "base/text.h"
-
 #include <pistache/http_defs.h>
 #include <spdlog/fmt/fmt.h>
 
-#include <algorithm>
-#include <array>
 #include <iterator>
 
 namespace endiverail {
 namespace {
 
-constexpr std::array<std::string_view, 9> HopByHopFields{
-    "Connection", "Keep-Alive",        "Proxy-Authenticate",
-    "TE",         "Transfer-Encoding", "Proxy-Authorization",
-    "Trailer",    "Upgrade",           "Content-Length"};
-
 bool mayHaveBody(int Status) {
   return Status >= 200 && Status != 204 && Status != 304;
 }
@@ -46,12 +37,4 @@
   return fmt::format("{:x}\r\n{}\r\n", Bytes.size(), Bytes);
 }
 
-bool isHopByHop(std::string_view Name, std::string_view Connection) {
-  auto IsName = [&](std::string_view Other) {
-    return equalIgnoringCase(Name, trimmed(Other));
-  };
-  return std::ranges::any_of(HopByHopFields, IsName) ||
-         std::ranges::any_of(split(Connection, ','), IsName);
-}
-
 } // namespace endiverail
--- a/src/libs/http/answer_text.h
+++ b/src/libs/http/answer_text.h
@@ -20,8 +20,4 @@
 inline constexpr std::string_view LastChunk = "0\r\n\r\n";
 inline constexpr std::string_view ContinueText = "HTTP/1.1 100 Continue\r\n\r\n";
 
-/// Whether a field concerns one connection only, so a proxy must not pass it
-/// on. \p Connection is the value of the message's Connection field.
-bool isHopByHop(std::string_view Name, std::string_view Connection);
-
 } // namespace endiverail
--- a/src/libs/http/connection_worker.h
+++ b/src/libs/http/connection_worker.h
@@ -30,12 +30,22 @@
   milliseconds IdleTimeout{60'000};
 };
 
+/// Whichever part of the process answers a request; the sink gives it out and
+/// gets it back with all that concerns the answer.
+using request_owner = std::size_t;
+
 /// What takes the requests of callers. Called on the connection threads.
 template <typename T>
 concept caller_request_sink =
-    answer_observer<T> &&
-    requires(T Sink, const caller_ticket &Ticket, received_request Request) {
-      { Sink.onRequest(Ticket, std::move(Request)) };
+    requires(T Sink, const caller_ticket &Ticket, received_request Request,
+             request_owner Owner) {
+      {
+        Sink.onRequest(Ticket, std::move(Request))
+      } -> std::same_as<request_owner>;
+      /// A piece of that many bytes has left.
+      { Sink.onWritten(Owner, Ticket, std::size_t{}) };
+      /// The caller has gone before the end of the answer.
+      { Sink.onCallerGone(Owner, Ticket) };
     };
 
 namespace detail {
@@ -83,11 +93,12 @@
     entry &Entry = Found->second;
     releaseMemory(Entry);
     caller_ticket Ticket = ticket(Entry);
+    request_owner Owner = Entry.Owner;
     bool Owed = Entry.State.inProgress();
     Connections.erase(Found);
     Count.store(Connections.size(), std::memory_order_relaxed);
     if (Owed)
-      To.onCallerGone(Ticket);
+      To.onCallerGone(Owner, Ticket);
   }
 
   void onInbox() {
@@ -119,6 +130,7 @@
 
     std::shared_ptr<Pistache::Tcp::Peer> Peer;
     caller_connection State;
+    request_owner Owner = 0;
     std::size_t ReservedBytes = 0;
     steady_time ExpectedBy;
     bool ContinueSent = false;
@@ -208,7 +220,7 @@
     Entry.ContinueSent = false;
     Entry.AnswerEnded = false;
     Entry.Framing = body_framing::None;
-    To.onRequest(ticket(Entry), std::move(Request));
+    Entry.Owner = To.onRequest(ticket(Entry), std::move(Request));
   }
 
   /// Answers what can't be read as a request; nothing more is read after it.
@@ -257,7 +269,7 @@
       return;
     std::size_t Size = Piece.Bytes.size();
     if (Entry->NoBody)
-      return To.onWritten(Piece.Ticket, Size);
+      return To.onWritten(Entry->Owner, Piece.Ticket, Size);
     if (Entry->Framing == body_framing::Chunked)
       Piece.Bytes = chunkText(Piece.Bytes);
     send(*Entry, std::move(Piece.Bytes), Size);
@@ -303,7 +315,7 @@
     entry &Entry = Found->second;
     Entry.Sending = false;
     if (PieceBytes != 0)
-      To.onWritten(ticket(Entry), PieceBytes);
+      To.onWritten(Entry.Owner, ticket(Entry), PieceBytes);
     sendNext(Entry);
     finishIfSent(Entry);
   }
--- a/src/libs/http/front_end.h
+++ b/src/libs/http/front_end.h
@@ -116,25 +116,29 @@
 /// here.
 template <caller_request_sink Sink> class front_end {
 public:
-  /// Listens at once. \p To and \p Memory outlive the front end. Fails with
-  /// BadSettings when the address can't be used.
+  /// \p To and \p Memory outlive the front end.
   static result<std::unique_ptr<front_end>>
   create(const front_end_settings &Settings, Sink &To, memory_budget &Memory) {
-    std::unique_ptr<front_end> Created(new front_end);
+    std::unique_ptr<front_end> Created(new front_end(Settings));
     for (std::size_t Index = 0; Index < Settings.Workers; ++Index) {
       BOOST_LEAF_AUTO(Event, event_descriptor::create());
       Created->Workers.push_back(
           std::make_unique<detail::connection_worker<Sink>>(
               Index, Settings, To, Memory, std::move(Event)));
     }
+    return Created;
+  }
+
+  /// Begins to listen. Fails with BadSettings when the address can't be used.
+  result<void> start() {
     try {
-      Created->listen(Settings);
+      listen();
     } catch (const std::exception &Error) {
-      return fail(error_kind::BadSettings, "can't listen on " +
-                                               Settings.Address + ": " +
-                                               Error.what());
+      return fail(error_kind::BadSettings,
+                  "can't listen on " + Settings.Address + ":" +
+                      std::to_string(Settings.Port) + ": " + Error.what());
     }
-    return Created;
+    return {};
   }
 
   front_end(const front_end &) = delete;
@@ -166,9 +170,9 @@
   }
 
 private:
-  front_end() = default;
+  explicit front_end(const front_end_settings &Settings) : Settings(Settings) {}
 
-  void listen(const front_end_settings &Settings) {
+  void listen() {
     using Pistache::Tcp::Options;
     Listener = std::make_unique<Pistache::Tcp::Listener>();
     Listener->init(Settings.Workers,
@@ -185,6 +189,7 @@
     Listener->runThreaded();
   }
 
+  front_end_settings Settings;
   typename detail::front_transport<Sink>::worker_list Workers;
   std::size_t NextWorker = 0;
   bool Stopped = false;
--- /dev/null
+++ b/src/libs/peer/peer.thrift
@@ -0,0 +1,83 @@
+// What proxies say to each other. Unknown fields are skipped, so a field may
+// be added while daemons of two versions run side by side.
+namespace cpp endiverail.wire
+
+struct Member {
+  1: string id
+  2: string dataCentre
+  3: string address
+  4: i64 incarnation
+  5: bool offered
+  6: i64 refutation
+  7: i32 state
+}
+
+struct ServiceVersion {
+  1: string serviceName
+  2: i64 version
+}
+
+struct Death {
+  1: string serviceName
+  2: i64 fingerprint
+  3: string server
+}
+
+struct Leaving {
+  1: string serviceName
+  2: string server
+}
+
+struct Datagram {
+  1: i32 kind
+  2: i64 sequence
+  3: string senderId
+  4: string senderAddress
+  5: string targetId
+  6: string targetAddress
+  7: list<Member> updates
+  8: i64 configurationDigest
+  9: i64 hostListRevision
+  10: list<ServiceVersion> changes
+  11: list<Death> deaths
+  12: list<Leaving> leaving
+  13: i64 wallMilliseconds
+  14: i32 counter
+}
+
+struct PullRequest {
+  1: list<ServiceVersion> have
+  2: bool only
+  3: i64 hostListRevision
+  4: bool wantMembers
+}
+
+struct Acceptance {
+  1: string content
+  2: string parent
+  3: i64 version
+  4: string signer
+  5: string signature
+  6: i64 firstOffset
+}
+
+struct EntryHost {
+  1: string id
+  2: string dataCentre
+  3: string address
+}
+
+struct Server {
+  1: string address
+  2: string pool
+  3: string dataCentre
+  4: bool leaving
+}
+
+struct PullReply {
+  1: list<Acceptance> records
+  2: i64 hostListRevision
+  3: list<EntryHost> entryHosts
+  4: list<Server> servers
+  5: list<Member> members
+}
--- /dev/null
+++ b/src/libs/peer/peer_codec.cpp
@@ -0,0 +1,276 @@
+#include "peer/peer_codec.h"
+
+#include "base/hash.h"
+#include "peer_types.h"
+#include "platform/service_file.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <algorithm>
+#include <exception>
+#include <iterator>
+#include <memory>
+
+namespace endiverail {
+namespace {
+
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TMemoryBuffer;
+
+constexpr std::size_t SealBytes = 32;
+/// A pull's reply carries a whole configuration at most.
+constexpr std::size_t MostReplyBytes = std::size_t{64} * 1024 * 1024;
+
+/// The seal covers what a message is for, so that none can pass as another.
+std::string seal(std::string_view Secret, std::string_view Purpose,
+                 std::string_view Body) {
+  std::string Text(Purpose);
+  Text.append(1, '\n').append(Body);
+  return hmacSha256(Secret, Text);
+}
+
+template <typename Wire>
+std::string pack(std::string_view Secret, std::string_view Purpose,
+                 const Wire &Message) {
+  auto Buffer = std::make_shared<TMemoryBuffer>();
+  TCompactProtocol Protocol(Buffer);
+  Message.write(&Protocol);
+  std::string Body = Buffer->getBufferAsString();
+  return seal(Secret, Purpose, Body) + Body;
+}
+
+template <typename Wire>
+result<Wire> unpack(std::string_view Secret, std::string_view Purpose,
+                    std::string_view Bytes) {
+  if (Bytes.size() < SealBytes || Bytes.size() > MostReplyBytes)
+    return fail(error_kind::BadRecord, "a peer's message has no right size");
+  std::string_view Body = Bytes.substr(SealBytes);
+  if (!equalConstantTime(Bytes.substr(0, SealBytes),
+                         seal(Secret, Purpose, Body)))
+    return fail(error_kind::BadSignature, "a message is not from a peer");
+  // Thrift throws; that ends here.
+  try {
+    auto Buffer = std::make_shared<TMemoryBuffer>(
+        reinterpret_cast<std::uint8_t *>(const_cast<char *>(Body.data())),
+        static_cast<std::uint32_t>(Body.size()));
+    // No text and no list can be longer than what holds it.
+    auto Limit = static_cast<std::int32_t>(Body.size());
+    TCompactProtocol Protocol(Buffer, Limit, Limit);
+    Wire Message;
+    Message.read(&Protocol);
+    return Message;
+  } catch (const std::exception &Error) {
+    return fail(error_kind::BadRecord, Error.what());
+  }
+}
+
+std::int64_t toWire(std::uint64_t Value) {
+  return static_cast<std::int64_t>(Value);
+}
+std::uint64_t fromWire(std::int64_t Value) {
+  return static_cast<std::uint64_t>(Value);
+}
+
+template <typename To, typename From, typename Convert>
+std::vector<To> converted(const std::vector<From> &Items, Convert &&Each) {
+  std::vector<To> Result;
+  Result.reserve(Items.size());
+  std::ranges::transform(Items, std::back_inserter(Result), Each);
+  return Result;
+}
+
+wire::Member toWire(const member_update &Update) {
+  wire::Member Member;
+  Member.id = Update.Proxy.Id;
+  Member.dataCentre = Update.Proxy.DataCentre;
+  Member.address = Update.Proxy.Address;
+  Member.incarnation = toWire(Update.Proxy.Incarnation);
+  Member.offered = Update.Proxy.Offered;
+  Member.refutation = toWire(Update.Refutation);
+  Member.state = static_cast<std::int32_t>(Update.State);
+  return Member;
+}
+
+member_update fromWire(const wire::Member &Member) {
+  member_update Update;
+  Update.Proxy = {Member.id, Member.dataCentre, Member.address,
+                  fromWire(Member.incarnation), Member.offered};
+  Update.Refutation = fromWire(Member.refutation);
+  Update.State = static_cast<member_state>(
+      std::clamp(Member.state, 0, static_cast<int>(member_state::Left)));
+  return Update;
+}
+
+wire::ServiceVersion toWire(const service_version &Version) {
+  wire::ServiceVersion Result;
+  Result.serviceName = Version.Service;
+  Result.version = toWire(Version.Version);
+  return Result;
+}
+
+service_version fromWire(const wire::ServiceVersion &Version) {
+  return {Version.serviceName, fromWire(Version.version)};
+}
+
+wire::Death toWire(const server_death &Death) {
+  wire::Death Result;
+  Result.serviceName = Death.Service;
+  Result.fingerprint = toWire(Death.Fingerprint);
+  Result.server = Death.Server;
+  return Result;
+}
+
+wire::Leaving toWire(const server_leaving &Leaving) {
+  wire::Leaving Result;
+  Result.serviceName = Leaving.Service;
+  Result.server = Leaving.Server;
+  return Result;
+}
+
+wire::Acceptance toWire(const acceptance &Record) {
+  wire::Acceptance Result;
+  Result.content = Record.Content;
+  Result.parent = Record.Parent;
+  Result.version = toWire(Record.Version);
+  Result.signer = Record.Signer;
+  Result.signature = Record.Signature;
+  Result.firstOffset = toWire(Record.FirstOffset);
+  return Result;
+}
+
+result<acceptance> fromWire(const wire::Acceptance &Wire) {
+  BOOST_LEAF_AUTO(File, readServiceFile("content", Wire.content));
+  acceptance Record;
+  Record.Definition = std::move(File.Definition);
+  Record.Content = std::move(File.Content);
+  Record.ContentHash = std::move(File.ContentHash);
+  Record.Parent = Wire.parent;
+  Record.Version = fromWire(Wire.version);
+  Record.Signer = Wire.signer;
+  Record.Signature = Wire.signature;
+  Record.FirstOffset = fromWire(Wire.firstOffset);
+  return Record;
+}
+
+wire::EntryHost toWire(const entry_host &Host) {
+  wire::EntryHost Result;
+  Result.id = Host.Id;
+  Result.dataCentre = Host.DataCentre;
+  Result.address = Host.Address;
+  return Result;
+}
+
+wire::Server toWire(const backend_server &Server) {
+  wire::Server Result;
+  Result.address = Server.Address;
+  Result.pool = Server.Pool;
+  Result.dataCentre = Server.DataCentre;
+  Result.leaving = Server.State == server_state::Leaving;
+  return Result;
+}
+
+backend_server fromWire(const wire::Server &Server) {
+  return {Server.address, Server.pool, Server.dataCentre,
+          Server.leaving ? server_state::Leaving : server_state::Live};
+}
+
+constexpr auto ToWire = [](const auto &Item) { return toWire(Item); };
+constexpr auto FromWire = [](const auto &Item) { return fromWire(Item); };
+
+} // namespace
+
+std::string peer_codec::encode(const peer_message &Message) const {
+  wire::Datagram Wire;
+  Wire.kind = static_cast<std::int32_t>(Message.Gossip.Kind);
+  Wire.sequence = toWire(Message.Gossip.Sequence);
+  Wire.senderId = Message.Gossip.SenderId;
+  Wire.senderAddress = Message.Gossip.SenderAddress;
+  Wire.targetId = Message.Gossip.TargetId;
+  Wire.targetAddress = Message.Gossip.TargetAddress;
+  Wire.updates = converted<wire::Member>(Message.Gossip.Updates, ToWire);
+  Wire.configurationDigest = toWire(Message.Digest.Configuration);
+  Wire.hostListRevision = toWire(Message.Digest.HostListRevision);
+  Wire.changes = converted<wire::ServiceVersion>(Message.Changes, ToWire);
+  Wire.deaths = converted<wire::Death>(Message.Deaths, ToWire);
+  Wire.leaving = converted<wire::Leaving>(Message.Leaving, ToWire);
+  Wire.wallMilliseconds = Message.Time.WallMilliseconds;
+  Wire.counter = static_cast<std::int32_t>(Message.Time.Counter);
+  return pack(FleetSecret, "datagram", Wire);
+}
+
+result<peer_message> peer_codec::decodeMessage(std::string_view Bytes) const {
+  BOOST_LEAF_AUTO(Wire, unpack<wire::Datagram>(FleetSecret, "datagram", Bytes));
+  if (Wire.kind < 0 || Wire.kind > static_cast<int>(gossip_kind::PingRequest))
+    return fail(error_kind::BadRecord, "unknown kind of datagram");
+  peer_message Message;
+  Message.Gossip.Kind = static_cast<gossip_kind>(Wire.kind);
+  Message.Gossip.Sequence = fromWire(Wire.sequence);
+  Message.Gossip.SenderId = Wire.senderId;
+  Message.Gossip.SenderAddress = Wire.senderAddress;
+  Message.Gossip.TargetId = Wire.targetId;
+  Message.Gossip.TargetAddress = Wire.targetAddress;
+  Message.Gossip.Updates = converted<member_update>(Wire.updates, FromWire);
+  Message.Digest = {fromWire(Wire.configurationDigest),
+                    fromWire(Wire.hostListRevision)};
+  Message.Changes = converted<service_version>(Wire.changes, FromWire);
+  Message.Deaths =
+      converted<server_death>(Wire.deaths, [](const wire::Death &Death) {
+        return server_death{Death.serviceName, fromWire(Death.fingerprint),
+                            Death.server};
+      });
+  Message.Leaving =
+      converted<server_leaving>(Wire.leaving, [](const wire::Leaving &Leaving) {
+        return server_leaving{Leaving.serviceName, Leaving.server};
+      });
+  Message.Time = {Wire.wallMilliseconds,
+                  static_cast<std::uint32_t>(Wire.counter)};
+  return Message;
+}
+
+std::string peer_codec::encode(const pull_request &Request) const {
+  wire::PullRequest Wire;
+  Wire.have = converted<wire::ServiceVersion>(Request.Have, ToWire);
+  Wire.only = Request.Only;
+  Wire.hostListRevision = toWire(Request.HostListRevision);
+  Wire.wantMembers = Request.WantMembers;
+  return pack(FleetSecret, "pull-request", Wire);
+}
+
+result<pull_request> peer_codec::decodeRequest(std::string_view Bytes) const {
+  BOOST_LEAF_AUTO(Wire,
+                  unpack<wire::PullRequest>(FleetSecret, "pull-request", Bytes));
+  return pull_request{converted<service_version>(Wire.have, FromWire),
+                      Wire.only, fromWire(Wire.hostListRevision),
+                      Wire.wantMembers};
+}
+
+std::string peer_codec::encode(const pull_reply &Reply) const {
+  wire::PullReply Wire;
+  Wire.records = converted<wire::Acceptance>(Reply.Records, ToWire);
+  Wire.hostListRevision = toWire(Reply.Hosts.Revision);
+  Wire.entryHosts = converted<wire::EntryHost>(Reply.Hosts.EntryHosts, ToWire);
+  Wire.servers = converted<wire::Server>(Reply.Hosts.Servers, ToWire);
+  Wire.members = converted<wire::Member>(Reply.Members, ToWire);
+  return pack(FleetSecret, "pull-reply", Wire);
+}
+
+result<pull_reply> peer_codec::decodeReply(std::string_view Bytes) const {
+  BOOST_LEAF_AUTO(Wire,
+                  unpack<wire::PullReply>(FleetSecret, "pull-reply", Bytes));
+  pull_reply Reply;
+  for (const wire::Acceptance &Record : Wire.records) {
+    BOOST_LEAF_AUTO(Accepted, fromWire(Record));
+    Reply.Records.push_back(std::move(Accepted));
+  }
+  Reply.Hosts.Revision = fromWire(Wire.hostListRevision);
+  Reply.Hosts.EntryHosts =
+      converted<entry_host>(Wire.entryHosts, [](const wire::EntryHost &Host) {
+        return entry_host{Host.id, Host.dataCentre, Host.address};
+      });
+  Reply.Hosts.Servers = converted<backend_server>(Wire.servers, FromWire);
+  Reply.Members = converted<member_update>(Wire.members, FromWire);
+  return Reply;
+}
+
+} // namespace endiverail
--- /dev/null
+++ b/src/libs/process/control_message.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "process/swim.h"
+#include "process/time_line.h"
+#include "process/traffic_message.h"
+#include "version/ejection_claim.h"
+#include "version/host_list.h"
+#include "version/record.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace endiverail {
+
+/// Which version of a service's file a process has in force.
+struct service_version {
+  std::string Service;
+  std::uint64_t Version = 0;
+
+  bool operator==(const service_version &) const = default;
+};
+
+/// Tells two processes apart that do not know the same.
+struct fleet_digest {
+  std::uint64_t Configuration = 0;
+  std::uint64_t HostListRevision = 0;
+
+  bool operator==(const fleet_digest &) const = default;
+};
+
+/// One datagram between proxies: membership with news in passing.
+struct peer_message {
+  gossip_message Gossip;
+  fleet_digest Digest;
+  /// Services whose file has changed a short while ago.
+  std::vector<service_version> Changes;
+  std::vector<server_death> Deaths;
+  std::vector<server_leaving> Leaving;
+  hybrid_time Time;
+};
+
+/// Asks a peer for what one lacks.
+struct pull_request {
+  /// What the asker has; with Only set, what it asks for instead.
+  std::vector<service_version> Have;
+  bool Only = false;
+  std::uint64_t HostListRevision = 0;
+  bool WantMembers = false;
+};
+
+struct pull_reply {
+  std::vector<acceptance> Records;
+  /// Revision 0 when the asker's list is as new.
+  host_list Hosts;
+  std::vector<member_update> Members;
+};
+
+/// One record on the log.
+using log_record = std::variant<proposal, acceptance, rejection, ejection_claim>;
+
+struct log_entry {
+  std::uint64_t Offset = 0;
+  /// When the log took it, by the log's clock.
+  std::int64_t LogMilliseconds = 0;
+  log_record Record;
+};
+
+/// A part of the log.
+struct log_page {
+  /// Oldest record that the log still keeps.
+  std::uint64_t First = 0;
+  /// Where the next read starts.
+  std::uint64_t Next = 0;
+  /// Where the log ends.
+  std::uint64_t End = 0;
+  /// The log's clock.
+  std::int64_t NowMilliseconds = 0;
+  std::int64_t RetentionMilliseconds = 0;
+  std::vector<log_entry> Entries;
+  /// Offsets and reasons of records that can't be read.
+  std::vector<std::string> Skipped;
+};
+
+// What the control state wants done.
+
+struct send_datagram {
+  endpoint_text To;
+  peer_message Message;
+};
+struct pull_from {
+  endpoint_text Peer;
+  pull_request Request;
+};
+struct read_log {
+  std::uint64_t From = 0;
+};
+struct read_hosts {};
+struct append_log {
+  log_record Record;
+};
+struct tell_traffic {
+  std::variant<ejection_changed, server_death> Message;
+};
+struct publish_version {
+  fleet_version_ref Version;
+};
+
+using control_action =
+    std::variant<send_datagram, pull_from, read_log, read_hosts, append_log,
+                 tell_traffic, publish_version>;
+using control_actions = std::vector<control_action>;
+
+} // namespace endiverail
--- /dev/null
+++ b/src/libs/process/control_state.cpp
@@ -0,0 +1,651 @@
+#include "process/control_state.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace endiverail {
+namespace {
+
+/// The fleet reads each source about this often in all, whatever its size.
+constexpr milliseconds LogReadSpacingPerMember{25};
+constexpr milliseconds HostsReadSpacingPerMember{100};
+constexpr milliseconds LeastLogReadSpacing{150};
+constexpr milliseconds LeastHostsReadSpacing{500};
+constexpr milliseconds RetrySpacing{1'000};
+
+constexpr std::size_t AnnounceTo = 4;
+constexpr std::size_t ChangesPerMessage = 8;
+constexpr std::size_t ChangeCopies = 24;
+constexpr std::size_t NewsCopies = 24;
+constexpr std::size_t MostNews = 8;
+constexpr std::size_t MostPulls = 4;
+constexpr milliseconds FullPullSpacing{1'000};
+constexpr std::size_t PeersToSync = 2;
+
+constexpr milliseconds RefreshCheck{1'000};
+/// Share of the retention after which a record is appended again, and how much
+/// later each further daemon would do it.
+constexpr double RefreshAfter = 0.5;
+constexpr double RefreshStep = 0.05;
+
+constexpr milliseconds LeavingMemory{60'000};
+constexpr std::size_t LeastServersToSuspectSelf = 4;
+constexpr milliseconds SelfSuspicionLasts{20'000};
+constexpr milliseconds ReportLasts{3'000};
+
+result<record_fold> foldOf(const control_settings &Settings) {
+  return record_fold::create(Settings.CustomerKeys);
+}
+
+} // namespace
+
+result<control_state> control_state::create(const control_settings &Settings,
+                                            time_line &Events) {
+  BOOST_LEAF_AUTO(Fold, foldOf(Settings));
+  return control_state(Settings, std::move(Fold), Events);
+}
+
+control_state::control_state(const control_settings &Settings, record_fold Fold,
+                             time_line &Events)
+    : Settings(Settings), Fold(std::move(Fold)),
+      Members(Settings.Self, Settings.Swim, Settings.Seed), Events(Events),
+      Random(Settings.Seed) {
+  Members.suggest(Settings.Seeds);
+}
+
+milliseconds control_state::spacing(milliseconds PerMember,
+                                    milliseconds Least) {
+  auto Mean = std::max(Least, PerMember * static_cast<int>(Members.size()));
+  // Spread, so that the daemons' reads do not fall together.
+  std::uniform_real_distribution<double> Spread(0.75, 1.25);
+  return std::chrono::duration_cast<milliseconds>(Mean * Spread(Random));
+}
+
+bool control_state::ready() const {
+  bool KnowsHosts = Hosts.Revision != 0;
+  bool KnowsRecords = LogCaughtUp || SyncedPeers.size() >= PeersToSync ||
+                      (!SyncedPeers.empty() && SyncedPeers.size() + 1 >=
+                                                   Members.size());
+  return KnowsHosts && KnowsRecords && !Fold.inForce().empty();
+}
+
+// Time.
+
+void control_state::tick(steady_time Now, control_actions &Out) {
+  std::vector<outgoing_gossip> Gossip;
+  Members.tick(Now, Gossip);
+  send(Gossip, Out);
+  takeMemberChanges(Now);
+  readSources(Now, Out);
+  joinByPeers(Now, Out);
+  renewClaims(Now, Out);
+  if (Now >= NextRefresh) {
+    NextRefresh = Now + RefreshCheck;
+    refreshRecords(Now, Out);
+    considerSelf(Now);
+    std::erase_if(SaidLeaving,
+                  [&](const auto &Entry) { return Now >= Entry.second; });
+  }
+  publishIfChanged(Now, Out);
+}
+
+steady_time control_state::nextWake() const {
+  return std::min({Members.nextWake(), NextLogRead, NextHostsRead, NextRefresh});
+}
+
+void control_state::readSources(steady_time Now, control_actions &Out) {
+  if (!LogReadOut && Now >= NextLogRead) {
+    LogReadOut = true;
+    Out.emplace_back(read_log{NextOffset});
+  }
+  if (LogReadOut && Now >= NextLogRead)
+    NextLogRead = Now + spacing(LogReadSpacingPerMember, LeastLogReadSpacing);
+  if (!HostsReadOut && Now >= NextHostsRead) {
+    HostsReadOut = true;
+    Out.emplace_back(read_hosts{});
+  }
+  if (HostsReadOut && Now >= NextHostsRead)
+    NextHostsRead =
+        Now + spacing(HostsReadSpacingPerMember, LeastHostsReadSpacing);
+}
+
+/// Until it is ready a daemon asks several peers for all they know.
+void control_state::joinByPeers(steady_time Now, control_actions &Out) {
+  if (SyncedPeers.size() >= PeersToSync || Now < NextFullPull)
+    return;
+  for (const endpoint_text &Peer : Members.randomPeers(PeersToSync))
+    if (!SyncedPeers.contains(Peer))
+      pull(Peer, fullPull(), Now, Out);
+  NextFullPull = Now + FullPullSpacing;
+}
+
+// Membership and news.
+
+void control_state::takeMemberChanges(steady_time) {
+  for (const member_change &Change : Members.takeChanges()) {
+    VersionStale = true;
+    event_kind Kind = event_kind::MemberJoined;
+    if (Change.State == member_state::Suspect)
+      Kind = event_kind::MemberSuspected;
+    if (Change.State == member_state::Dead || Change.State == member_state::Left)
+      Kind = event_kind::MemberLost;
+    Events.note(Kind, "", Change.Id,
+                Change.State == member_state::Left ? "left" : "");
+  }
+}
+
+peer_message control_state::message(const gossip_message &Gossip) {
+  peer_message Message;
+  Message.Gossip = Gossip;
+  Message.Digest = {Fold.digest(), Hosts.Revision};
+  for (pending_change &Pending :
+       Changes | std::views::take(ChangesPerMessage)) {
+    Message.Changes.push_back(Pending.Change);
+    ++Pending.Sent;
+  }
+  std::erase_if(Changes, [](const pending_change &Pending) {
+    return Pending.Sent >= ChangeCopies;
+  });
+  Message.Deaths = DeathNews;
+  if (!DeathNews.empty() && ++DeathNewsSent >= NewsCopies)
+    DeathNews.clear();
+  Message.Leaving = LeavingNews;
+  if (!LeavingNews.empty() && ++LeavingNewsSent >= NewsCopies)
+    LeavingNews.clear();
+  Message.Time = Events.now();
+  return Message;
+}
+
+void control_state::send(std::span<const outgoing_gossip> Gossip,
+                         control_actions &Out) {
+  for (const outgoing_gossip &Outgoing : Gossip)
+    Out.emplace_back(send_datagram{Outgoing.To, message(Outgoing.Message)});
+}
+
+/// Tells a few peers at once; they pull and announce in their turn, so news
+/// reach a fleet of n in about log4 n steps.
+void control_state::announce(steady_time, control_actions &Out) {
+  std::vector<outgoing_gossip> Gossip;
+  Members.greet(AnnounceTo, Gossip);
+  send(Gossip, Out);
+}
+
+void control_state::onDatagram(const peer_message &Message, steady_time Now,
+                               control_actions &Out) {
+  Events.witness(Message.Time);
+  std::vector<outgoing_gossip> Gossip;
+  Members.receive(Message.Gossip, Now, Gossip);
+  send(Gossip, Out);
+  takeMemberChanges(Now);
+  for (const server_death &Death : Message.Deaths)
+    onNotice(Death, Now, Out);
+  for (const server_leaving &Leaving : Message.Leaving)
+    onNotice(Leaving, Now, Out);
+  considerPull(Message, Now, Out);
+  publishIfChanged(Now, Out);
+}
+
+// Pulls.
+
+pull_request control_state::fullPull() const {
+  pull_request Request;
+  for (const auto &[Name, Accepted] : Fold.inForce())
+    Request.Have.push_back({Name, Accepted.Record.Version});
+  Request.HostListRevision = Hosts.Revision;
+  Request.WantMembers = true;
+  return Request;
+}
+
+void control_state::pull(const endpoint_text &Peer, pull_request Request,
+                         steady_time, control_actions &Out) {
+  if (PullsOut.size() >= MostPulls || !PullsOut.insert(Peer).second)
+    return;
+  Out.emplace_back(pull_from{Peer, std::move(Request)});
+}
+
+void control_state::considerPull(const peer_message &Message, steady_time Now,
+                                 control_actions &Out) {
+  const endpoint_text &Peer = Message.Gossip.SenderAddress;
+  pull_request Changed;
+  Changed.Only = true;
+  Changed.HostListRevision = Hosts.Revision;
+  for (const service_version &Change : Message.Changes) {
+    auto Known = Fold.inForce().find(Change.Service);
+    std::uint64_t Have = Known == Fold.inForce().end()
+                             ? 0
+                             : Known->second.Record.Version;
+    std::uint64_t &Asked = Wanted[Change.Service];
+    if (Change.Version <= std::max(Have, Asked) || PullsOut.contains(Peer) ||
+        PullsOut.size() >= MostPulls)
+      continue;
+    Asked = Change.Version;
+    Changed.Have.push_back(Change);
+  }
+  bool NewerHosts = Message.Digest.HostListRevision > Hosts.Revision;
+  if (!Changed.Have.empty() || NewerHosts) {
+    pull(Peer, std::move(Changed), Now, Out);
+    return;
+  }
+  if (Message.Digest.Configuration != Fold.digest() && Now >= NextFullPull) {
+    NextFullPull = Now + FullPullSpacing;
+    pull(Peer, fullPull(), Now, Out);
+  }
+}
+
+pull_reply control_state::answerPull(const pull_request &Request) const {
+  pull_reply Reply;
+  std::map<std::string_view, std::uint64_t> Have;
+  for (const service_version &Known : Request.Have)
+    Have.emplace(Known.Service, Known.Version);
+  for (const auto &[Name, Accepted] : Fold.inForce()) {
+    auto Known = Have.find(Name);
+    bool Asked = Request.Only ? Known != Have.end()
+                              : Known == Have.end() ||
+                                    Known->second <= Accepted.Record.Version;
+    if (Asked)
+      Reply.Records.push_back(Accepted.Record);
+  }
+  if (Hosts.Revision > Request.HostListRevision)
+    Reply.Hosts = Hosts;
+  if (Request.WantMembers)
+    Reply.Members = Members.updates();
+  return Reply;
+}
+
+void control_state::onPullReply(const endpoint_text &Peer,
+                                const pull_reply &Reply, steady_time Now,
+                                control_actions &Out) {
+  PullsOut.erase(Peer);
+  SyncedPeers.insert(Peer);
+  for (const acceptance &Record : Reply.Records)
+    applyRecord(Record, Record.FirstOffset, Now, Out);
+  Members.learn(Reply.Members, Now);
+  takeMemberChanges(Now);
+  if (Reply.Hosts.Revision > Hosts.Revision)
+    onHosts(Reply.Hosts, Now, Out);
+  publishIfChanged(Now, Out);
+}
+
+void control_state::onPullFailure(const endpoint_text &Peer, steady_time) {
+  PullsOut.erase(Peer);
+  // Whoever was asked in vain may be asked of another.
+  Wanted.clear();
+}
+
+// Configuration.
+
+void control_state::applyRecord(const configuration_record &Record,
+                                std::uint64_t Offset, steady_time Now,
+                                control_actions &Out) {
+  handleFailure(
+      [&]() -> result<void> {
+        BOOST_LEAF_AUTO(Changed, Fold.apply(Record));
+        if (Changed)
+          onChanged(std::get<acceptance>(Record).Definition.Name, Now, Out);
+        return {};
+      },
+      [&](const failure &Failure) {
+        Events.note(event_kind::RecordSkipped, "",
+                    "offset " + std::to_string(Offset),
+                    std::string(errorAnswer(Failure.Kind).Name) + ": " +
+                        Failure.Detail);
+      });
+}
+
+void control_state::onChanged(std::string_view Service, steady_time Now,
+                              control_actions &Out) {
+  std::uint64_t Version = Fold.inForce().find(Service)->second.Record.Version;
+  VersionStale = true;
+  Events.note(event_kind::VersionInForce, std::string(Service),
+              "version " + std::to_string(Version), "");
+  std::erase_if(Changes, [&](const pending_change &Pending) {
+    return Pending.Change.Service == Service;
+  });
+  Changes.insert(Changes.begin(),
+                 pending_change{{std::string(Service), Version}, 0});
+  Wanted.erase(std::string(Service));
+  if (Changes.size() <= ChangesPerMessage)
+    announce(Now, Out);
+}
+
+void control_state::onLogPage(const log_page &Page, steady_time Now,
+                              control_actions &Out) {
+  LogReadOut = false;
+  if (LogFailures >= FailuresToReport)
+    Events.note(event_kind::StoreBack, "", "log", "");
+  LogFailures = 0;
+  NextOffset = Page.Next;
+  LogClock = Page.NowMilliseconds;
+  LogClockSeen = Now;
+  LogRetention = Page.RetentionMilliseconds;
+  for (const std::string &Reason : Page.Skipped)
+    Events.note(event_kind::RecordSkipped, "", "log", Reason);
+  for (const log_entry &Entry : Page.Entries) {
+    if (const auto *Claim = std::get_if<ejection_claim>(&Entry.Record)) {
+      ejection_claim Placed = *Claim;
+      Placed.Offset = Entry.Offset;
+      Placed.LogMilliseconds = Entry.LogMilliseconds;
+      Ledger.apply(Placed);
+      continue;
+    }
+    configuration_record Record;
+    if (const auto *Proposal = std::get_if<proposal>(&Entry.Record))
+      Record = *Proposal;
+    if (const auto *Rejection = std::get_if<rejection>(&Entry.Record))
+      Record = *Rejection;
+    if (const auto *Accepted = std::get_if<acceptance>(&Entry.Record)) {
+      acceptance Placed = *Accepted;
+      if (!Placed.Refresh)
+        Placed.FirstOffset = Entry.Offset;
+      LatestCopy[Placed.Definition.Name] = Entry.LogMilliseconds;
+      Record = std::move(Placed);
+    }
+    applyRecord(Record, Entry.Offset, Now, Out);
+  }
+  Ledger.advance(Page.NowMilliseconds);
+  if (Page.Next >= Page.End)
+    LogCaughtUp = true;
+  else
+    NextLogRead = Now;
+  reviewClaims(Now, Out);
+  publishIfChanged(Now, Out);
+}
+
+void control_state::onLogFailure(steady_time Now, control_actions &) {
+  LogReadOut = false;
+  if (++LogFailures == FailuresToReport)
+    Events.note(event_kind::StoreLost, "", "log", "");
+  NextLogRead = std::max(NextLogRead, Now + RetrySpacing);
+}
+
+void control_state::onAppended(bool Succeeded, steady_time Now) {
+  // A lost answer may hide a record: only reading tells.
+  if (Succeeded)
+    NextLogRead = Now;
+}
+
+std::size_t control_state::refreshOrder(std::string_view Service) const {
+  std::uint64_t Own = stableHash(Service, Settings.Self.Id);
+  auto Present = Members.members();
+  return static_cast<std::size_t>(
+      std::ranges::count_if(Present, [&](const proxy_member &Member) {
+        return stableHash(Service, Member.Id) > Own;
+      }));
+}
+
+/// Appends accepted records again well before the log drops them. One daemon
+/// is chosen by hash, others step in later; a second copy does no harm.
+void control_state::refreshRecords(steady_time Now, control_actions &Out) {
+  if (!LogCaughtUp || storeAway() || LogRetention <= 0)
+    return;
+  std::int64_t Clock =
+      LogClock +
+      std::chrono::duration_cast<milliseconds>(Now - LogClockSeen).count();
+  for (const auto &[Name, Accepted] : Fold.inForce()) {
+    auto Copy = LatestCopy.find(Name);
+    // One that came from a peer alone is not on the log any more.
+    std::int64_t Age = Copy == LatestCopy.end() ? LogRetention
+                                                : Clock - Copy->second;
+    double Due = RefreshAfter +
+                 RefreshStep * static_cast<double>(
+                                   std::min<std::size_t>(refreshOrder(Name), 8));
+    if (static_cast<double>(Age) < Due * static_cast<double>(LogRetention))
+      continue;
+    LatestCopy[Name] = Clock;
+    acceptance Record = Accepted.Record;
+    Record.Refresh = true;
+    Out.emplace_back(append_log{std::move(Record)});
+  }
+}
+
+// Hosts.
+
+void control_state::onHosts(const host_list &NewHosts, steady_time Now,
+                            control_actions &Out) {
+  HostsReadOut = false;
+  std::vector<endpoint_text> Addresses;
+  std::ranges::transform(NewHosts.EntryHosts, std::back_inserter(Addresses),
+                         &entry_host::Address);
+  Members.suggest(Addresses);
+  if (NewHosts.Revision <= Hosts.Revision)
+    return;
+  for (const backend_server &Server : NewHosts.Servers)
+    if (Server.State == server_state::Leaving &&
+        std::ranges::find(Hosts.Servers, Server) == Hosts.Servers.end())
+      Events.note(event_kind::ServerLeaving, Server.Pool, Server.Address,
+                  "host list");
+  Hosts = NewHosts;
+  VersionStale = true;
+  announce(Now, Out);
+  publishIfChanged(Now, Out);
+}
+
+void control_state::onHostsFailure(steady_time Now) {
+  HostsReadOut = false;
+  NextHostsRead = std::max(NextHostsRead, Now + RetrySpacing);
+}
+
+// Notices from traffic threads and peers.
+
+void control_state::onNotice(const control_notice &Notice, steady_time Now,
+                             control_actions &Out) {
+  if (const auto *Wish = std::get_if<ejection_wish>(&Notice))
+    wish(*Wish, Now, Out);
+  if (const auto *Report = std::get_if<standing_report>(&Notice)) {
+    Reports.insert_or_assign(Report->Service, *Report);
+    ReportTimes.insert_or_assign(Report->Service, Now);
+  }
+  if (const auto *Leaving = std::get_if<server_leaving>(&Notice)) {
+    bool New = SaidLeaving.insert_or_assign(Leaving->Server,
+                                            Now + LeavingMemory).second;
+    if (!New)
+      return;
+    VersionStale = true;
+    Events.note(event_kind::ServerLeaving, Leaving->Service, Leaving->Server,
+                "said so itself");
+    if (LeavingNews.size() < MostNews)
+      LeavingNews.push_back(*Leaving);
+    LeavingNewsSent = 0;
+    announce(Now, Out);
+    publishIfChanged(Now, Out);
+  }
+  if (const auto *Death = std::get_if<server_death>(&Notice)) {
+    bool Known = std::ranges::any_of(DeathNews, [&](const server_death &News) {
+      return News.Fingerprint == Death->Fingerprint &&
+             News.Server == Death->Server;
+    });
+    if (Known)
+      return;
+    Events.note(event_kind::RequestQuarantined, Death->Service, Death->Server,
+                "was running " + std::to_string(Death->Fingerprint));
+    if (DeathNews.size() < MostNews)
+      DeathNews.push_back(*Death);
+    DeathNewsSent = 0;
+    Out.emplace_back(tell_traffic{*Death});
+    announce(Now, Out);
+  }
+}
+
+// Ejections.
+
+std::size_t control_state::unavailableServers(
+    const service_definition &Definition) const {
+  std::size_t Live = 0;
+  for (const backend_server &Server : Hosts.Servers)
+    if (Server.Pool == Definition.Pool && Server.State == server_state::Live &&
+        !SaidLeaving.contains(Server.Address))
+      ++Live;
+  std::size_t Warming = 0;
+  if (auto Report = Reports.find(Definition.Name); Report != Reports.end())
+    Warming = static_cast<std::size_t>(
+        std::ranges::count(Report->second.Servers, server_standing::Warming,
+                           &server_status::Standing));
+  std::size_t Healthy = Live > Warming ? Live - Warming : 0;
+  return Definition.PoolSize > Healthy ? Definition.PoolSize - Healthy : 0;
+}
+
+void control_state::claim(const held_ejection &Ejection, bool Held,
+                          control_actions &Out) {
+  ejection_claim Claim;
+  Claim.Service = Ejection.Service;
+  Claim.Server = Ejection.Server;
+  Claim.Holder = Settings.Self.Id;
+  Claim.Incarnation = Settings.Self.Incarnation;
+  Claim.Held = Held;
+  if (auto Known = Fold.inForce().find(Ejection.Service);
+      Known != Fold.inForce().end())
+    Claim.Unavailable = unavailableServers(Known->second.Record.Definition);
+  Out.emplace_back(append_log{std::move(Claim)});
+}
+
+void control_state::wish(const ejection_wish &Wish, steady_time Now,
+                         control_actions &Out) {
+  auto Known = std::ranges::find_if(Ejections, [&](const held_ejection &Held) {
+    return Held.Service == Wish.Service && Held.Server == Wish.Server;
+  });
+  if (!Wish.Eject) {
+    if (Known == Ejections.end())
+      return;
+    claim(*Known, false, Out);
+    Events.note(event_kind::ServerReturned, Wish.Service, Wish.Server, "");
+    Out.emplace_back(tell_traffic{
+        ejection_changed{Wish.Service, Wish.Server, std::nullopt}});
+    Ejections.erase(Known);
+    return;
+  }
+  // Without the log no right can be proven: steering has to do.
+  if (Known != Ejections.end() || storeAway() || !LogCaughtUp || SuspectsSelf)
+    return;
+  Events.note(event_kind::ServerSuspected, Wish.Service, Wish.Server, "");
+  Ejections.push_back({Wish.Service, Wish.Server, Now, false, {}});
+  claim(Ejections.back(), true, Out);
+}
+
+void control_state::renewClaims(steady_time Now, control_actions &Out) {
+  for (held_ejection &Ejection : Ejections)
+    if (Now - Ejection.Claimed >= ejection_ledger::Lease / 2) {
+      Ejection.Claimed = Now;
+      claim(Ejection, true, Out);
+    }
+  std::erase_if(Ejections, [&](const held_ejection &Ejection) {
+    bool Over = Ejection.InForce && Now >= Ejection.Until;
+    if (Over)
+      Events.note(event_kind::ServerReturned, Ejection.Service, Ejection.Server,
+                  "the right to eject has ended");
+    return Over;
+  });
+}
+
+/// Puts claims in force that were read back and lie within the budget.
+void control_state::reviewClaims(steady_time Now, control_actions &Out) {
+  if (!LogCaughtUp)
+    return;
+  for (held_ejection &Ejection : Ejections) {
+    auto Known = Fold.inForce().find(Ejection.Service);
+    if (Known == Fold.inForce().end())
+      continue;
+    bool Granted = Ledger.granted(Known->second.Record.Definition,
+                                  Ejection.Server, Settings.Self.Id);
+    // Counted from the moment before the append, so the log's lease ends later.
+    steady_time Until = Ejection.Claimed + ejection_ledger::Lease -
+                        ejection_ledger::HolderMargin;
+    if (!Granted || Until <= Now || Until == Ejection.Until)
+      continue;
+    Ejection.Until = Until;
+    if (!std::exchange(Ejection.InForce, true))
+      Events.note(event_kind::ServerEjected, Ejection.Service, Ejection.Server,
+                  "");
+    Out.emplace_back(tell_traffic{
+        ejection_changed{Ejection.Service, Ejection.Server, Until}});
+  }
+}
+
+/// A proxy that finds most of its backend servers failing may be what fails:
+/// it has itself handed out no more, and others try its servers.
+void control_state::considerSelf(steady_time Now) {
+  // Reports of services that are owned no longer must not linger.
+  std::erase_if(ReportTimes, [&](const auto &Entry) {
+    return Now - Entry.second > ReportLasts;
+  });
+  std::erase_if(Reports, [&](const auto &Entry) {
+    return !ReportTimes.contains(Entry.first);
+  });
+  std::size_t All = 0;
+  std::size_t Bad = 0;
+  for (const standing_report &Report : Reports | std::views::values)
+    for (const server_status &Server : Report.Servers) {
+      ++All;
+      bool IsBad = Server.Standing == server_standing::Suspected ||
+                   Server.Standing == server_standing::Ejected;
+      Bad += IsBad ? 1 : 0;
+    }
+  std::size_t Withheld = 0;
+  auto Present = Members.members();
+  for (const proxy_member &Member : Present)
+    Withheld += Member.Offered ? 0 : 1;
+  bool OthersRemain = Present.size() > 1 && Withheld * 10 < Present.size();
+  if (!SuspectsSelf && All >= LeastServersToSuspectSelf && Bad * 2 > All &&
+      OthersRemain) {
+    SuspectsSelf = true;
+    OfferAgain = Now + SelfSuspicionLasts;
+    Members.setOffered(false);
+    VersionStale = true;
+    Events.note(event_kind::SelfSuspected, "", Settings.Self.Id,
+                std::to_string(Bad) + " of " + std::to_string(All) +
+                    " backend servers fail from here");
+  } else if (SuspectsSelf && Now >= OfferAgain) {
+    SuspectsSelf = false;
+    Members.setOffered(!Draining);
+    VersionStale = true;
+  }
+}
+
+// Versions.
+
+void control_state::publishIfChanged(steady_time, control_actions &Out) {
+  if (!std::exchange(VersionStale, false))
+    return;
+  auto Version = std::make_shared<fleet_version>();
+  Version->Number = ++VersionNumber;
+  Version->Ready = ready();
+  Version->Draining = Draining;
+  Version->SelfId = Settings.Self.Id;
+  Version->SelfIncarnation = Settings.Self.Incarnation;
+  Version->Configuration = Fold.configurationInForce();
+  Version->View.Proxies = Members.members();
+  Version->View.Servers = Hosts.Servers;
+  for (backend_server &Server : Version->View.Servers)
+    if (SaidLeaving.contains(Server.Address))
+      Server.State = server_state::Leaving;
+  owner_chooser Chooser(Version->View);
+  for (const accepted_service_ref &Service : Version->Configuration.services())
+    Version->Owners.emplace(Service->Definition.Name,
+                            Chooser.choose(Service->Definition));
+  // Readiness may come without any other change.
+  VersionStale = !Version->Ready;
+  Out.emplace_back(publish_version{std::move(Version)});
+}
+
+// The end.
+
+void control_state::drain(steady_time Now, control_actions &Out) {
+  Draining = true;
+  VersionStale = true;
+  Events.note(event_kind::DrainStarted, "", Settings.Self.Id, "");
+  Members.setOffered(false);
+  announce(Now, Out);
+  publishIfChanged(Now, Out);
+}
+
+void control_state::leave(steady_time, control_actions &Out) {
+  Events.note(event_kind::Stopped, "", Settings.Self.Id, "");
+  for (const held_ejection &Ejection : Ejections)
+    claim(Ejection, false, Out);
+  std::vector<outgoing_gossip> Gossip;
+  Members.leave(Gossip);
+  send(Gossip, Out);
+}
+
+} // namespace endiverail
--- /dev/null
+++ b/src/libs/process/control_state.h
@@ -0,0 +1,165 @@
+#pragma once
+
+#include "process/control_message.h"
+#include "process/ejection_ledger.h"
+#include "process/swim.h"
+#include "process/time_line.h"
+#include "version/record_fold.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace endiverail {
+
+struct control_settings {
+  proxy_member Self;
+  std::vector<std::string> CustomerKeys;
+  /// Peers to try while the host list is not known.
+  std::vector<endpoint_text> Seeds;
+  swim_timing Swim;
+  std::uint64_t Seed = 1;
+};
+
+/// All control decisions of a daemon: membership, what is in force, which
+/// backend servers are ejected, when to read, pull and append. It takes what
+/// has come in and the time, and returns what to do.
+class control_state {
+public:
+  static result<control_state> create(const control_settings &Settings,
+                                      time_line &Events);
+
+  void tick(steady_time Now, control_actions &Out);
+  steady_time nextWake() const;
+
+  void onDatagram(const peer_message &Message, steady_time Now,
+                  control_actions &Out);
+  void onLogPage(const log_page &Page, steady_time Now, control_actions &Out);
+  void onLogFailure(steady_time Now, control_actions &Out);
+  void onAppended(bool Succeeded, steady_time Now);
+  void onHosts(const host_list &Hosts, steady_time Now, control_actions &Out);
+  void onHostsFailure(steady_time Now);
+  void onPullReply(const endpoint_text &Peer, const pull_reply &Reply,
+                   steady_time Now, control_actions &Out);
+  void onPullFailure(const endpoint_text &Peer, steady_time Now);
+  void onNotice(const control_notice &Notice, steady_time Now,
+                control_actions &Out);
+
+  pull_reply answerPull(const pull_request &Request) const;
+
+  /// Begins the graceful end: peers stop handing this proxy out.
+  void drain(steady_time Now, control_actions &Out);
+  /// Tells the peers of the end.
+  void leave(steady_time Now, control_actions &Out);
+
+  const record_fold &records() const { return Fold; }
+  const swim &membership() const { return Members; }
+  const host_list &hosts() const { return Hosts; }
+  bool ready() const;
+  bool storeAway() const { return LogFailures >= FailuresToReport; }
+  std::uint64_t logPosition() const { return NextOffset; }
+  const std::map<std::string, standing_report, std::less<>> &reports() const {
+    return Reports;
+  }
+
+private:
+  control_state(const control_settings &Settings, record_fold Fold,
+                time_line &Events);
+
+  static constexpr std::size_t FailuresToReport = 3;
+
+  /// A backend server that this process ejects or wants to.
+  struct held_ejection {
+    std::string Service;
+    endpoint_text Server;
+    /// When the claim was last appended.
+    steady_time Claimed;
+    bool InForce = false;
+    /// Until when the right is proven by the last claim that was read back.
+    steady_time Until;
+  };
+
+  struct pending_change {
+    service_version Change;
+    std::size_t Sent = 0;
+  };
+
+  void applyRecord(const configuration_record &Record, std::uint64_t Offset,
+                   steady_time Now, control_actions &Out);
+  void onChanged(std::string_view Service, steady_time Now,
+                 control_actions &Out);
+  void takeMemberChanges(steady_time Now);
+  void send(std::span<const outgoing_gossip> Gossip, control_actions &Out);
+  void announce(steady_time Now, control_actions &Out);
+  peer_message message(const gossip_message &Gossip);
+  void considerPull(const peer_message &Message, steady_time Now,
+                    control_actions &Out);
+  void pull(const endpoint_text &Peer, pull_request Request, steady_time Now,
+            control_actions &Out);
+  pull_request fullPull() const;
+  void readSources(steady_time Now, control_actions &Out);
+  void joinByPeers(steady_time Now, control_actions &Out);
+  void refreshRecords(steady_time Now, control_actions &Out);
+  void considerSelf(steady_time Now);
+  void wish(const ejection_wish &Wish, steady_time Now, control_actions &Out);
+  void renewClaims(steady_time Now, control_actions &Out);
+  void reviewClaims(steady_time Now, control_actions &Out);
+  void claim(const held_ejection &Ejection, bool Held, control_actions &Out);
+  std::size_t unavailableServers(const service_definition &Definition) const;
+  void publishIfChanged(steady_time Now, control_actions &Out);
+  milliseconds spacing(milliseconds PerMember, milliseconds Least);
+  std::size_t refreshOrder(std::string_view Service) const;
+
+  control_settings Settings;
+  record_fold Fold;
+  swim Members;
+  time_line &Events;
+  std::mt19937_64 Random;
+
+  host_list Hosts;
+  std::map<endpoint_text, steady_time, std::less<>> SaidLeaving;
+
+  std::uint64_t NextOffset = 0;
+  bool LogCaughtUp = false;
+  std::size_t LogFailures = 0;
+  bool LogReadOut = false;
+  steady_time NextLogRead;
+  bool HostsReadOut = false;
+  steady_time NextHostsRead;
+  std::int64_t LogClock = 0;
+  std::int64_t LogRetention = 0;
+  steady_time LogClockSeen;
+  /// When the log took the latest copy of a service's acceptance.
+  std::map<std::string, std::int64_t, std::less<>> LatestCopy;
+  steady_time NextRefresh;
+
+  std::set<endpoint_text, std::less<>> PullsOut;
+  std::set<endpoint_text, std::less<>> SyncedPeers;
+  std::map<std::string, std::uint64_t, std::less<>> Wanted;
+  steady_time NextFullPull;
+  std::vector<pending_change> Changes;
+  std::vector<server_death> DeathNews;
+  std::size_t DeathNewsSent = 0;
+  std::vector<server_leaving> LeavingNews;
+  std::size_t LeavingNewsSent = 0;
+
+  ejection_ledger Ledger;
+  std::vector<held_ejection> Ejections;
+
+  std::map<std::string, standing_report, std::less<>> Reports;
+  std::map<std::string, steady_time, std::less<>> ReportTimes;
+  steady_time OfferAgain;
+  bool SuspectsSelf = false;
+  bool Draining = false;
+
+  std::uint64_t VersionNumber = 0;
+  bool VersionStale = true;
+};
+
+} // namespace endiverail
--- a/src/libs/process/death_watch.cpp
+++ b/src/libs/process/death_watch.cpp
@@ -38,14 +38,15 @@
 
 std::vector<death_watch::death> death_watch::takeDeaths(steady_time Now) {
   std::vector<death> Deaths;
-  std::erase_if(Servers, [&](auto &Entry) {
-    auto &[Server, Attempts] = Entry;
+  for (auto &[Server, Attempts] : Servers) {
     if (!Attempts.Group || Now < Attempts.Group->Due)
-      return false;
+      continue;
     cut_group Group = *std::exchange(Attempts.Group, std::nullopt);
     if (Group.Survivors.empty() && !Group.AnyEndedWell)
       Deaths.push_back({Server, std::move(Group.Cut)});
-    return Attempts.Running.empty();
+  }
+  std::erase_if(Servers, [](const auto &Entry) {
+    return Entry.second.Running.empty() && !Entry.second.Group;
   });
   return Deaths;
 }
--- a/src/libs/process/quarantine.cpp
+++ b/src/libs/process/quarantine.cpp
@@ -38,11 +38,6 @@
   return deaths(Fingerprint, Now) >= DeathsToQuarantine;
 }
 
-bool quarantine::isSuspected(request_fingerprint Fingerprint,
-                             steady_time Now) const {
-  return deaths(Fingerprint, Now) > 0;
-}
-
 void quarantine::expire(steady_time Now) {
   std::erase_if(Entries, [&](const auto &Entry) {
     return Now - Entry.second.LastDeath > Lasts;
--- a/src/libs/process/quarantine.h
+++ b/src/libs/process/quarantine.h
@@ -29,8 +29,8 @@
 
   bool isQuarantined(request_fingerprint Fingerprint, steady_time Now) const;
 
-  /// One death was seen: the request is tried no further than the caller asks.
-  bool isSuspected(request_fingerprint Fingerprint, steady_time Now) const;
+  /// The request was answered: it does not kill.
+  void clear(request_fingerprint Fingerprint) { Entries.erase(Fingerprint); }
 
   /// Forgets what is older than the quarantine lasts.
   void expire(steady_time Now);
--- a/src/libs/process/service_scheduler.cpp
+++ b/src/libs/process/service_scheduler.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <numeric>
 #include <ranges>
+#include <utility>
 
 namespace endiverail {
 namespace {
@@ -197,6 +198,7 @@
 }
 
 std::optional<slot_assignment> service_scheduler::next(steady_time Now) {
+  endEjections(Now);
   auto Rank = chooseRank();
   if (!Rank)
     return std::nullopt;
@@ -267,24 +269,39 @@
   }
 }
 
-void service_scheduler::setEjected(std::string_view Address, bool Ejected,
+void service_scheduler::setEjected(std::string_view Address,
+                                   std::optional<steady_time> Until,
                                    steady_time Now) {
   server_slot *Server = find(Address);
-  if (!Server || Server->Ejected == Ejected)
+  if (!Server)
     return;
-  Server->Ejected = Ejected;
-  Server->GoodTrials = 0;
-  if (Ejected) {
-    if (Now - Server->LastEjection > FlapMemory)
-      Server->Ejections = 0;
-    ++Server->Ejections;
-    Server->LastEjection = Now;
-    Server->NextTrial = Now + trialPause(Server->Ejections);
+  if (!Until) {
+    takeBack(*Server);
     return;
   }
-  Server->Evidence.clear();
-  Server->Limit = std::min(Server->Limit, WarmingLimit);
-  Server->Warm = false;
+  Server->EjectedUntil = *Until;
+  if (std::exchange(Server->Ejected, true))
+    return;
+  Server->GoodTrials = 0;
+  if (Now - Server->LastEjection > FlapMemory)
+    Server->Ejections = 0;
+  ++Server->Ejections;
+  Server->LastEjection = Now;
+  Server->NextTrial = Now + trialPause(Server->Ejections);
+}
+
+void service_scheduler::takeBack(server_slot &Server) {
+  if (!std::exchange(Server.Ejected, false))
+    return;
+  Server.Evidence.clear();
+  Server.Limit = std::min(Server.Limit, WarmingLimit);
+  Server.Warm = false;
+}
+
+void service_scheduler::endEjections(steady_time Now) {
+  for (server_slot &Server : Servers)
+    if (Server.Ejected && Now >= Server.EjectedUntil)
+      takeBack(Server);
 }
 
 bool service_scheduler::cancel(request_id Id) {
--- a/src/libs/process/service_scheduler.h
+++ b/src/libs/process/service_scheduler.h
@@ -67,6 +67,9 @@
   /// Lets a request wait again after a failed attempt.
   void resubmit(waiting_request Request);
 
+  /// Takes back ejections whose right has ended.
+  void endEjections(steady_time Now);
+
   /// The next request to start, if a slot is free for one.
   std::optional<slot_assignment> next(steady_time Now);
 
@@ -80,8 +83,10 @@
   /// A backend server has said itself that it leaves.
   void markLeaving(std::string_view Server, steady_time Now);
 
-  /// Puts the fleet's decision to eject, or to take back, into effect.
-  void setEjected(std::string_view Server, bool Ejected, steady_time Now);
+  /// Ejects a backend server for as long as the right to do so lasts; nothing
+  /// takes it back. It then gets rare trials only.
+  void setEjected(std::string_view Server, std::optional<steady_time> Until,
+                  steady_time Now);
 
   /// Removes a request that waits; false when it does not.
   bool cancel(request_id Id);
@@ -114,6 +119,8 @@
     steady_time SaidLeavingUntil;
     bool Gone = false;
     bool Ejected = false;
+    /// The right to eject is not proven beyond this.
+    steady_time EjectedUntil;
     bool Warm = false;
     std::size_t InUse = 0;
     double Limit = 1;
@@ -134,6 +141,7 @@
   bool mayStart(rank Rank) const;
   double guaranteedSlots(rank Rank) const;
   void grow(server_slot &Server);
+  void takeBack(server_slot &Server);
   void dropGone();
 
   service_definition Definition;
--- a/src/libs/process/swim.cpp
+++ b/src/libs/process/swim.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::size_t MostHealthScore = 6;
 constexpr std::size_t MostSuggested = 4096;
+constexpr std::size_t PeersToldOfLeaving = 8;
 
 bool isPresent(member_state State) {
   return State == member_state::Alive || State == member_state::Suspect;
@@ -281,11 +282,15 @@
   spread(Self);
 }
 
+void swim::greet(std::size_t Count, std::vector<outgoing_gossip> &Out) {
+  for (const endpoint_text &Peer : randomPeers(Count))
+    Out.push_back({Peer, message(gossip_kind::Ping, NextSequence++)});
+}
+
 void swim::leave(std::vector<outgoing_gossip> &Out) {
   Self.State = member_state::Left;
   ++Self.Refutation;
-  for (const endpoint_text &Peer : randomPeers(8))
-    Out.push_back({Peer, message(gossip_kind::Ping, NextSequence++)});
+  greet(PeersToldOfLeaving, Out);
 }
 
 std::vector<proxy_member> swim::members() const {
--- a/src/libs/process/swim.h
+++ b/src/libs/process/swim.h
@@ -78,6 +78,9 @@
   void receive(const gossip_message &Message, steady_time Now,
                std::vector<outgoing_gossip> &Out);
 
+  /// Tells the latest news to a few random members at once.
+  void greet(std::size_t Count, std::vector<outgoing_gossip> &Out);
+
   /// Takes news that came by another way, such as a whole member list.
   void learn(std::span<const member_update> Updates, steady_time Now);
 
--- /dev/null
+++ b/src/libs/process/traffic_message.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "process/quarantine.h"
+#include "process/service_scheduler.h"
+#include "request/caller_request.h"
+#include "version/fleet_version.h"
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace endiverail {
+
+/// A caller's request to run.
+struct run_request {
+  caller_request Request;
+};
+/// Bytes of an answer have left.
+struct answer_written {
+  caller_ticket Ticket;
+  std::size_t Bytes = 0;
+};
+/// The caller of a request has gone.
+struct caller_gone {
+  caller_ticket Ticket;
+};
+/// Another version is in force.
+struct version_changed {
+  fleet_version_ref Version;
+};
+/// The fleet has decided to eject a backend server or to take it back.
+struct ejection_changed {
+  std::string Service;
+  endpoint_text Server;
+  /// Until when the right to eject is proven; nothing takes it back.
+  std::optional<steady_time> Until;
+};
+/// A backend server died while a request with that fingerprint ran on it.
+struct server_death {
+  std::string Service;
+  request_fingerprint Fingerprint = 0;
+  endpoint_text Server;
+};
+/// The thread ends once its requests are answered.
+struct finish_traffic {};
+
+/// What a traffic thread is told.
+using traffic_message =
+    std::variant<run_request, answer_written, caller_gone, version_changed,
+                 ejection_changed, server_death, finish_traffic>;
+
+/// An owner has evidence for, or against, a backend server.
+struct ejection_wish {
+  std::string Service;
+  endpoint_text Server;
+  bool Eject = true;
+};
+/// A backend server has said that it leaves.
+struct server_leaving {
+  std::string Service;
+  endpoint_text Server;
+};
+/// How the backend servers that this process hands out stand, for people.
+struct standing_report {
+  std::string Service;
+  std::size_t Waiting = 0;
+  std::vector<server_status> Servers;
+};
+
+/// What a traffic thread tells the control thread.
+using control_notice = std::variant<ejection_wish, server_leaving, server_death,
+                                    standing_report>;
+
+/// Where notices of traffic threads go.
+template <typename T>
+concept control_link = requires(T Link, control_notice Notice) {
+  { Link.notify(std::move(Notice)) };
+};
+
+} // namespace endiverail
--- /dev/null
+++ b/src/libs/process/traffic_thread.h
@@ -0,0 +1,830 @@
+#pragma once
+
+#include "base/hash.h"
+#include "base/text.h"
+#include "connection/answer_message.h"
+#include "connection/backend_attempt.h"
+#include "process/active_request.h"
+#include "process/death_watch.h"
+#include "process/event_loop.h"
+#include "process/fleet_key.h"
+#include "process/mailbox.h"
+#include "process/metrics.h"
+#include "process/service_state.h"
+#include "process/traffic_message.h"
+#include "request/message_fields.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <ranges>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace endiverail {
+
+struct traffic_settings {
+  std::string FleetSecret;
+  std::size_t KeyBytes = std::size_t{8} * 1024 * 1024;
+  milliseconds KeyLife{600'000};
+  std::uint64_t Seed = 1;
+};
+
+/// Runs the requests of the services that belong to it. One thread owns it;
+/// others reach it through its mailbox. What carries attempts and what takes
+/// answers varies by template.
+template <template <typename> typename TransportOf, answer_sink Sink,
+          control_link Link>
+class traffic_thread {
+public:
+  traffic_thread(poller Poller, event_descriptor Event,
+                 traffic_settings Settings, Sink &To, Link &Control,
+                 process_metrics &Metrics)
+      : Poller(std::move(Poller)), Inbox(std::move(Event)),
+        Settings(std::move(Settings)), To(To), Control(Control),
+        Metrics(Metrics), Transport(this->Poller, *this),
+        Keys(this->Settings.KeyBytes, this->Settings.KeyLife) {
+    this->Poller.watch(Inbox.descriptor(), true, false);
+  }
+
+  /// Hands over a message. Safe on any thread.
+  void post(traffic_message Message) { Inbox.post(std::move(Message)); }
+
+  /// Runs on the calling thread until a finish_traffic message was taken and
+  /// all requests are answered.
+  void run() { runEventLoop(Poller, *this); }
+
+  void onReady(const ready_descriptor &Ready, steady_time Now) {
+    if (Ready.Descriptor != Inbox.descriptor()) {
+      Transport.onReady(Ready);
+      return;
+    }
+    for (traffic_message &Message : Inbox.takeAll())
+      std::visit([&](auto &Part) { take(Part, Now); }, Message);
+  }
+
+  void onWake(steady_time Now) {
+    Transport.onWake(Now);
+    runTimers(Now);
+    for (const death_watch::death &Death : Deaths.takeDeaths(Now))
+      onDeath(Death, Now);
+    if (Now >= NextReport)
+      report(Now);
+  }
+
+  std::optional<steady_time> nextWake() const {
+    std::optional<steady_time> Next = Transport.nextWake();
+    auto Consider = [&](std::optional<steady_time> Time) {
+      if (Time && (!Next || *Time < *Next))
+        Next = Time;
+    };
+    if (!Timers.empty())
+      Consider(Timers.begin()->first);
+    Consider(Deaths.nextWake());
+    if (!Requests.empty())
+      Consider(NextReport);
+    return Next;
+  }
+
+  bool finished() const { return Finishing && Requests.empty(); }
+
+  // The transport reports here.
+
+  std::optional<error_kind> onHead(attempt_id Id, backend_head Head) {
+    active_request *Active = findByAttempt(Id);
+    if (!Active)
+      return error_kind::Internal;
+    running_attempt &Attempt = *Active->Attempt;
+    if (!Attempt.ToPeer) {
+      if (auto Refused = judge(*Active, Head, steadyNow()))
+        return Refused;
+    }
+    Attempt.Head = std::move(Head);
+    return std::nullopt;
+  }
+
+  bool onPiece(attempt_id Id, std::string_view Piece) {
+    active_request *Active = findByAttempt(Id);
+    if (!Active)
+      return true;
+    if (Active->Unwritten + Active->Buffered.size() > MostUnwritten) {
+      Active->Paused = true;
+      return false;
+    }
+    Active->Buffered.append(Piece);
+    if (Active->HeadPosted || Active->Buffered.size() > MostBuffered)
+      passOn(*Active);
+    return true;
+  }
+
+  void onEnd(attempt_id Id, const attempt_end &End) {
+    active_request *Active = findByAttempt(Id);
+    if (!Active)
+      return;
+    steady_time Now = steadyNow();
+    running_attempt Attempt = std::move(*Active->Attempt);
+    Active->Attempt.reset();
+    ByAttempt.erase(Id);
+    settle(*Active, Attempt, End, Now);
+    if (End.Failure)
+      fail(*Active, Attempt, *End.Failure, Now);
+    else
+      complete(*Active, Attempt, Now);
+    if (!Attempt.ToPeer)
+      startWaiting(Attempt, Now);
+  }
+
+private:
+  /// Answers up to this size are passed on whole, so that one that is cut can
+  /// be tried again.
+  static constexpr std::size_t MostBuffered = std::size_t{64} * 1024;
+  /// Bytes of one answer that may wait for its caller.
+  static constexpr std::size_t MostUnwritten = std::size_t{512} * 1024;
+  static constexpr milliseconds ReportPeriod{1'000};
+
+  enum class timer_kind { Deadline, Slow, NoHead };
+  struct timer {
+    request_id Request = 0;
+    attempt_id Attempt = 0;
+    timer_kind Kind = timer_kind::Deadline;
+  };
+
+  // Messages.
+
+  void take(run_request &Run, steady_time Now) {
+    request_id Id = Run.Request.Id;
+    active_request &Active = Requests[Id];
+    Active.Request = std::move(Run.Request);
+    ByTicket[Active.Request.Ticket.Connection] = Id;
+    Timers.emplace(Active.Request.Deadline, timer{Id, 0, timer_kind::Deadline});
+    handleFailure([&] { return admit(Active, Now); },
+                  [&](const failure &Failure) {
+                    answerError(Active, Failure.Kind, Failure.Detail, Now);
+                  });
+  }
+
+  void take(answer_written &Written, steady_time) {
+    active_request *Active = findByTicket(Written.Ticket);
+    if (!Active)
+      return;
+    Active->Unwritten -= std::min(Active->Unwritten, Written.Bytes);
+    if (Active->Attempt && Active->Paused &&
+        Active->Unwritten < MostUnwritten / 2) {
+      Active->Paused = false;
+      Transport.resume(Active->Attempt->Id);
+    }
+  }
+
+  void take(caller_gone &Gone, steady_time Now) {
+    active_request *Active = findByTicket(Gone.Ticket);
+    if (!Active)
+      return;
+    Active->CallerGone = true;
+    if (!Active->Attempt) {
+      stateOf(*Active).Scheduler.cancel(Active->Request.Id);
+      if (Active->HoldsKey)
+        Keys.forget(keyOf(Active->Request));
+      drop(*Active);
+      return;
+    }
+    // Work that may not be repeated is let to its end, so that its key can
+    // tell the outcome to the caller who comes back.
+    if (!Active->repeatable() && !Active->HeadPosted)
+      return;
+    if (Active->HoldsKey)
+      rememberTooLarge(*Active, Now);
+    running_attempt Attempt = abandonAttempt(*Active, Now);
+    drop(*Active);
+    if (!Attempt.ToPeer)
+      startWaiting(Attempt, Now);
+  }
+
+  void take(version_changed &Changed, steady_time Now) {
+    Version = std::move(Changed.Version);
+    for (auto &[Name, State] : Services) {
+      configure(Name, State, Now);
+      startNext(Name, Now);
+    }
+  }
+
+  void take(ejection_changed &Change, steady_time Now) {
+    auto Found = Services.find(Change.Service);
+    if (Found == Services.end())
+      return;
+    Found->second.Scheduler.setEjected(Change.Server, Change.Until, Now);
+    startNext(Change.Service, Now);
+  }
+
+  void take(server_death &Death, steady_time Now) {
+    Quarantine.noteDeath(Death.Fingerprint, Death.Server, Now);
+  }
+
+  void take(finish_traffic &, steady_time) { Finishing = true; }
+
+  // Admission.
+
+  result<void> admit(active_request &Active, steady_time Now) {
+    const caller_request &Request = Active.Request;
+    if (!Version || !Version->Ready)
+      return endiverail::fail(error_kind::NotReady,
+                              "the configuration or the hosts are not known");
+    Active.Fingerprint =
+        fingerprintOf(Request.Service->Definition.Name, Request.Kind->Name,
+                      Request.Target, Request.Body);
+    if (Quarantine.isQuarantined(Active.Fingerprint, Now))
+      return endiverail::fail(
+          error_kind::Quarantined,
+          "two backend servers died while they ran this request");
+    if (!Request.Kind->Idempotent && !Request.Key.empty()) {
+      BOOST_LEAF_AUTO(Settled, admitKey(Active, Now));
+      if (Settled)
+        return {};
+    }
+    return place(Active, Now);
+  }
+
+  /// Decides by the request's key. True when nothing is left to do here.
+  result<bool> admitKey(active_request &Active, steady_time Now) {
+    const caller_request &Request = Active.Request;
+    auto Key = fleet_key::parse(Request.Key, Settings.FleetSecret);
+    if (!Key)
+      return endiverail::fail(error_kind::BadRequest,
+                              "the fleet did not issue this key");
+    bool Issued = Key->ProxyId == Version->SelfId &&
+                  Key->Incarnation == Version->SelfIncarnation;
+    if (!Issued)
+      return forwardToIssuer(Active, *Key, Now);
+    switch (Keys.begin(keyOf(Request), Now)) {
+    case key_state::Fresh:
+      Active.HoldsKey = true;
+      return false;
+    case key_state::InProgress:
+      return endiverail::fail(error_kind::KeyInProgress,
+                              "a request with this key is in progress");
+    case key_state::Full:
+      return endiverail::fail(error_kind::MemoryLimit,
+                              "no room to remember another key");
+    case key_state::Finished:
+      break;
+    }
+    const stored_answer *Stored = Keys.find(keyOf(Request));
+    answer_head Head = Stored->Head;
+    Head.Headers.push_back({"Endiverail-Replayed", "true"});
+    answerWhole(Active, std::move(Head), Stored->Body, "", Now);
+    return true;
+  }
+
+  result<bool> forwardToIssuer(active_request &Active, const fleet_key &Key,
+                               steady_time Now) {
+    const proxy_member *Issuer = Version->View.findProxy(Key.ProxyId);
+    bool Reachable = Issuer && Issuer->Incarnation == Key.Incarnation &&
+                     Key.ProxyId != Version->SelfId &&
+                     !Active.Request.Forwarded;
+    if (!Reachable)
+      return endiverail::fail(
+          error_kind::KeyExpired,
+          "the proxy that issued the key is gone; nothing was run now");
+    startAttempt(Active, Issuer->Address, true, Now);
+    return true;
+  }
+
+  /// A key holds for one service: its requests all come to this thread.
+  static std::string keyOf(const caller_request &Request) {
+    return Request.Service->Definition.Name + "/" + Request.Key;
+  }
+
+  /// Sends the request to its owner, or lets it wait for a slot here.
+  result<void> place(active_request &Active, steady_time Now) {
+    std::string Name = Active.Request.Service->Definition.Name;
+    const service_owners &Owners = Version->ownersOf(Name);
+    auto Self = std::ranges::find(Owners, Version->SelfId,
+                                  &service_owner::ProxyId);
+    bool Owns = Self != Owners.end() && !Self->Servers.empty();
+    if (!Owns && !Active.Request.Forwarded)
+      if (const service_owner *Owner = chooseOwner(Owners, Active)) {
+        Metrics.onForward(Name);
+        startAttempt(Active, Owner->Address, true, Now);
+        return {};
+      }
+    service_state &State = stateOf(Active);
+    if (!State.Scheduler.hasServers())
+      return endiverail::fail(error_kind::NoBackendServer,
+                              "no backend server of the pool is there");
+    auto Dropped = State.Scheduler.submit(waiting(Active, State));
+    if (Dropped)
+      answerError(Requests.at(*Dropped), error_kind::QueueFull,
+                  "too much of this rank waits", Now);
+    startNext(Name, Now);
+    return {};
+  }
+
+  const service_owner *chooseOwner(const service_owners &Owners,
+                                   const active_request &Active) {
+    auto Untried = Owners | std::views::filter([&](const service_owner &Owner) {
+                     return !Owner.Servers.empty() &&
+                            Owner.ProxyId != Version->SelfId &&
+                            std::ranges::find(Active.Failed, Owner.Address) ==
+                                Active.Failed.end();
+                   });
+    // Any spread will do; the request's identity gives one without a state.
+    auto Best = std::ranges::max_element(
+        Untried, {}, [&](const service_owner &Owner) {
+          return stableHash(Owner.ProxyId, std::to_string(Active.Request.Id));
+        });
+    return Best == Untried.end() ? nullptr : &*Best;
+  }
+
+  waiting_request waiting(const active_request &Active, service_state &State) {
+    const caller_request &Request = Active.Request;
+    return {Request.Id,
+            Request.Kind->Rank,
+            Request.Kind->Bulk,
+            Request.Kind->Idempotent,
+            Request.Organisation,
+            Request.Deadline,
+            State.times(*Request.Kind).usual(),
+            Active.Failed};
+  }
+
+  service_state &stateOf(const active_request &Active) {
+    const service_definition &Definition = Active.Request.Service->Definition;
+    auto [Found, Added] = Services.try_emplace(
+        Definition.Name, Definition,
+        Settings.Seed ^ stableHash(Definition.Name));
+    if (Added)
+      configure(Definition.Name, Found->second, steadyNow());
+    return Found->second;
+  }
+
+  void configure(const std::string &Name, service_state &State,
+                 steady_time Now) {
+    accepted_service_ref Service = Version->Configuration.find(Name);
+    if (!Service)
+      return;
+    const service_owners &Owners = Version->ownersOf(Name);
+    auto Self = std::ranges::find(Owners, Version->SelfId,
+                                  &service_owner::ProxyId);
+    bool Owns = Self != Owners.end() && !Self->Servers.empty();
+    // A proxy that owns none still runs what an owner in its view would: the
+    // views of two proxies may differ for a while.
+    auto Servers = Owns ? std::span<const backend_server>(Self->Servers)
+                        : Version->View.pool(Service->Definition.Pool);
+    State.Scheduler.configure(Service->Definition, Servers, Now);
+  }
+
+  // Attempts.
+
+  void startNext(std::string_view Name, steady_time Now) {
+    auto Found = Services.find(Name);
+    if (Found == Services.end())
+      return;
+    service_scheduler &Scheduler = Found->second.Scheduler;
+    for (const waiting_request &Late : Scheduler.takeExpired(Now))
+      answerError(Requests.at(Late.Id), error_kind::DeadlineBeforeRun,
+                  "no slot came free in time", Now);
+    while (auto Assignment = Scheduler.next(Now))
+      startAttempt(Requests.at(Assignment->Request), Assignment->Server, false,
+                   Now);
+    if (auto Trial = Scheduler.nextTrial();
+        Trial && Scheduler.waiting() > 0 && *Trial > Now)
+      wakeForTrial(*Trial);
+  }
+
+  void wakeForTrial(steady_time At) {
+    if (TrialWake && *TrialWake <= At)
+      return;
+    TrialWake = At;
+    Timers.emplace(At, timer{});
+  }
+
+  void startWaiting(const running_attempt &Attempt, steady_time Now) {
+    auto Found = ServiceOfServer.find(Attempt.Server);
+    if (Found != ServiceOfServer.end())
+      startNext(std::string(Found->second), Now);
+  }
+
+  void startAttempt(active_request &Active, const endpoint_text &Server,
+                    bool ToPeer, steady_time Now) {
+    const caller_request &Request = Active.Request;
+    attempt_id Id = NextAttempt++;
+    Active.Attempt = running_attempt{Id, Server, ToPeer, Now, std::nullopt, 0};
+    ++Active.Attempts;
+    ByAttempt[Id] = Request.Id;
+    auto Left = std::chrono::duration_cast<milliseconds>(Request.Deadline - Now);
+    std::vector<header_field> Headers =
+        ToPeer ? peerHeaders(Request, Left) : serverHeaders(Request, Id, Left);
+    if (!ToPeer) {
+      ServiceOfServer[Server] = Request.Service->Definition.Name;
+      Deaths.onStart(Server, Id);
+      Timers.emplace(Now + stateOf(Active).times(*Request.Kind).patience(),
+                     timer{Request.Id, Id, timer_kind::Slow});
+      // An attempt that may be repeated leaves time for another one.
+      if (Active.repeatable() && Active.Attempts < MaxAttempts)
+        Timers.emplace(Now + Left / 2,
+                       timer{Request.Id, Id, timer_kind::NoHead});
+    }
+    Transport.start({Id, Server, Request.Method, Request.Target, Headers,
+                     Request.Body, connectionFor(Active.repeatable()), Left});
+  }
+
+  std::vector<header_field> serverHeaders(const caller_request &Request,
+                                          attempt_id Id, milliseconds Left) {
+    auto Headers = endToEndFields(Request.Headers);
+    Headers.push_back({std::string(AttemptHeader), attemptName(Id)});
+    Headers.push_back({"Endiverail-Deadline-Ms", std::to_string(Left.count())});
+    Headers.push_back(
+        {"Endiverail-Rank", std::string(rankName(Request.Kind->Rank))});
+    return Headers;
+  }
+
+  std::vector<header_field> peerHeaders(const caller_request &Request,
+                                        milliseconds Left) {
+    auto Headers = endToEndFields(Request.Headers);
+    Headers.push_back({"Endiverail-Hop",
+                       hopProof(Version->SelfId, Request.Method,
+                                Request.Target, Settings.FleetSecret)});
+    Headers.push_back({"Endiverail-Deadline-Ms", std::to_string(Left.count())});
+    Headers.push_back({"Endiverail-Organisation", Request.Organisation});
+    if (!Request.Key.empty())
+      Headers.push_back({"Endiverail-Key", Request.Key});
+    return Headers;
+  }
+
+  std::string attemptName(attempt_id Id) const {
+    return Version->SelfId + "." + std::to_string(Version->SelfIncarnation) +
+           "." + std::to_string(Settings.Seed) + "." + std::to_string(Id);
+  }
+
+  /// Judges a backend server's head; a value refuses the answer.
+  std::optional<error_kind> judge(active_request &Active,
+                                  const backend_head &Head, steady_time Now) {
+    running_attempt &Attempt = *Active.Attempt;
+    service_state &State = stateOf(Active);
+    if (!findHeader(Head.Headers, "Endiverail-Leaving").empty()) {
+      State.Scheduler.markLeaving(Attempt.Server, Now);
+      Control.notify(server_leaving{Active.Request.Service->Definition.Name,
+                                    Attempt.Server});
+    }
+    if (!answersAttempt(Head.Headers, attemptName(Attempt.Id)))
+      return error_kind::ForeignAnswer;
+    if (Head.Status == 503 &&
+        findHeader(Head.Headers, "Endiverail-Not-Run") == "true")
+      return error_kind::BackendShed;
+    if (Head.Status >= 500) {
+      attempt_failure Failure{error_kind::BackendError, false, false};
+      // Without another attempt the backend server's own words are better.
+      if (nextStep(Failure, history(Active, Now)) == attempt_step::Retry)
+        return error_kind::BackendError;
+      State.Scheduler.observe(Attempt.Server, attempt_signal::Failed, Now);
+      return std::nullopt;
+    }
+    State.times(*Active.Request.Kind)
+        .add(std::chrono::duration_cast<microseconds>(Now - Attempt.Started),
+             Now);
+    if (Attempt.SlowReports == 0)
+      State.Scheduler.observe(Attempt.Server, attempt_signal::Good, Now);
+    return std::nullopt;
+  }
+
+  attempt_history history(const active_request &Active, steady_time Now) {
+    const caller_request &Request = Active.Request;
+    service_state &State = stateOf(Active);
+    return {Request.Kind->Idempotent,
+            Active.Attempts,
+            Active.Cuts,
+            Active.MayHaveRun,
+            std::chrono::duration_cast<milliseconds>(Request.Deadline - Now),
+            State.times(*Request.Kind).usual(),
+            State.Scheduler.retries().available(Request.Kind->Rank)};
+  }
+
+  /// Frees what the attempt held and takes what it has shown.
+  void settle(active_request &Active, const running_attempt &Attempt,
+              const attempt_end &End, steady_time Now) {
+    if (Attempt.ToPeer)
+      return;
+    service_scheduler &Scheduler = stateOf(Active).Scheduler;
+    Scheduler.release(Attempt.Server, Active.Request.Kind->Rank, Now);
+    if (!End.Failure) {
+      Deaths.onEnd(Attempt.Server, Attempt.Id);
+      Scheduler.retries().onSuccess(Active.Request.Kind->Rank);
+      Quarantine.clear(Active.Fingerprint);
+      return;
+    }
+    bool Cut = End.Failure->Kind == error_kind::BackendCut;
+    if (Cut && !Attempt.Head)
+      Deaths.onCut(Attempt.Server, Attempt.Id, Active.Fingerprint, Now);
+    else
+      Deaths.onEnd(Attempt.Server, Attempt.Id);
+    bool Shed = End.Failure->Kind == error_kind::BackendShed;
+    Scheduler.observe(Attempt.Server,
+                      Shed ? attempt_signal::Shed : attempt_signal::Failed,
+                      Now);
+    reportEvidence(Active, Scheduler);
+  }
+
+  void reportEvidence(const active_request &Active,
+                      const service_scheduler &Scheduler) {
+    const std::string &Name = Active.Request.Service->Definition.Name;
+    for (endpoint_text &Server : Scheduler.condemned())
+      Control.notify(ejection_wish{Name, std::move(Server), true});
+    for (endpoint_text &Server : Scheduler.recovered())
+      Control.notify(ejection_wish{Name, std::move(Server), false});
+  }
+
+  /// Takes the attempt away from the request, cutting it off.
+  running_attempt abandonAttempt(active_request &Active, steady_time Now) {
+    running_attempt Attempt = std::move(*Active.Attempt);
+    Active.Attempt.reset();
+    ByAttempt.erase(Attempt.Id);
+    Transport.cancel(Attempt.Id);
+    if (!Attempt.ToPeer) {
+      Deaths.onEnd(Attempt.Server, Attempt.Id);
+      stateOf(Active).Scheduler.release(Attempt.Server,
+                                        Active.Request.Kind->Rank, Now);
+    }
+    return Attempt;
+  }
+
+  // Answers.
+
+  answer_head answerHead(const running_attempt &Attempt) const {
+    answer_head Head;
+    Head.Status = Attempt.Head->Status;
+    Head.Length = Attempt.Head->Length;
+    std::string_view Connection =
+        findHeader(Attempt.Head->Headers, "Connection");
+    for (const header_field &Field : Attempt.Head->Headers) {
+      if (isHopByHop(Field.Name, Connection))
+        continue;
+      if (equalIgnoringCase(Field.Name, "Endiverail-Outcome")) {
+        if (Attempt.ToPeer)
+          Head.Outcome = outcomeFromName(Field.Value);
+        continue;
+      }
+      Head.Headers.push_back(Field);
+    }
+    return Head;
+  }
+
+  void passOn(active_request &Active) {
+    if (!std::exchange(Active.HeadPosted, true))
+      To.post(answer_begin{Active.Request.Ticket, answerHead(*Active.Attempt)});
+    Active.Unwritten += Active.Buffered.size();
+    To.post(answer_piece{Active.Request.Ticket,
+                         std::exchange(Active.Buffered, {})});
+  }
+
+  void complete(active_request &Active, const running_attempt &Attempt,
+                steady_time Now) {
+    answer_head Head = answerHead(Attempt);
+    std::string Error(findHeader(Head.Headers, "Endiverail-Error"));
+    if (!Active.HeadPosted) {
+      std::string Body = std::exchange(Active.Buffered, {});
+      if (Active.HoldsKey)
+        rememberOutcome(Active, Head, Body, Now);
+      answerWhole(Active, std::move(Head), std::move(Body), Error, Now);
+      return;
+    }
+    if (Active.HoldsKey)
+      rememberTooLarge(Active, Now);
+    if (!Active.Buffered.empty())
+      To.post(answer_piece{Active.Request.Ticket, std::move(Active.Buffered)});
+    To.post(answer_end{Active.Request.Ticket});
+    count(Active, Head.Outcome, Error, Now);
+    drop(Active);
+  }
+
+  void fail(active_request &Active, const running_attempt &Attempt,
+            attempt_failure Failure, steady_time Now) {
+    // What a peer has not taken was run by nobody.
+    if (Attempt.ToPeer && !Failure.ProvenNotRun)
+      Failure.Kind = error_kind::PeerLost;
+    if (Failure.Kind == error_kind::BackendShed)
+      Failure.ProvenNotRun = true;
+    Failure.AnswerStarted = Active.HeadPosted;
+    Active.Cuts += Failure.Kind == error_kind::BackendCut ? 1 : 0;
+    attempt_history History = history(Active, Now);
+    attempt_step Step =
+        Active.CallerGone ? attempt_step::Answer : nextStep(Failure, History);
+    if (Step == attempt_step::BreakConnection) {
+      breakAnswer(Active, Now);
+      return;
+    }
+    if (Step == attempt_step::Answer) {
+      answerError(Active, finalError(Failure, History), "", Now);
+      return;
+    }
+    retry(Active, Attempt, Failure, Now);
+  }
+
+  void retry(active_request &Active, const running_attempt &Attempt,
+             const attempt_failure &Failure, steady_time Now) {
+    std::string Name = Active.Request.Service->Definition.Name;
+    Active.MayHaveRun |= !Failure.ProvenNotRun;
+    Active.Failed.push_back(Attempt.Server);
+    Active.Buffered.clear();
+    service_state &State = stateOf(Active);
+    State.Scheduler.retries().take(Active.Request.Kind->Rank);
+    Metrics.onRetry(Name);
+    if (Attempt.ToPeer) {
+      handleFailure([&] { return place(Active, Now); },
+                    [&](const failure &Problem) {
+                      answerError(Active, Problem.Kind, Problem.Detail, Now);
+                    });
+      return;
+    }
+    State.Scheduler.resubmit(waiting(Active, State));
+    startNext(Name, Now);
+  }
+
+  void breakAnswer(active_request &Active, steady_time Now) {
+    To.post(answer_break{Active.Request.Ticket});
+    if (Active.HoldsKey)
+      rememberOutcome(Active, errorHead(error_kind::BackendCut),
+                      "the answer was cut\n", Now);
+    count(Active, outcome::Unknown, errorAnswer(error_kind::BackendCut).Name,
+          Now);
+    drop(Active);
+  }
+
+  void answerError(active_request &Active, error_kind Kind,
+                   std::string_view Detail, steady_time Now) {
+    // A retry that never started does not undo what an earlier attempt did.
+    if (Active.MayHaveRun && errorAnswer(Kind).Outcome == outcome::NotRun)
+      Kind = error_kind::BackendCut;
+    std::string Body(errorAnswer(Kind).Name);
+    Body.append(": ").append(Detail).push_back('\n');
+    if (Active.HoldsKey) {
+      if (errorAnswer(Kind).Outcome == outcome::NotRun)
+        Keys.forget(keyOf(Active.Request));
+      else
+        rememberOutcome(Active, errorHead(Kind), Body, Now);
+    }
+    answerWhole(Active, errorHead(Kind), std::move(Body),
+                errorAnswer(Kind).Name, Now);
+  }
+
+  void rememberOutcome(const active_request &Active, answer_head Head,
+                       std::string Body, steady_time Now) {
+    Keys.finish(keyOf(Active.Request), {std::move(Head), std::move(Body)}, Now);
+  }
+
+  void rememberTooLarge(const active_request &Active, steady_time Now) {
+    rememberOutcome(Active, errorHead(error_kind::KeyExpired),
+                    "the request ran; its answer was too large to keep\n",
+                    Now);
+  }
+
+  void answerWhole(active_request &Active, answer_head Head, std::string Body,
+                   std::string_view Error, steady_time Now) {
+    outcome Outcome = Head.Outcome;
+    if (Active.Request.Method == "HEAD") {
+      // The length tells of a body that is not sent.
+      To.post(answer_begin{Active.Request.Ticket, std::move(Head)});
+      To.post(answer_end{Active.Request.Ticket});
+    } else {
+      postWhole(To, Active.Request.Ticket, std::move(Head), std::move(Body));
+    }
+    count(Active, Outcome, Error, Now);
+    drop(Active);
+  }
+
+  void count(const active_request &Active, outcome Outcome,
+             std::string_view Error, steady_time Now) {
+    Metrics.onAnswer(Active.Request.Service->Definition.Name,
+                     Active.Request.Kind->Rank, Outcome, Error,
+                     std::chrono::duration_cast<microseconds>(
+                         Now - Active.Request.Arrived));
+  }
+
+  void drop(active_request &Active) {
+    auto Ticket = ByTicket.find(Active.Request.Ticket.Connection);
+    if (Ticket != ByTicket.end() && Ticket->second == Active.Request.Id)
+      ByTicket.erase(Ticket);
+    Requests.erase(Active.Request.Id);
+  }
+
+  // Time.
+
+  void runTimers(steady_time Now) {
+    while (!Timers.empty() && Timers.begin()->first <= Now) {
+      timer Due = Timers.begin()->second;
+      Timers.erase(Timers.begin());
+      auto Found = Requests.find(Due.Request);
+      if (Found != Requests.end())
+        onTimer(Found->second, Due, Now);
+      else if (Due.Request == 0)
+        onTrialDue(Now);
+    }
+  }
+
+  void onTrialDue(steady_time Now) {
+    TrialWake.reset();
+    for (auto &[Name, State] : Services)
+      startNext(Name, Now);
+  }
+
+  void onTimer(active_request &Active, const timer &Due, steady_time Now) {
+    bool Running = Active.Attempt.has_value();
+    if (Due.Kind == timer_kind::Deadline) {
+      if (!Running)
+        startNext(std::string(Active.Request.Service->Definition.Name), Now);
+      return;
+    }
+    if (!Running || Active.Attempt->Id != Due.Attempt || Active.Attempt->Head)
+      return;
+    if (Due.Kind == timer_kind::Slow)
+      reportSlow(Active, Now);
+    else
+      giveUpAttempt(Active, Now);
+  }
+
+  /// An attempt that stays without an answer keeps telling against its
+  /// backend server: when all its slots hang, nothing else would.
+  void reportSlow(active_request &Active, steady_time Now) {
+    running_attempt &Attempt = *Active.Attempt;
+    service_state &State = stateOf(Active);
+    State.Scheduler.observe(Attempt.Server, attempt_signal::Slow, Now);
+    reportEvidence(Active, State.Scheduler);
+    ++Attempt.SlowReports;
+    Timers.emplace(Now + State.times(*Active.Request.Kind).patience(),
+                   timer{Active.Request.Id, Attempt.Id, timer_kind::Slow});
+  }
+
+  void giveUpAttempt(active_request &Active, steady_time Now) {
+    service_state &State = stateOf(Active);
+    attempt_failure Failure{error_kind::BackendTimeout, false, false};
+    if (nextStep(Failure, history(Active, Now)) != attempt_step::Retry)
+      return;
+    running_attempt Attempt = abandonAttempt(Active, Now);
+    State.Scheduler.observe(Attempt.Server, attempt_signal::Failed, Now);
+    reportEvidence(Active, State.Scheduler);
+    retry(Active, Attempt, Failure, Now);
+    startWaiting(Attempt, Now);
+  }
+
+  void onDeath(const death_watch::death &Death, steady_time Now) {
+    auto Service = ServiceOfServer.find(Death.Server);
+    for (request_fingerprint Fingerprint : Death.Running)
+      if (Quarantine.noteDeath(Fingerprint, Death.Server, Now) &&
+          Service != ServiceOfServer.end())
+        Control.notify(
+            server_death{Service->second, Fingerprint, Death.Server});
+  }
+
+  void report(steady_time Now) {
+    NextReport = Now + ReportPeriod;
+    Quarantine.expire(Now);
+    Keys.expire(Now);
+    for (const auto &[Name, State] : Services)
+      Control.notify(standing_report{Name, State.Scheduler.waiting(),
+                                     State.Scheduler.status()});
+  }
+
+  // Lookups.
+
+  active_request *findByAttempt(attempt_id Id) {
+    auto Found = ByAttempt.find(Id);
+    return Found == ByAttempt.end() ? nullptr : &Requests.at(Found->second);
+  }
+
+  active_request *findByTicket(const caller_ticket &Ticket) {
+    auto Found = ByTicket.find(Ticket.Connection);
+    if (Found == ByTicket.end())
+      return nullptr;
+    active_request &Active = Requests.at(Found->second);
+    return Active.Request.Ticket == Ticket ? &Active : nullptr;
+  }
+
+  poller Poller;
+  mailbox<traffic_message> Inbox;
+  traffic_settings Settings;
+  Sink &To;
+  Link &Control;
+  process_metrics &Metrics;
+  TransportOf<traffic_thread> Transport;
+
+  fleet_version_ref Version;
+  std::map<std::string, service_state, std::less<>> Services;
+  std::unordered_map<request_id, active_request> Requests;
+  std::unordered_map<attempt_id, request_id> ByAttempt;
+  /// A connection has one request in progress at most.
+  std::unordered_map<std::uint64_t, request_id> ByTicket;
+  std::map<endpoint_text, std::string, std::less<>> ServiceOfServer;
+  std::multimap<steady_time, timer> Timers;
+  outcome_table Keys;
+  quarantine Quarantine;
+  death_watch Deaths;
+  attempt_id NextAttempt = 1;
+  std::optional<steady_time> TrialWake;
+  steady_time NextReport;
+  bool Finishing = false;
+};
+
+} // namespace endiverail
--- a/src/libs/version/ownership.cpp
+++ b/src/libs/version/ownership.cpp
@@ -3,57 +3,68 @@
 #include "base/hash.h"
 
 #include <algorithm>
+#include <map>
 #include <ranges>
 
 namespace endiverail {
 namespace {
 
-struct candidate {
-  const proxy_member *Proxy = nullptr;
+struct weighted_proxy {
   std::uint64_t Weight = 0;
+  /// How many of its data centre are heavier.
+  std::size_t Place = 0;
+  const proxy_member *Proxy = nullptr;
 };
 
-std::vector<candidate> byWeight(const service_definition &Service,
-                                const fleet_view &View) {
-  std::vector<candidate> Candidates;
-  Candidates.reserve(View.Proxies.size());
+} // namespace
+
+owner_chooser::owner_chooser(const fleet_view &View) : View(View) {
+  std::map<std::string_view, data_centre> Groups;
   for (const proxy_member &Proxy : View.Proxies)
     if (Proxy.Offered)
-      Candidates.push_back({&Proxy, stableHash(Service.Name, Proxy.Id)});
-  // Only the first choices are needed; a few per data centre are enough.
-  std::ranges::sort(Candidates, std::ranges::greater{}, &candidate::Weight);
-  return Candidates;
+      Groups[Proxy.DataCentre].push_back({stableHash(Proxy.Id), &Proxy});
+  std::ranges::move(Groups | std::views::values,
+                    std::back_inserter(DataCentres));
 }
 
-/// Takes the heaviest candidate of each data centre in turn.
+/// The heaviest proxy of each data centre first, then the second ones.
 std::vector<const proxy_member *>
-spreadOverDataCentres(std::vector<candidate> Candidates, std::size_t Wanted) {
-  std::vector<const proxy_member *> Chosen;
-  while (Chosen.size() < Wanted && !Candidates.empty()) {
-    std::vector<std::string_view> Visited;
-    std::vector<candidate> Left;
-    for (const candidate &Candidate : Candidates) {
-      bool Fresh = std::ranges::find(Visited, Candidate.Proxy->DataCentre) ==
-                   Visited.end();
-      if (!Fresh || Chosen.size() == Wanted) {
-        Left.push_back(Candidate);
-        continue;
-      }
-      Visited.push_back(Candidate.Proxy->DataCentre);
-      Chosen.push_back(Candidate.Proxy);
+owner_chooser::spread(std::uint64_t ServiceHash, std::size_t Wanted) const {
+  if (DataCentres.empty())
+    return {};
+  const std::size_t PerDataCentre =
+      (Wanted + DataCentres.size() - 1) / DataCentres.size();
+  std::vector<weighted_proxy> Best;
+  for (const data_centre &Candidates : DataCentres) {
+    std::vector<weighted_proxy> Weighted;
+    Weighted.reserve(Candidates.size());
+    for (const candidate &Candidate : Candidates)
+      Weighted.push_back(
+          {mixHashes(ServiceHash, Candidate.IdHash), 0, Candidate.Proxy});
+    auto Heaviest = Weighted.begin() +
+                    static_cast<std::ptrdiff_t>(
+                        std::min(PerDataCentre, Weighted.size()));
+    std::ranges::partial_sort(Weighted, Heaviest, std::ranges::greater{},
+                              &weighted_proxy::Weight);
+    for (auto At = Weighted.begin(); At != Heaviest; ++At) {
+      At->Place = static_cast<std::size_t>(At - Weighted.begin());
+      Best.push_back(*At);
     }
-    Candidates = std::move(Left);
   }
+  std::ranges::sort(Best, [](const weighted_proxy &L, const weighted_proxy &R) {
+    return L.Place != R.Place ? L.Place < R.Place : L.Weight > R.Weight;
+  });
+  std::vector<const proxy_member *> Chosen;
+  std::ranges::copy(Best | std::views::take(Wanted) |
+                        std::views::transform(&weighted_proxy::Proxy),
+                    std::back_inserter(Chosen));
   return Chosen;
 }
 
-} // namespace
-
-service_owners chooseOwners(const service_definition &Service,
-                            const fleet_view &View) {
+service_owners owner_chooser::choose(const service_definition &Service) const {
   service_owners Owners;
   for (const proxy_member *Proxy :
-       spreadOverDataCentres(byWeight(Service, View), Service.Owners))
+       spread(stableHash(Service.Name), Service.Owners))
     Owners.push_back({Proxy->Id, Proxy->Address, Proxy->DataCentre, {}});
   if (Owners.empty())
     return Owners;
--- a/src/libs/version/ownership.h
+++ b/src/libs/version/ownership.h
@@ -3,7 +3,7 @@
 #include "version/configuration.h"
 #include "version/fleet_view.h"
 
-#include <map>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -22,11 +22,31 @@
 /// The owners of one service, the first choice first.
 using service_owners = std::vector<service_owner>;
 
-/// Chooses the owners of \p Service by rendezvous hashing over the offered
-/// proxies, in as many data centres as there are, and gives each backend
-/// server of the pool that is not leaving to exactly one of them. Two proxies
-/// with the same view choose alike.
-service_owners chooseOwners(const service_definition &Service,
-                            const fleet_view &View);
+/// Chooses owners for any service of one view. It holds what all services
+/// share, so that a view of thousands of proxies is prepared once.
+class owner_chooser {
+public:
+  /// \p View outlives the chooser.
+  explicit owner_chooser(const fleet_view &View);
+
+  /// Chooses the owners of \p Service by rendezvous hashing over the offered
+  /// proxies, in as many data centres as there are, and gives each backend
+  /// server of the pool that is not leaving to exactly one of them. Two proxies
+  /// with the same view choose alike.
+  service_owners choose(const service_definition &Service) const;
+
+private:
+  struct candidate {
+    std::uint64_t IdHash = 0;
+    const proxy_member *Proxy = nullptr;
+  };
+  using data_centre = std::vector<candidate>;
+
+  std::vector<const proxy_member *> spread(std::uint64_t ServiceHash,
+                                           std::size_t Wanted) const;
+
+  const fleet_view &View;
+  std::vector<data_centre> DataCentres;
+};
 
 } // namespace endiverail
--- /dev/null
+++ b/src/tools/endiverail-load/main.cpp
@@ -0,0 +1,69 @@
+#include "load/deployment.h"
+#include "load/load_run.h"
+#include "program/program.h"
+
+#include <gflags/gflags.h>
+
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+
+using namespace endiverail;
+
+DEFINE_bool(json, false, "print the report as JSON");
+DEFINE_uint64(daemons, 6, "deployment: how many daemons");
+DEFINE_uint32(first_port, 20'000, "deployment: first port on loopback");
+DEFINE_uint64(rate, 300, "deployment: requests a second of its plan");
+DEFINE_uint64(seconds, 8, "deployment: length of its plan");
+
+namespace {
+
+constexpr std::string_view Usage =
+    "endiverail-load COMMAND ...\n\n"
+    "  run PLAN              sends the load of a plan file, checks each answer\n"
+    "                        and prints a table by rank; exit code 1 when an\n"
+    "                        answer was wrong or a request ran twice\n"
+    "  deployment NAME DIR   writes all files to run a deployment on loopback;\n"
+    "                        NAME is zbytky or vezilica";
+
+result<exit_code> runPlan(const std::string &FileName) {
+  BOOST_LEAF_AUTO(Text, readFile(FileName));
+  BOOST_LEAF_AUTO(Plan, readLoadPlan(FileName, Text));
+  BOOST_LEAF_AUTO(Report, runLoad(Plan));
+  std::cout << (FLAGS_json ? Report.json() : Report.table());
+  return Report.clean() ? exit_code::Success : exit_code::Failure;
+}
+
+result<exit_code> writeDeployment(const std::string &Name,
+                                  const std::filesystem::path &Folder) {
+  deployment_options Options{FLAGS_daemons,
+                             static_cast<std::uint16_t>(FLAGS_first_port),
+                             FLAGS_rate, FLAGS_seconds};
+  BOOST_LEAF_AUTO(Files, makeDeployment(Name, Options));
+  for (const deployment_file &File : Files) {
+    std::filesystem::path Path = Folder / File.Name;
+    std::filesystem::create_directories(Path.parent_path());
+    std::ofstream(Path) << File.Content;
+  }
+  return exit_code::Success;
+}
+
+result<exit_code> run(const std::vector<std::string> &Words) {
+  if (Words.size() == 2 && Words[0] == "run")
+    return runPlan(Words[1]);
+  if (Words.size() == 3 && Words[0] == "deployment")
+    return writeDeployment(Words[1], Words[2]);
+  std::cerr << Usage << '\n';
+  return exit_code::Usage;
+}
+
+} // namespace
+
+int main(int ArgumentCount, char **Arguments) {
+  auto Words = startProgram(ArgumentCount, Arguments, Usage);
+  return static_cast<int>(
+      handleFailure([&] { return run(Words); }, [](const failure &Failure) {
+        std::cerr << Failure.Detail << '\n';
+        return exit_code::Failure;
+      }));
+}
