Let the issuer of a key forward the bare work, and join before serving

Cause: a proxy that had issued a key but owned no backend server in the newer view sent the key along to the owner, who took it for somebody else's and said key-expired. Daemons also served from a view of themselves alone. Change: the issuer keeps the key and forwards the work without it; a daemon is ready once it has synchronised with two listed peers or waited 5 s.

--- a/src/libs/process/control_state.cpp
+++ b/src/libs/process/control_state.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t MostPulls = 4;
 constexpr milliseconds FullPullSpacing{1'000};
 constexpr std::size_t PeersToSync = 2;
+/// After this a daemon serves alone when no listed peer answers.
+constexpr milliseconds JoinPatience{5'000};
 
 constexpr milliseconds RefreshCheck{1'000};
 /// Share of the retention after which a record is appended again, and how much
@@ -65,15 +67,26 @@
 
 bool control_state::ready() const {
   bool KnowsHosts = Hosts.Revision != 0;
-  bool KnowsRecords = LogCaughtUp || SyncedPeers.size() >= PeersToSync ||
-                      (!SyncedPeers.empty() && SyncedPeers.size() + 1 >=
-                                                   Members.size());
-  return KnowsHosts && KnowsRecords && !Fold.inForce().empty();
+  bool KnowsRecords = LogCaughtUp || !SyncedPeers.empty();
+  // A view without the peers that are there would give work to wrong owners.
+  std::size_t Peers = std::min(PeersToSync, listedPeers());
+  bool Joined = SyncedPeers.size() >= Peers || JoinPatienceOver;
+  return KnowsHosts && KnowsRecords && Joined && !Fold.inForce().empty();
+}
+
+std::size_t control_state::listedPeers() const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      Hosts.EntryHosts, [&](const entry_host &Host) {
+        return Host.Id != Settings.Self.Id;
+      }));
 }
 
 // Time.
 
 void control_state::tick(steady_time Now, control_actions &Out) {
+  if (!FirstTick)
+    FirstTick = Now;
+  JoinPatienceOver = Now - *FirstTick >= JoinPatience;
   std::vector<outgoing_gossip> Gossip;
   Members.tick(Now, Gossip);
   send(Gossip, Out);
@@ -92,7 +105,8 @@
 }
 
 steady_time control_state::nextWake() const {
-  return std::min({Members.nextWake(), NextLogRead, NextHostsRead, NextRefresh});
+  return std::min(
+      {Members.nextWake(), NextLogRead, NextHostsRead, NextRefresh});
 }
 
 void control_state::readSources(steady_time Now, control_actions &Out) {
--- a/src/libs/process/control_state.h
+++ b/src/libs/process/control_state.h
@@ -113,6 +113,7 @@
   void claim(const held_ejection &Ejection, bool Held, control_actions &Out);
   std::size_t unavailableServers(const service_definition &Definition) const;
   void publishIfChanged(steady_time Now, control_actions &Out);
+  std::size_t listedPeers() const;
   milliseconds spacing(milliseconds PerMember, milliseconds Least);
   std::size_t refreshOrder(std::string_view Service) const;
 
@@ -143,6 +144,8 @@
   std::set<endpoint_text, std::less<>> SyncedPeers;
   std::map<std::string, std::uint64_t, std::less<>> Wanted;
   steady_time NextFullPull;
+  std::optional<steady_time> FirstTick;
+  bool JoinPatienceOver = false;
   std::vector<pending_change> Changes;
   std::vector<server_death> DeathNews;
   std::size_t DeathNewsSent = 0;
--- a/src/libs/process/swim.cpp
+++ b/src/libs/process/swim.cpp
@@ -12,6 +12,7 @@
 constexpr std::size_t MostHealthScore = 6;
 constexpr std::size_t MostSuggested = 4096;
 constexpr std::size_t PeersToldOfLeaving = 8;
+constexpr std::size_t SuggestionsPerPeriod = 3;
 
 bool isPresent(member_state State) {
   return State == member_state::Alive || State == member_state::Suspect;
@@ -112,8 +113,9 @@
 }
 
 void swim::startProbe(steady_time Now, std::vector<outgoing_gossip> &Out) {
-  // One suggested address a period, so that a lagging list costs little.
-  if (!Suggested.empty()) {
+  // A few suggested addresses a period, so that a lagging list costs little.
+  for (std::size_t Count = 0;
+       Count < SuggestionsPerPeriod && !Suggested.empty(); ++Count) {
     endpoint_text Address = Suggested.front();
     Suggested.pop_front();
     Out.push_back({Address, message(gossip_kind::Ping, NextSequence++)});
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -417,7 +417,7 @@
     ByAttempt[Id] = Request.Id;
     auto Left = std::chrono::duration_cast<milliseconds>(Request.Deadline - Now);
     std::vector<header_field> Headers =
-        ToPeer ? peerHeaders(Request, Left) : serverHeaders(Request, Id, Left);
+        ToPeer ? peerHeaders(Active, Left) : serverHeaders(Request, Id, Left);
     if (!ToPeer) {
       ServiceOfServer[Server] = Request.Service->Definition.Name;
       Deaths.onStart(Server, Id);
@@ -442,15 +442,17 @@
     return Headers;
   }
 
-  std::vector<header_field> peerHeaders(const caller_request &Request,
+  std::vector<header_field> peerHeaders(const active_request &Active,
                                         milliseconds Left) {
+    const caller_request &Request = Active.Request;
     auto Headers = endToEndFields(Request.Headers);
     Headers.push_back({"Endiverail-Hop",
                        hopProof(Version->SelfId, Request.Method,
                                 Request.Target, Settings.FleetSecret)});
     Headers.push_back({"Endiverail-Deadline-Ms", std::to_string(Left.count())});
     Headers.push_back({"Endiverail-Organisation", Request.Organisation});
-    if (!Request.Key.empty())
+    // The issuer keeps the key itself and forwards the bare work.
+    if (!Request.Key.empty() && !Active.HoldsKey)
       Headers.push_back({"Endiverail-Key", Request.Key});
     return Headers;
   }
