--- a/cmake/endiverail.cmake
+++ b/cmake/endiverail.cmake
@@ -33,5 +33,8 @@
   endiverail_common(test_${Name})
   target_link_libraries(test_${Name} PRIVATE ${Arg_DEPENDS} endiverail_testmain)
   add_test(NAME ${Name} COMMAND test_${Name})
-  set_tests_properties(${Name} PROPERTIES TIMEOUT 600)
+  set_tests_properties(${Name} PROPERTIES
+    TIMEOUT 600
+    # Fuzzing takes the same path in every run; scripts/fuzz takes new ones.
+    ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=200")
 endfunction()
--- a/src/libs/base/error_kind.h
+++ b/src/libs/base/error_kind.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <boost/leaf/result.hpp>
 #include <boost/leaf/error.hpp>
 #include <boost/leaf/handle_errors.hpp>
+#include <boost/leaf/result.hpp>
 
 #include <span>
 #include <string>
--- a/src/libs/connection/answer_message.h
+++ b/src/libs/connection/answer_message.h
@@ -36,7 +36,7 @@
 /// Where answers go.
 template <typename T>
 concept answer_sink = requires(T Sink, answer_message Message) {
-  { Sink.post(std::move(Message)) };
+  {Sink.post(std::move(Message))};
 };
 
 inline const caller_ticket &ticketOf(const answer_message &Message) {
--- a/src/libs/connection/backend_attempt.h
+++ b/src/libs/connection/backend_attempt.h
@@ -44,26 +44,27 @@
 
 /// What hears of attempts, on the thread of the transport.
 template <typename T>
-concept attempt_observer =
-    requires(T Observer, attempt_id Id, backend_head Head,
-             std::string_view Piece, const attempt_end &End) {
-      /// A value ends the attempt with that error.
-      {
-        Observer.onHead(Id, std::move(Head))
-      } -> std::same_as<std::optional<error_kind>>;
-      /// False leaves the piece for later: the attempt pauses until resumed.
-      { Observer.onPiece(Id, Piece) } -> std::same_as<bool>;
-      { Observer.onEnd(Id, End) };
-    };
+concept attempt_observer = requires(T Observer, attempt_id Id,
+                                    backend_head Head, std::string_view Piece,
+                                    const attempt_end &End) {
+  /// A value ends the attempt with that error.
+  {
+    Observer.onHead(Id, std::move(Head))
+    } -> std::same_as<std::optional<error_kind>>;
+  /// False leaves the piece for later: the attempt pauses until resumed.
+  { Observer.onPiece(Id, Piece) } -> std::same_as<bool>;
+  {Observer.onEnd(Id, End)};
+};
 
 /// What carries attempts.
 template <typename T>
-concept backend_transport = requires(T Transport, const attempt_request &Request,
+concept backend_transport = requires(T Transport,
+                                     const attempt_request &Request,
                                      attempt_id Id) {
-  { Transport.start(Request) };
-  { Transport.resume(Id) };
+  {Transport.start(Request)};
+  {Transport.resume(Id)};
   /// Ends the attempt without a report; a running one is cut off.
-  { Transport.cancel(Id) };
+  {Transport.cancel(Id)};
 };
 
 } // namespace endiverail
--- a/src/libs/daemon/control_thread.h
+++ b/src/libs/daemon/control_thread.h
@@ -45,8 +45,8 @@
 template <typename T>
 concept traffic_link = requires(T Link, traffic_message Message,
                                 fleet_version_ref Version) {
-  { Link.tellAll(Message) };
-  { Link.tellOwner(std::string_view{}, std::move(Message)) };
+  {Link.tellAll(Message)};
+  {Link.tellOwner(std::string_view{}, std::move(Message))};
 };
 
 /// The one thread that owns control state. It feeds what comes in to the
@@ -62,10 +62,10 @@
                  published<fleet_version> &Versions, Sink &To,
                  Traffic &ToTraffic)
       : Poller(std::move(Poller)), Inbox(std::move(Event)),
-        Socket(std::move(Socket)), Settings(Settings),
-        State(std::move(State)), Events(Events), Metrics(Metrics),
-        Versions(Versions), To(To), ToTraffic(ToTraffic),
-        Codec(Settings.FleetSecret), Transport(this->Poller, *this) {
+        Socket(std::move(Socket)), Settings(Settings), State(std::move(State)),
+        Events(Events), Metrics(Metrics), Versions(Versions), To(To),
+        ToTraffic(ToTraffic), Codec(Settings.FleetSecret),
+        Transport(this->Poller, *this) {
     this->Poller.watch(Inbox.descriptor(), true, false);
     this->Poller.watch(this->Socket.descriptor(), true, false);
   }
@@ -116,9 +116,11 @@
     Calls.erase(Id);
     bool Succeeded = !End.Failure && Call.Status == 200;
     control_actions Actions;
-    std::visit([&](const auto &Purpose) {
-      finishCall(Purpose, Succeeded, Call.Answer, Actions);
-    }, Call.Purpose);
+    std::visit(
+        [&](const auto &Purpose) {
+          finishCall(Purpose, Succeeded, Call.Answer, Actions);
+        },
+        Call.Purpose);
     perform(Actions);
   }
 
@@ -210,8 +212,7 @@
   }
 
   std::string metricsText() {
-    Metrics.setGauge("members",
-                     static_cast<double>(State.membership().size()));
+    Metrics.setGauge("members", static_cast<double>(State.membership().size()));
     Metrics.setGauge("ready", State.ready() ? 1 : 0);
     Metrics.setGauge("store_away", State.storeAway() ? 1 : 0);
     Metrics.setGauge("services_in_force",
@@ -291,10 +292,10 @@
     Call.Body = std::move(Body);
     BytesSent += Call.Body.size();
     // Nothing here may run twice by the library's own resending but reads.
-    connection_choice Connection = Method == "GET" ? connection_choice::Reuse
-                                                   : connection_choice::Fresh;
-    Transport.start({Id, Server, Method, Target, {}, Call.Body, Connection,
-                     CallTimeout});
+    connection_choice Connection =
+        Method == "GET" ? connection_choice::Reuse : connection_choice::Fresh;
+    Transport.start(
+        {Id, Server, Method, Target, {}, Call.Body, Connection, CallTimeout});
   }
 
   void finishCall(const log_read &, bool Succeeded, std::string_view Answer,
--- a/src/libs/daemon/operator_answers.cpp
+++ b/src/libs/daemon/operator_answers.cpp
@@ -19,10 +19,9 @@
     List.push_back({{"address", Offered.Address},
                     {"data_centre", Offered.DataCentre},
                     {"servers", Offered.Servers},
-                    {"key_prefix",
-                     fleet_key::issuePrefix(Offered.ProxyId,
-                                            Offered.Incarnation, Nonce,
-                                            FleetSecret)}});
+                    {"key_prefix", fleet_key::issuePrefix(
+                                       Offered.ProxyId, Offered.Incarnation,
+                                       Nonce, FleetSecret)}});
   return json{{"service", Service},
               {"addresses", List},
               {"lifetime_ms", Lifetime.count()}}
--- a/src/libs/daemon/proxy_daemon.cpp
+++ b/src/libs/daemon/proxy_daemon.cpp
@@ -9,8 +9,8 @@
 #include <spdlog/spdlog.h>
 
 #include <atomic>
-#include <functional>
 #include <condition_variable>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <random>
@@ -136,11 +136,12 @@
     return handleFailure(
         [&]() -> result<request_owner> {
           auto Version = Versions.load();
-          BOOST_LEAF_AUTO(Placed, placeRequest(Ticket, std::move(Request),
-                                               *Version, Settings.FleetSecret,
-                                               steadyNow()));
+          BOOST_LEAF_AUTO(Placed,
+                          placeRequest(Ticket, std::move(Request), *Version,
+                                       Settings.FleetSecret, steadyNow()));
           Placed.Id = NextRequest.fetch_add(1);
-          request_owner Owner = Traffic.indexOf(Placed.Service->Definition.Name);
+          request_owner Owner =
+              Traffic.indexOf(Placed.Service->Definition.Name);
           Traffic.tell(Owner, run_request{std::move(Placed)});
           return Owner;
         },
@@ -193,8 +194,8 @@
 public:
   result<void> open(const front_end_settings &Settings, caller_dispatch &To,
                     memory_budget &Memory) {
-    BOOST_LEAF_ASSIGN(Front, front_end<caller_dispatch>::create(Settings, To,
-                                                                Memory));
+    BOOST_LEAF_ASSIGN(Front,
+                      front_end<caller_dispatch>::create(Settings, To, Memory));
     return Front->start();
   }
   void post(answer_message Message) { Front->post(std::move(Message)); }
@@ -212,7 +213,8 @@
   // Hosts keep nothing, so the time of the start tells incarnations apart.
   auto Incarnation =
       static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
-  return {Settings.Id, Settings.DataCentre, Settings.Address, Incarnation, true};
+  return {Settings.Id, Settings.DataCentre, Settings.Address, Incarnation,
+          true};
 }
 
 fleet_version_ref firstVersion(const proxy_member &Self) {
@@ -232,9 +234,8 @@
 /// In the order in which they are made; they end in the reverse order.
 struct proxy_daemon::parts {
   explicit parts(const daemon_settings &From)
-      : Settings(From), Self(selfOf(Settings)),
-        Events(Settings.TimeLineEvents), Versions(firstVersion(Self)),
-        Memory(Settings.BodyMemoryBytes) {}
+      : Settings(From), Self(selfOf(Settings)), Events(Settings.TimeLineEvents),
+        Versions(firstVersion(Self)), Memory(Settings.BodyMemoryBytes) {}
 
   result<void> start();
 
@@ -267,8 +268,8 @@
   BOOST_LEAF_AUTO(Poller, poller::create());
   BOOST_LEAF_AUTO(Event, event_descriptor::create());
   BOOST_LEAF_AUTO(Socket, datagram_socket::create(Settings.Address));
-  control_settings Controls{Self, Settings.CustomerKeys, Settings.Seeds, {},
-                            randomSeed()};
+  control_settings Controls{
+      Self, Settings.CustomerKeys, Settings.Seeds, {}, randomSeed()};
   BOOST_LEAF_AUTO(State, control_state::create(Controls, Events));
   Control = std::make_unique<control>(
       std::move(Poller), std::move(Event), std::move(Socket), Settings,
--- a/src/libs/daemon/request_placement.cpp
+++ b/src/libs/daemon/request_placement.cpp
@@ -10,8 +10,7 @@
 
 result<milliseconds> timeAllowed(const caller_request &Request) {
   milliseconds Most = Request.Kind->Timeout;
-  std::string_view Wish =
-      findHeader(Request.Headers, "Endiverail-Deadline-Ms");
+  std::string_view Wish = findHeader(Request.Headers, "Endiverail-Deadline-Ms");
   if (Wish.empty())
     return Most;
   auto Value = parseDecimal(Wish);
--- a/src/libs/http/answer_text.cpp
+++ b/src/libs/http/answer_text.cpp
@@ -18,9 +18,9 @@
                            bool KeepAlive) {
   std::string Text;
   auto Out = std::back_inserter(Text);
-  fmt::format_to(
-      Out, "HTTP/1.1 {} {}\r\n", Head.Status,
-      Pistache::Http::codeString(static_cast<Pistache::Http::Code>(Head.Status)));
+  fmt::format_to(Out, "HTTP/1.1 {} {}\r\n", Head.Status,
+                 Pistache::Http::codeString(
+                     static_cast<Pistache::Http::Code>(Head.Status)));
   for (const header_field &Field : Head.Headers)
     fmt::format_to(Out, "{}: {}\r\n", Field.Name, Field.Value);
   fmt::format_to(Out, "Endiverail-Outcome: {}\r\n", outcomeName(Head.Outcome));
--- a/src/libs/http/answer_text.h
+++ b/src/libs/http/answer_text.h
@@ -18,6 +18,7 @@
 std::string chunkText(std::string_view Bytes);
 
 inline constexpr std::string_view LastChunk = "0\r\n\r\n";
-inline constexpr std::string_view ContinueText = "HTTP/1.1 100 Continue\r\n\r\n";
+inline constexpr std::string_view ContinueText =
+    "HTTP/1.1 100 Continue\r\n\r\n";
 
 } // namespace endiverail
--- a/src/libs/http/connection_worker.h
+++ b/src/libs/http/connection_worker.h
@@ -36,17 +36,15 @@
 
 /// What takes the requests of callers. Called on the connection threads.
 template <typename T>
-concept caller_request_sink =
-    requires(T Sink, const caller_ticket &Ticket, received_request Request,
-             request_owner Owner) {
-      {
-        Sink.onRequest(Ticket, std::move(Request))
-      } -> std::same_as<request_owner>;
-      /// A piece of that many bytes has left.
-      { Sink.onWritten(Owner, Ticket, std::size_t{}) };
-      /// The caller has gone before the end of the answer.
-      { Sink.onCallerGone(Owner, Ticket) };
-    };
+concept caller_request_sink = requires(T Sink, const caller_ticket &Ticket,
+                                       received_request Request,
+                                       request_owner Owner) {
+  { Sink.onRequest(Ticket, std::move(Request)) } -> std::same_as<request_owner>;
+  /// A piece of that many bytes has left.
+  {Sink.onWritten(Owner, Ticket, std::size_t{})};
+  /// The caller has gone before the end of the answer.
+  {Sink.onCallerGone(Owner, Ticket)};
+};
 
 namespace detail {
 
@@ -78,9 +76,8 @@
       return;
     entry &Entry = Found->second;
     bool FirstBytes = !Entry.State.inProgress() && !Entry.State.hasBytes();
-    handleFailure(
-        [&]() -> result<void> { return Entry.State.receive(Bytes); },
-        [&](const failure &Failure) { refuse(Entry, Failure); });
+    handleFailure([&]() -> result<void> { return Entry.State.receive(Bytes); },
+                  [&](const failure &Failure) { refuse(Entry, Failure); });
     if (FirstBytes)
       expectBy(Entry, Settings.ReceiveTimeout);
     takeRequests(Entry);
@@ -159,7 +156,8 @@
     if (Entry.Closing)
       breakConnection(*Entry.Peer);
     else if (Entry.State.hasBytes())
-      refuse(Entry, {error_kind::RequestTimeout, "the request came too slowly"});
+      refuse(Entry,
+             {error_kind::RequestTimeout, "the request came too slowly"});
     else
       close(Entry);
   }
@@ -252,8 +250,8 @@
     entry *Entry = awaiting(Begin.Ticket);
     if (!Entry)
       return;
-    Entry->Framing = Begin.Head.Length ? body_framing::Length
-                                       : body_framing::Chunked;
+    Entry->Framing =
+        Begin.Head.Length ? body_framing::Length : body_framing::Chunked;
     if (Entry->Framing == body_framing::Chunked && !Entry->ReadsChunks) {
       // Without a length such a caller could not tell a cut answer.
       close(*Entry);
--- a/src/libs/http/curl_transport.h
+++ b/src/libs/http/curl_transport.h
@@ -2,9 +2,9 @@
 
 #include "http/curl_exchange.h"
 
-#include <set>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -38,7 +38,8 @@
   }
 
   void start(const attempt_request &Request) {
-    auto Added = std::make_unique<exchange>(exchange{*this, detail::curl_exchange(Request)});
+    auto Added = std::make_unique<exchange>(
+        exchange{*this, detail::curl_exchange(Request)});
     CURL *Easy = Added->Easy.handle();
     curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, &onHeader);
     curl_easy_setopt(Easy, CURLOPT_HEADERDATA, Added.get());
@@ -163,8 +164,8 @@
   static std::size_t onBody(char *Data, std::size_t Size, std::size_t Count,
                             void *Self) {
     auto &Exchange = *static_cast<exchange *>(Self);
-    bool Taken = Exchange.Owner.To.onPiece(Exchange.Easy.id(),
-                                           {Data, Size * Count});
+    bool Taken =
+        Exchange.Owner.To.onPiece(Exchange.Easy.id(), {Data, Size * Count});
     return Taken ? Size * Count : std::size_t{CURL_WRITEFUNC_PAUSE};
   }
 
--- a/src/libs/http/front_end.h
+++ b/src/libs/http/front_end.h
@@ -183,8 +183,8 @@
       return std::make_shared<detail::front_transport<Sink>>(
           Workers, NextWorker, Workers.front().get());
     });
-    Listener->setHandler(std::make_shared<detail::front_handler<Sink>>(
-        Workers.front().get()));
+    Listener->setHandler(
+        std::make_shared<detail::front_handler<Sink>>(Workers.front().get()));
     Listener->bind(Pistache::Address(Settings.Address, Settings.Port));
     Listener->runThreaded();
   }
--- a/src/libs/load/deployment.cpp
+++ b/src/libs/load/deployment.cpp
@@ -223,9 +223,12 @@
                         {"body_bytes", Kind.Idempotent ? 0 : 200},
                         {"timeout_ms", timeoutOf(Kind)}});
       }
-    return {{"daemons", Daemons},   {"platform", Platform},
-            {"rate", Options.Rate}, {"seconds", Options.Seconds},
-            {"seed", 1},            {"direct_percent", 20},
+    return {{"daemons", Daemons},
+            {"platform", Platform},
+            {"rate", Options.Rate},
+            {"seconds", Options.Seconds},
+            {"seed", 1},
+            {"direct_percent", 20},
             {"work", Work}};
   }
 
@@ -257,8 +260,7 @@
                 "no deployment is called \"" + std::string(Name) + "\"");
   BOOST_LEAF_AUTO(Customer, signing_key::generate());
   BOOST_LEAF_AUTO(Secret, signing_key::generate());
-  return deployment_writer(*Found, Options, std::move(Customer),
-                           Secret.Private)
+  return deployment_writer(*Found, Options, std::move(Customer), Secret.Private)
       .files();
 }
 
--- a/src/libs/load/load_plan.cpp
+++ b/src/libs/load/load_plan.cpp
@@ -8,8 +8,8 @@
 namespace endiverail {
 namespace {
 
-constexpr std::array<std::string_view, RankCount> RankWords{
-    "urgent", "normal", "background"};
+constexpr std::array<std::string_view, RankCount> RankWords{"urgent", "normal",
+                                                            "background"};
 
 planned_work readWork(checked_object &Object) {
   planned_work Work;
--- a/src/libs/load/load_report.cpp
+++ b/src/libs/load/load_report.cpp
@@ -46,8 +46,8 @@
     return 0;
   auto Place = static_cast<std::size_t>(
       Share * static_cast<double>(Times.size() - 1) + 0.5);
-  std::ranges::nth_element(Times, Times.begin() +
-                                      static_cast<std::ptrdiff_t>(Place));
+  std::ranges::nth_element(Times,
+                           Times.begin() + static_cast<std::ptrdiff_t>(Place));
   return static_cast<double>(Times[Place].count()) / 1000;
 }
 
@@ -63,8 +63,9 @@
 }
 
 std::string load_report::table() const {
-  std::string Text = "rank           sent    done notrun unknown  wrong doubled "
-                     " false   p50 ms   p90 ms   p99 ms p99.9 ms\n";
+  std::string Text =
+      "rank           sent    done notrun unknown  wrong doubled "
+      " false   p50 ms   p90 ms   p99 ms p99.9 ms\n";
   for (rank Rank : AllRanks)
     appendRow(Text, rankName(Rank), Fleet[rankIndex(Rank)]);
   if (Direct.Sent > 0) {
--- a/src/libs/load/load_run.cpp
+++ b/src/libs/load/load_run.cpp
@@ -72,8 +72,8 @@
   }
 
   result<void> prepare() {
-    BOOST_LEAF_AUTO(Hosts, fetch("GET", Plan.Platform, HostsTarget, "",
-                                 FetchTimeout));
+    BOOST_LEAF_AUTO(Hosts,
+                    fetch("GET", Plan.Platform, HostsTarget, "", FetchTimeout));
     BOOST_LEAF_AUTO(Decoded, decodeHostList(Hosts.Body));
     for (const backend_server &Server : Decoded.Hosts.Servers)
       Servers[Server.Pool].push_back(Server.Address);
@@ -87,8 +87,7 @@
     NextSend = Start;
     End = Start + std::chrono::seconds(Plan.Seconds);
     runEventLoop(Poller, *this);
-    Report.Seconds =
-        std::chrono::duration<double>(steadyNow() - Start).count();
+    Report.Seconds = std::chrono::duration<double>(steadyNow() - Start).count();
   }
 
   /// Asks the stand-in how often each request really ran.
@@ -168,8 +167,8 @@
     sent_request Request = std::move(Running.at(Id));
     Running.erase(Id);
     if (Ended.Failure) {
-      Request.Outcome = Ended.Failure->ProvenNotRun ? outcome::NotRun
-                                                    : outcome::Unknown;
+      Request.Outcome =
+          Ended.Failure->ProvenNotRun ? outcome::NotRun : outcome::Unknown;
       Request.Error = errorAnswer(Ended.Failure->Kind).Name;
       Request.Error += "-at-caller";
     }
@@ -204,10 +203,9 @@
 
   result<bool> askAddresses(const endpoint_text &Daemon,
                             const std::string &Service) {
-    BOOST_LEAF_AUTO(Answer,
-                    fetch("GET", Daemon,
-                          "/endiverail/addresses?service=" + Service, "",
-                          FetchTimeout));
+    BOOST_LEAF_AUTO(Answer, fetch("GET", Daemon,
+                                  "/endiverail/addresses?service=" + Service,
+                                  "", FetchTimeout));
     json Value = json::parse(Answer.Body, nullptr, false);
     if (Answer.Status != 200 || !Value.is_object())
       return false;
@@ -216,8 +214,8 @@
     for (const json &Entry : Value["addresses"])
       Book.Addresses.push_back({Entry["address"], Entry["key_prefix"],
                                 Entry["servers"].get<std::uint64_t>()});
-    Book.Until = steadyNow() +
-                 milliseconds(Value["lifetime_ms"].get<std::int64_t>());
+    Book.Until =
+        steadyNow() + milliseconds(Value["lifetime_ms"].get<std::int64_t>());
     return !Book.Addresses.empty();
   }
 
@@ -225,8 +223,9 @@
                                      std::string_view Avoid) {
     address_book &Book = Books[Service];
     if (steadyNow() >= Book.Until)
-      handleFailure([&] { return refreshAddresses(Service); },
-                    [&](const failure &) { Book.Until = steadyNow() + FetchTimeout; });
+      handleFailure(
+          [&] { return refreshAddresses(Service); },
+          [&](const failure &) { Book.Until = steadyNow() + FetchTimeout; });
     std::vector<double> Shares;
     for (const known_address &Known : Book.Addresses)
       Shares.push_back(Known.Address == Avoid
@@ -307,8 +306,9 @@
     case outcome::Done:
       break;
     }
-    bool Whole = Request.Status != 200 ||
-                 (Request.Received == Work.AnswerBytes && !Request.ContentWrong);
+    bool Whole =
+        Request.Status != 200 ||
+        (Request.Received == Work.AnswerBytes && !Request.ContentWrong);
     Row.Wrong += Whole ? 0 : 1;
     ++Row.Done;
     auto Time = std::chrono::duration_cast<microseconds>(Now - Request.First);
--- a/src/libs/operator/log_client.cpp
+++ b/src/libs/operator/log_client.cpp
@@ -62,8 +62,8 @@
   for (std::size_t Try = 0; Try < MostTries; ++Try) {
     auto Offset = handleFailure(
         [&]() -> result<std::optional<std::uint64_t>> {
-          BOOST_LEAF_AUTO(Answer, fetch("POST", Server, AppendTarget, Text,
-                                        CallTimeout));
+          BOOST_LEAF_AUTO(
+              Answer, fetch("POST", Server, AppendTarget, Text, CallTimeout));
           auto Value = nlohmann::json::parse(Answer.Body, nullptr, false);
           if (Answer.Status == 200 && Value.is_object())
             return std::optional(Value.value("offset", std::uint64_t{0}));
--- a/src/libs/operator/publishing.cpp
+++ b/src/libs/operator/publishing.cpp
@@ -48,8 +48,9 @@
               FileOfService.emplace(File.Definition.Name, Path.string());
           if (!Fresh)
             return fail(error_kind::BadFile,
-                        Path.string() + ":/service: the same service stands "
-                                        "in " +
+                        Path.string() +
+                            ":/service: the same service stands "
+                            "in " +
                             Other->second);
           Checked.Files.push_back(std::move(File));
           return {};
@@ -93,11 +94,10 @@
 std::vector<proposal> pendingFor(const record_fold &Fold,
                                  std::string_view Service) {
   std::vector<proposal> Found;
-  std::ranges::copy_if(Fold.pending(), std::back_inserter(Found),
-                       [&](const proposal &Proposal) {
-                         return Service.empty() ||
-                                Proposal.Definition.Name == Service;
-                       });
+  std::ranges::copy_if(
+      Fold.pending(), std::back_inserter(Found), [&](const proposal &Proposal) {
+        return Service.empty() || Proposal.Definition.Name == Service;
+      });
   return Found;
 }
 
@@ -115,14 +115,13 @@
   Record.Parent = Proposal.Parent;
   Record.Content = Proposal.Content;
   Record.ContentHash = Proposal.ContentHash;
-  Record.Version = Current == Fold.inForce().end()
-                       ? 1
-                       : Current->second.Record.Version + 1;
+  Record.Version =
+      Current == Fold.inForce().end() ? 1 : Current->second.Record.Version + 1;
   Record.Signer = Customer.Public;
-  BOOST_LEAF_ASSIGN(Record.Signature,
-                    sign(Customer, signedText(Name, Record.Parent,
-                                              Record.ContentHash,
-                                              Record.Version)));
+  BOOST_LEAF_ASSIGN(
+      Record.Signature,
+      sign(Customer, signedText(Name, Record.Parent, Record.ContentHash,
+                                Record.Version)));
   return Record;
 }
 
--- a/src/libs/operator/time_line_view.cpp
+++ b/src/libs/operator/time_line_view.cpp
@@ -33,8 +33,8 @@
 }
 
 result<std::vector<gathered_event>> eventsOf(const endpoint_text &Daemon) {
-  BOOST_LEAF_AUTO(Answer, fetch("GET", Daemon, "/endiverail/timeline", "",
-                                CallTimeout));
+  BOOST_LEAF_AUTO(
+      Answer, fetch("GET", Daemon, "/endiverail/timeline", "", CallTimeout));
   json Value = json::parse(Answer.Body, nullptr, false);
   if (Answer.Status != 200 || !Value.is_object() || !Value.contains("events"))
     return fail(error_kind::BadRecord, Daemon + " tells no time line");
@@ -73,12 +73,12 @@
 
 std::string_view colourOf(std::string_view Kind) {
   static const std::map<std::string_view, std::string_view> Colours{
-      {"version-in-force", "#2a6fdb"},    {"member-joined", "#3a9d5d"},
-      {"member-suspected", "#d9a21b"},    {"member-lost", "#c0392b"},
-      {"server-suspected", "#d9a21b"},    {"server-ejected", "#c0392b"},
-      {"server-returned", "#3a9d5d"},     {"request-quarantined", "#8e44ad"},
-      {"store-lost", "#c0392b"},          {"store-back", "#3a9d5d"},
-      {"self-suspected", "#8e44ad"},      {"server-leaving", "#7f8c8d"}};
+      {"version-in-force", "#2a6fdb"}, {"member-joined", "#3a9d5d"},
+      {"member-suspected", "#d9a21b"}, {"member-lost", "#c0392b"},
+      {"server-suspected", "#d9a21b"}, {"server-ejected", "#c0392b"},
+      {"server-returned", "#3a9d5d"},  {"request-quarantined", "#8e44ad"},
+      {"store-lost", "#c0392b"},       {"store-back", "#3a9d5d"},
+      {"self-suspected", "#8e44ad"},   {"server-leaving", "#7f8c8d"}};
   auto Found = Colours.find(Kind);
   return Found == Colours.end() ? "#34495e" : Found->second;
 }
@@ -115,8 +115,7 @@
 std::string timeLineText(std::span<const gathered_event> Events) {
   std::string Text;
   for (const gathered_event &Event : Events)
-    fmt::format_to(std::back_inserter(Text),
-                   "{} {:<14} {:<20} {:<14} {} {}\n",
+    fmt::format_to(std::back_inserter(Text), "{} {:<14} {:<20} {:<14} {} {}\n",
                    clockText(Event.WallMilliseconds), Event.Process, Event.Kind,
                    Event.Service, Event.Subject, Event.Detail);
   return Text;
--- a/src/libs/peer/datagram_socket.cpp
+++ b/src/libs/peer/datagram_socket.cpp
@@ -29,7 +29,8 @@
 
 result<datagram_socket> datagram_socket::create(std::string_view Address) {
   auto Bound = socketAddress(Address);
-  int Descriptor = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  int Descriptor =
+      socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   datagram_socket Socket(Descriptor);
   setsockopt(Descriptor, SOL_SOCKET, SO_RCVBUF, &ReceiveBufferBytes,
              sizeof(ReceiveBufferBytes));
--- a/src/libs/peer/peer_codec.cpp
+++ b/src/libs/peer/peer_codec.cpp
@@ -238,8 +238,8 @@
 }
 
 result<pull_request> peer_codec::decodeRequest(std::string_view Bytes) const {
-  BOOST_LEAF_AUTO(Wire,
-                  unpack<wire::PullRequest>(FleetSecret, "pull-request", Bytes));
+  BOOST_LEAF_AUTO(
+      Wire, unpack<wire::PullRequest>(FleetSecret, "pull-request", Bytes));
   return pull_request{converted<service_version>(Wire.have, FromWire),
                       Wire.only, fromWire(Wire.hostListRevision),
                       Wire.wantMembers};
--- a/src/libs/platform/checked_json.cpp
+++ b/src/libs/platform/checked_json.cpp
@@ -41,7 +41,8 @@
 
 std::string checked_object::requiredText(std::string_view Name) {
   const nlohmann::json *Found = find(Name);
-  if (Found && Found->is_string() && !Found->get_ref<const std::string &>().empty())
+  if (Found && Found->is_string() &&
+      !Found->get_ref<const std::string &>().empty())
     return Found->get<std::string>();
   mistake(Name, "expected a text that is not empty");
   return {};
@@ -166,8 +167,11 @@
   for (const json_mistake &Mistake : Mistakes) {
     if (!Lines.empty())
       Lines += '\n';
-    Lines.append(File).append(":").append(Mistake.Place).append(": ").append(
-        Mistake.Text);
+    Lines.append(File)
+        .append(":")
+        .append(Mistake.Place)
+        .append(": ")
+        .append(Mistake.Text);
   }
   return Lines;
 }
--- a/src/libs/platform/daemon_settings.cpp
+++ b/src/libs/platform/daemon_settings.cpp
@@ -53,11 +53,12 @@
       File.optionalNumber("traffic_threads", 2, {1, MostThreads});
   Settings.MostBodyBytes =
       File.optionalNumber("max_body_bytes", MiB, {0, 64 * MiB});
-  Settings.BodyMemoryBytes = File.optionalNumber(
-      "body_memory_bytes", 16 * MiB, {64 * KiB, 1024 * MiB});
-  Settings.KeyMemoryBytes = File.optionalNumber(
-      "key_memory_bytes", 4 * MiB, {64 * KiB, 1024 * MiB});
-  Settings.KeyLife = readTime(File, "key_life_ms", 600'000, {1'000, 86'400'000});
+  Settings.BodyMemoryBytes = File.optionalNumber("body_memory_bytes", 16 * MiB,
+                                                 {64 * KiB, 1024 * MiB});
+  Settings.KeyMemoryBytes =
+      File.optionalNumber("key_memory_bytes", 4 * MiB, {64 * KiB, 1024 * MiB});
+  Settings.KeyLife =
+      readTime(File, "key_life_ms", 600'000, {1'000, 86'400'000});
   Settings.ReceiveTimeout =
       readTime(File, "receive_timeout_ms", 10'000, {100, 600'000});
   Settings.AddressLifetime =
--- a/src/libs/platform/log_codec.cpp
+++ b/src/libs/platform/log_codec.cpp
@@ -25,8 +25,8 @@
   Page.First = Object.requiredNumber("first", AnyCount);
   Page.Next = Object.requiredNumber("next", AnyCount);
   Page.End = Object.requiredNumber("end", AnyCount);
-  Page.NowMilliseconds = static_cast<std::int64_t>(
-      Object.requiredNumber("now_ms", AnyCount));
+  Page.NowMilliseconds =
+      static_cast<std::int64_t>(Object.requiredNumber("now_ms", AnyCount));
   Page.RetentionMilliseconds = static_cast<std::int64_t>(
       Object.requiredNumber("retention_ms", AnyCount));
   Object.objects("records", false, [&](checked_object &Entry) {
--- a/src/libs/platform/record_codec.cpp
+++ b/src/libs/platform/record_codec.cpp
@@ -23,9 +23,9 @@
 }
 
 json toJson(const acceptance &Record) {
-  json Value{{"type", "acceptance"},        {"parent", Record.Parent},
-             {"content", Record.Content},   {"version", Record.Version},
-             {"signer", Record.Signer},     {"signature", Record.Signature}};
+  json Value{{"type", "acceptance"},      {"parent", Record.Parent},
+             {"content", Record.Content}, {"version", Record.Version},
+             {"signer", Record.Signer},   {"signature", Record.Signature}};
   if (Record.Refresh)
     Value["first_offset"] = Record.FirstOffset;
   return Value;
@@ -39,12 +39,9 @@
 }
 
 json toJson(const ejection_claim &Claim) {
-  return {{"type", "ejection"},
-          {"service", Claim.Service},
-          {"server", Claim.Server},
-          {"holder", Claim.Holder},
-          {"incarnation", Claim.Incarnation},
-          {"unavailable", Claim.Unavailable},
+  return {{"type", "ejection"},         {"service", Claim.Service},
+          {"server", Claim.Server},     {"holder", Claim.Holder},
+          {"sequence", Claim.Sequence}, {"unavailable", Claim.Unavailable},
           {"held", Claim.Held}};
 }
 
@@ -87,7 +84,7 @@
   Claim.Service = Object.requiredText("service");
   Claim.Server = Object.requiredText("server");
   Claim.Holder = Object.requiredText("holder");
-  Claim.Incarnation = Object.requiredNumber("incarnation", AnyCount);
+  Claim.Sequence = Object.requiredNumber("sequence", AnyCount);
   Claim.Unavailable = Object.requiredNumber("unavailable", AnyCount);
   Claim.Held = Object.requiredFlag("held");
   return Claim;
--- a/src/libs/platform/service_file.cpp
+++ b/src/libs/platform/service_file.cpp
@@ -10,8 +10,8 @@
 namespace endiverail {
 namespace {
 
-constexpr std::array<std::string_view, RankCount> RankWords{
-    "urgent", "normal", "background"};
+constexpr std::array<std::string_view, RankCount> RankWords{"urgent", "normal",
+                                                            "background"};
 constexpr std::array<std::string_view, 6> MethodWords{"GET", "HEAD",  "POST",
                                                       "PUT", "PATCH", "DELETE"};
 constexpr std::size_t MostServersOfAPool = 10'000;
@@ -32,8 +32,8 @@
                  number_range Range, per_rank<std::size_t> &Values) {
   File.object(Name, [&](checked_object &Object) {
     for (rank Rank : AllRanks)
-      Values[rankIndex(Rank)] = Object.optionalNumber(
-          rankName(Rank), Values[rankIndex(Rank)], Range);
+      Values[rankIndex(Rank)] =
+          Object.optionalNumber(rankName(Rank), Values[rankIndex(Rank)], Range);
   });
 }
 
@@ -60,8 +60,8 @@
   readPath(Object, Service, Kind);
   Kind.Rank = AllRanks[Object.requiredWord("rank", RankWords)];
   Kind.Idempotent = Object.requiredFlag("idempotent");
-  Kind.Target = milliseconds(
-      Object.requiredNumber("target_ms", {1, MostMilliseconds}));
+  Kind.Target =
+      milliseconds(Object.requiredNumber("target_ms", {1, MostMilliseconds}));
   Kind.Timeout = milliseconds(Object.optionalNumber(
       "timeout_ms",
       std::min<std::uint64_t>(10 * Kind.Target.count(), MostMilliseconds),
@@ -87,13 +87,12 @@
     File.mistake("service", "expected up to 63 of a-z, 0-9 and '-', and not "
                             "\"endiverail\"");
   Service.Pool = File.optionalText("pool", Service.Name);
-  Service.PoolSize =
-      File.requiredNumber("pool_size", {1, MostServersOfAPool});
+  Service.PoolSize = File.requiredNumber("pool_size", {1, MostServersOfAPool});
   Service.Floor = File.requiredNumber("floor", {0, MostServersOfAPool});
   if (Service.Floor > Service.PoolSize)
     File.mistake("floor", "expected at most pool_size");
-  Service.Owners = File.optionalNumber("owners", Service.Owners,
-                                       {1, MostOwners});
+  Service.Owners =
+      File.optionalNumber("owners", Service.Owners, {1, MostOwners});
   Service.SlotsPerServer = File.optionalNumber(
       "slots_per_server", Service.SlotsPerServer, {1, MostSlots});
   readPerRank(File, "share_percent", {1, 100}, Service.SharePercent);
--- a/src/libs/process/answer_times.cpp
+++ b/src/libs/process/answer_times.cpp
@@ -14,8 +14,7 @@
   double Milliseconds = static_cast<double>(Time.count()) / 1000;
   Median(Milliseconds);
   High(Milliseconds);
-  if (Now - WindowStart < Window ||
-      accumulators::count(Median) < EnoughAnswers)
+  if (Now - WindowStart < Window || accumulators::count(Median) < EnoughAnswers)
     return;
   auto Rounded = [](const quantile &Of) {
     return milliseconds(
--- /dev/null
+++ b/src/libs/process/attempt_fields.cpp
@@ -0,0 +1,59 @@
+#include "process/attempt_fields.h"
+
+#include "base/text.h"
+#include "process/fleet_key.h"
+#include "request/message_fields.h"
+
+namespace endiverail {
+
+std::string attemptName(const attempt_sender &Sender, attempt_id Id) {
+  return Sender.ProxyId + "." + std::to_string(Sender.Incarnation) + "." +
+         std::to_string(Sender.Thread) + "." + std::to_string(Id);
+}
+
+std::vector<header_field> serverFields(const attempt_sender &Sender,
+                                       const caller_request &Request,
+                                       attempt_id Id, milliseconds Left) {
+  auto Fields = endToEndFields(Request.Headers);
+  Fields.push_back({std::string(AttemptHeader), attemptName(Sender, Id)});
+  Fields.push_back({"Endiverail-Deadline-Ms", std::to_string(Left.count())});
+  Fields.push_back(
+      {"Endiverail-Rank", std::string(rankName(Request.Kind->Rank))});
+  return Fields;
+}
+
+std::vector<header_field> peerFields(const attempt_sender &Sender,
+                                     const active_request &Active,
+                                     milliseconds Left) {
+  const caller_request &Request = Active.Request;
+  auto Fields = endToEndFields(Request.Headers);
+  Fields.push_back(
+      {"Endiverail-Hop", hopProof(Sender.ProxyId, Request.Method,
+                                  Request.Target, Sender.FleetSecret)});
+  Fields.push_back({"Endiverail-Deadline-Ms", std::to_string(Left.count())});
+  Fields.push_back({"Endiverail-Organisation", Request.Organisation});
+  // The issuer keeps the key itself and forwards the bare work.
+  if (!Request.Key.empty() && !Active.HoldsKey)
+    Fields.push_back({"Endiverail-Key", Request.Key});
+  return Fields;
+}
+
+answer_head callerHead(const backend_head &Head, bool FromPeer) {
+  answer_head Result;
+  Result.Status = Head.Status;
+  Result.Length = Head.Length;
+  std::string_view Connection = findHeader(Head.Headers, "Connection");
+  for (const header_field &Field : Head.Headers) {
+    if (isHopByHop(Field.Name, Connection))
+      continue;
+    // A backend server does not speak for the fleet.
+    bool IsOutcome = equalIgnoringCase(Field.Name, "Endiverail-Outcome");
+    if (IsOutcome && FromPeer)
+      Result.Outcome = outcomeFromName(Field.Value);
+    if (!IsOutcome && (FromPeer || !isFleetField(Field.Name)))
+      Result.Headers.push_back(Field);
+  }
+  return Result;
+}
+
+} // namespace endiverail
--- a/src/libs/process/control_message.h
+++ b/src/libs/process/control_message.h
@@ -58,7 +58,8 @@
 };
 
 /// One record on the log.
-using log_record = std::variant<proposal, acceptance, rejection, ejection_claim>;
+using log_record =
+    std::variant<proposal, acceptance, rejection, ejection_claim>;
 
 struct log_entry {
   std::uint64_t Offset = 0;
--- a/src/libs/process/control_state.cpp
+++ b/src/libs/process/control_state.cpp
@@ -53,7 +53,10 @@
                              time_line &Events)
     : Settings(Settings), Fold(std::move(Fold)),
       Members(Settings.Self, Settings.Swim, Settings.Seed), Events(Events),
-      Random(Settings.Seed) {
+      Random(Settings.Seed),
+      Ejections(Settings.Self.Id + "." +
+                    std::to_string(Settings.Self.Incarnation),
+                Events) {
   Members.suggest(Settings.Seeds);
 }
 
@@ -75,8 +78,8 @@
 }
 
 std::size_t control_state::listedPeers() const {
-  return static_cast<std::size_t>(std::ranges::count_if(
-      Hosts.EntryHosts, [&](const entry_host &Host) {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(Hosts.EntryHosts, [&](const entry_host &Host) {
         return Host.Id != Settings.Self.Id;
       }));
 }
@@ -93,9 +96,9 @@
   takeMemberChanges(Now);
   readSources(Now, Out);
   joinByPeers(Now, Out);
-  renewClaims(Now, Out);
   if (Now >= NextRefresh) {
     NextRefresh = Now + RefreshCheck;
+    Ejections.renew(terms(), Now, Out);
     refreshRecords(Now, Out);
     considerSelf(Now);
     std::erase_if(SaidLeaving,
@@ -143,7 +146,8 @@
     event_kind Kind = event_kind::MemberJoined;
     if (Change.State == member_state::Suspect)
       Kind = event_kind::MemberSuspected;
-    if (Change.State == member_state::Dead || Change.State == member_state::Left)
+    if (Change.State == member_state::Dead ||
+        Change.State == member_state::Left)
       Kind = event_kind::MemberLost;
     Events.note(Kind, "", Change.Id,
                 Change.State == member_state::Left ? "left" : "");
@@ -227,9 +231,8 @@
   Changed.HostListRevision = Hosts.Revision;
   for (const service_version &Change : Message.Changes) {
     auto Known = Fold.inForce().find(Change.Service);
-    std::uint64_t Have = Known == Fold.inForce().end()
-                             ? 0
-                             : Known->second.Record.Version;
+    std::uint64_t Have =
+        Known == Fold.inForce().end() ? 0 : Known->second.Record.Version;
     std::uint64_t &Asked = Wanted[Change.Service];
     if (Change.Version <= std::max(Have, Asked) || PullsOut.contains(Peer) ||
         PullsOut.size() >= MostPulls)
@@ -341,7 +344,10 @@
       ejection_claim Placed = *Claim;
       Placed.Offset = Entry.Offset;
       Placed.LogMilliseconds = Entry.LogMilliseconds;
-      Ledger.apply(Placed);
+      auto Known = Fold.inForce().find(Placed.Service);
+      Ejections.read(Placed, Known == Fold.inForce().end()
+                                 ? nullptr
+                                 : &Known->second.Record.Definition);
       continue;
     }
     configuration_record Record;
@@ -358,12 +364,13 @@
     }
     applyRecord(Record, Entry.Offset, Now, Out);
   }
-  Ledger.advance(Page.NowMilliseconds);
+  Ejections.advance(Page.NowMilliseconds);
   if (Page.Next >= Page.End)
     LogCaughtUp = true;
   else
     NextLogRead = Now;
-  reviewClaims(Now, Out);
+  if (LogCaughtUp)
+    Ejections.review(terms(), Now, Out);
   publishIfChanged(Now, Out);
 }
 
@@ -400,11 +407,11 @@
   for (const auto &[Name, Accepted] : Fold.inForce()) {
     auto Copy = LatestCopy.find(Name);
     // One that came from a peer alone is not on the log any more.
-    std::int64_t Age = Copy == LatestCopy.end() ? LogRetention
-                                                : Clock - Copy->second;
-    double Due = RefreshAfter +
-                 RefreshStep * static_cast<double>(
-                                   std::min<std::size_t>(refreshOrder(Name), 8));
+    std::int64_t Age =
+        Copy == LatestCopy.end() ? LogRetention : Clock - Copy->second;
+    double Due =
+        RefreshAfter + RefreshStep * static_cast<double>(std::min<std::size_t>(
+                                         refreshOrder(Name), 8));
     if (static_cast<double>(Age) < Due * static_cast<double>(LogRetention))
       continue;
     LatestCopy[Name] = Clock;
@@ -452,8 +459,9 @@
     ReportTimes.insert_or_assign(Report->Service, Now);
   }
   if (const auto *Leaving = std::get_if<server_leaving>(&Notice)) {
-    bool New = SaidLeaving.insert_or_assign(Leaving->Server,
-                                            Now + LeavingMemory).second;
+    bool New =
+        SaidLeaving.insert_or_assign(Leaving->Server, Now + LeavingMemory)
+            .second;
     if (!New)
       return;
     VersionStale = true;
@@ -484,8 +492,8 @@
 
 // Ejections.
 
-std::size_t control_state::unavailableServers(
-    const service_definition &Definition) const {
+std::size_t
+control_state::unavailableServers(const service_definition &Definition) const {
   std::size_t Live = 0;
   for (const backend_server &Server : Hosts.Servers)
     if (Server.Pool == Definition.Pool && Server.State == server_state::Live &&
@@ -500,80 +508,29 @@
   return Definition.PoolSize > Healthy ? Definition.PoolSize - Healthy : 0;
 }
 
-void control_state::claim(const held_ejection &Ejection, bool Held,
-                          control_actions &Out) {
-  ejection_claim Claim;
-  Claim.Service = Ejection.Service;
-  Claim.Server = Ejection.Server;
-  Claim.Holder = Settings.Self.Id;
-  Claim.Incarnation = Settings.Self.Incarnation;
-  Claim.Held = Held;
-  if (auto Known = Fold.inForce().find(Ejection.Service);
-      Known != Fold.inForce().end())
-    Claim.Unavailable = unavailableServers(Known->second.Record.Definition);
-  Out.emplace_back(append_log{std::move(Claim)});
-}
-
 void control_state::wish(const ejection_wish &Wish, steady_time Now,
                          control_actions &Out) {
-  auto Known = std::ranges::find_if(Ejections, [&](const held_ejection &Held) {
-    return Held.Service == Wish.Service && Held.Server == Wish.Server;
-  });
-  if (!Wish.Eject) {
-    if (Known == Ejections.end())
-      return;
-    claim(*Known, false, Out);
-    Events.note(event_kind::ServerReturned, Wish.Service, Wish.Server, "");
-    Out.emplace_back(tell_traffic{
-        ejection_changed{Wish.Service, Wish.Server, std::nullopt}});
-    Ejections.erase(Known);
-    return;
-  }
-  // Without the log no right can be proven: steering has to do.
-  if (Known != Ejections.end() || storeAway() || !LogCaughtUp || SuspectsSelf)
-    return;
-  Events.note(event_kind::ServerSuspected, Wish.Service, Wish.Server, "");
-  Ejections.push_back({Wish.Service, Wish.Server, Now, false, {}});
-  claim(Ejections.back(), true, Out);
-}
-
-void control_state::renewClaims(steady_time Now, control_actions &Out) {
-  for (held_ejection &Ejection : Ejections)
-    if (Now - Ejection.Claimed >= ejection_ledger::Lease / 2) {
-      Ejection.Claimed = Now;
-      claim(Ejection, true, Out);
-    }
-  std::erase_if(Ejections, [&](const held_ejection &Ejection) {
-    bool Over = Ejection.InForce && Now >= Ejection.Until;
-    if (Over)
-      Events.note(event_kind::ServerReturned, Ejection.Service, Ejection.Server,
-                  "the right to eject has ended");
-    return Over;
-  });
-}
-
-/// Puts claims in force that were read back and lie within the budget.
-void control_state::reviewClaims(steady_time Now, control_actions &Out) {
-  if (!LogCaughtUp)
-    return;
-  for (held_ejection &Ejection : Ejections) {
-    auto Known = Fold.inForce().find(Ejection.Service);
-    if (Known == Fold.inForce().end())
-      continue;
-    bool Granted = Ledger.granted(Known->second.Record.Definition,
-                                  Ejection.Server, Settings.Self.Id);
-    // Counted from the moment before the append, so the log's lease ends later.
-    steady_time Until = Ejection.Claimed + ejection_ledger::Lease -
-                        ejection_ledger::HolderMargin;
-    if (!Granted || Until <= Now || Until == Ejection.Until)
-      continue;
-    Ejection.Until = Until;
-    if (!std::exchange(Ejection.InForce, true))
-      Events.note(event_kind::ServerEjected, Ejection.Service, Ejection.Server,
-                  "");
-    Out.emplace_back(tell_traffic{
-        ejection_changed{Ejection.Service, Ejection.Server, Until}});
-  }
+  // Without the log no right can be proven: steering has to do. A proxy that
+  // suspects itself blames nobody else.
+  bool MayClaim = LogCaughtUp && !storeAway() && !SuspectsSelf;
+  if (MayClaim || !Wish.Eject)
+    Ejections.wish(Wish, terms(), Now, Out);
+}
+
+ejection_terms control_state::termsOf(std::string_view Service,
+                                      std::string_view Server) const {
+  ejection_terms Terms;
+  auto Known = Fold.inForce().find(Service);
+  if (Known == Fold.inForce().end() || !Published)
+    return Terms;
+  Terms.Definition = &Known->second.Record.Definition;
+  Terms.Unavailable = unavailableServers(*Terms.Definition);
+  for (const service_owner &Owner : Published->ownersOf(Service))
+    if (Owner.ProxyId == Settings.Self.Id)
+      Terms.Owned =
+          std::ranges::find(Owner.Servers, Server, &backend_server::Address) !=
+          Owner.Servers.end();
+  return Terms;
 }
 
 /// A proxy that finds most of its backend servers failing may be what fails:
@@ -618,7 +575,7 @@
 
 // Versions.
 
-void control_state::publishIfChanged(steady_time, control_actions &Out) {
+void control_state::publishIfChanged(steady_time Now, control_actions &Out) {
   if (!std::exchange(VersionStale, false))
     return;
   auto Version = std::make_shared<fleet_version>();
@@ -639,6 +596,9 @@
                             Chooser.choose(Service->Definition));
   // Readiness may come without any other change.
   VersionStale = !Version->Ready;
+  Published = Version;
+  // What was granted may not fit a floor that was raised.
+  Ejections.review(terms(), Now, Out);
   Out.emplace_back(publish_version{std::move(Version)});
 }
 
@@ -655,8 +615,7 @@
 
 void control_state::leave(steady_time, control_actions &Out) {
   Events.note(event_kind::Stopped, "", Settings.Self.Id, "");
-  for (const held_ejection &Ejection : Ejections)
-    claim(Ejection, false, Out);
+  Ejections.giveAllBack(Out);
   std::vector<outgoing_gossip> Gossip;
   Members.leave(Gossip);
   send(Gossip, Out);
--- a/src/libs/process/control_state.h
+++ b/src/libs/process/control_state.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "process/control_message.h"
-#include "process/ejection_ledger.h"
+#include "process/ejection_holder.h"
 #include "process/swim.h"
 #include "process/time_line.h"
 #include "version/record_fold.h"
@@ -74,17 +74,6 @@
 
   static constexpr std::size_t FailuresToReport = 3;
 
-  /// A backend server that this process ejects or wants to.
-  struct held_ejection {
-    std::string Service;
-    endpoint_text Server;
-    /// When the claim was last appended.
-    steady_time Claimed;
-    bool InForce = false;
-    /// Until when the right is proven by the last claim that was read back.
-    steady_time Until;
-  };
-
   struct pending_change {
     service_version Change;
     std::size_t Sent = 0;
@@ -108,9 +97,13 @@
   void refreshRecords(steady_time Now, control_actions &Out);
   void considerSelf(steady_time Now);
   void wish(const ejection_wish &Wish, steady_time Now, control_actions &Out);
-  void renewClaims(steady_time Now, control_actions &Out);
-  void reviewClaims(steady_time Now, control_actions &Out);
-  void claim(const held_ejection &Ejection, bool Held, control_actions &Out);
+  ejection_terms termsOf(std::string_view Service,
+                         std::string_view Server) const;
+  auto terms() const {
+    return [this](std::string_view Service, std::string_view Server) {
+      return termsOf(Service, Server);
+    };
+  }
   std::size_t unavailableServers(const service_definition &Definition) const;
   void publishIfChanged(steady_time Now, control_actions &Out);
   std::size_t listedPeers() const;
@@ -152,8 +145,8 @@
   std::vector<server_leaving> LeavingNews;
   std::size_t LeavingNewsSent = 0;
 
-  ejection_ledger Ledger;
-  std::vector<held_ejection> Ejections;
+  ejection_holder Ejections;
+  fleet_version_ref Published;
 
   std::map<std::string, standing_report, std::less<>> Reports;
   std::map<std::string, steady_time, std::less<>> ReportTimes;
--- a/src/libs/process/ejection_ledger.cpp
+++ b/src/libs/process/ejection_ledger.cpp
@@ -1,63 +1,87 @@
 #include "process/ejection_ledger.h"
 
 #include <algorithm>
-#include <ranges>
-#include <set>
 
 namespace endiverail {
+namespace {
 
-void ejection_ledger::apply(const ejection_claim &Claim) {
+bool fits(const service_definition &Definition, std::size_t Missing) {
+  return Definition.Floor + Missing <= Definition.PoolSize;
+}
+
+} // namespace
+
+std::set<std::string_view> ejection_ledger::missing(std::string_view Service,
+                                                    const entry *Except) const {
+  // Two owners may claim one backend server while their views differ; it is
+  // one backend server that is missing all the same.
+  std::set<std::string_view> Servers;
+  for (const entry &Entry : Entries)
+    if (&Entry != Except && Entry.GrantedSequence &&
+        Entry.Claim.Service == Service)
+      Servers.insert(Entry.Claim.Server);
+  return Servers;
+}
+
+void ejection_ledger::apply(const ejection_claim &Claim,
+                            const service_definition *Definition) {
   // By the record's own time, so that all readers drop the same claims at the
   // same offset.
   advance(Claim.LogMilliseconds);
-  auto Known = std::ranges::find_if(Claims, [&](const ejection_claim &Other) {
-    return Other.Service == Claim.Service && Other.Server == Claim.Server &&
-           Other.Holder == Claim.Holder;
+  auto Known = std::ranges::find_if(Entries, [&](const entry &Other) {
+    return Other.Claim.Service == Claim.Service &&
+           Other.Claim.Server == Claim.Server &&
+           Other.Claim.Holder == Claim.Holder;
   });
   if (!Claim.Held) {
-    if (Known != Claims.end())
-      Claims.erase(Known);
+    if (Known != Entries.end())
+      Entries.erase(Known);
     return;
   }
-  if (Known == Claims.end()) {
-    Claims.push_back(Claim);
+  if (Known == Entries.end())
+    Known = Entries.insert(Entries.end(), entry{Claim, std::nullopt, 0});
+  Known->Claim = Claim;
+  auto Missing = missing(Claim.Service, &*Known);
+  Missing.insert(Claim.Server);
+  if (!Definition || !fits(*Definition, Missing.size() + Claim.Unavailable))
     return;
-  }
-  Known->LogMilliseconds = Claim.LogMilliseconds;
-  Known->Unavailable = Claim.Unavailable;
+  Known->GrantedSequence = Claim.Sequence;
+  Known->GrantedAt = Claim.LogMilliseconds;
 }
 
 void ejection_ledger::advance(std::int64_t LogMilliseconds) {
-  std::erase_if(Claims, [&](const ejection_claim &Claim) {
-    return Claim.LogMilliseconds + Lease.count() < LogMilliseconds;
+  auto IsOver = [&](std::int64_t Start) {
+    return Start + Lease.count() < LogMilliseconds;
+  };
+  for (entry &Entry : Entries)
+    if (IsOver(Entry.GrantedAt))
+      Entry.GrantedSequence.reset();
+  std::erase_if(Entries, [&](const entry &Entry) {
+    return IsOver(Entry.Claim.LogMilliseconds);
   });
 }
 
-bool ejection_ledger::granted(const service_definition &Definition,
-                              std::string_view Server,
-                              std::string_view Holder) const {
-  // Two owners may claim one backend server while their views differ; it is
-  // one backend server that is missing all the same.
-  std::set<std::string_view> Missing;
-  for (const ejection_claim &Claim : Claims) {
-    if (Claim.Service != Definition.Name)
+std::optional<std::uint64_t>
+ejection_ledger::granted(const service_definition &Definition,
+                         std::string_view Server,
+                         std::string_view Holder) const {
+  std::set<std::string_view> Earlier;
+  for (const entry &Entry : Entries) {
+    if (!Entry.GrantedSequence || Entry.Claim.Service != Definition.Name)
+      continue;
+    Earlier.insert(Entry.Claim.Server);
+    if (Entry.Claim.Server != Server || Entry.Claim.Holder != Holder)
       continue;
-    bool Fits = Missing.contains(Claim.Server) ||
-                Definition.Floor + Missing.size() + Claim.Unavailable + 1 <=
-                    Definition.PoolSize;
-    if (Fits)
-      Missing.insert(Claim.Server);
-    if (Claim.Server == Server && Claim.Holder == Holder)
-      return Fits;
+    return fits(Definition, Earlier.size()) ? Entry.GrantedSequence
+                                            : std::nullopt;
   }
-  return false;
+  return std::nullopt;
 }
 
 std::size_t ejection_ledger::claims(std::string_view Service) const {
-  return static_cast<std::size_t>(std::ranges::count(
-      Claims, Service,
-      [](const ejection_claim &Claim) -> std::string_view {
-        return Claim.Service;
+  return static_cast<std::size_t>(
+      std::ranges::count_if(Entries, [&](const entry &Entry) {
+        return Entry.Claim.Service == Service;
       }));
 }
 
--- a/src/libs/process/event_loop.cpp
+++ b/src/libs/process/event_loop.cpp
@@ -53,16 +53,15 @@
 std::span<const ready_descriptor>
 poller::wait(std::optional<steady_time> Until) {
   std::array<epoll_event, MaxReady> Events{};
-  int Count = epoll_wait(Descriptor, Events.data(), MaxReady,
-                         waitMilliseconds(Until));
+  int Count =
+      epoll_wait(Descriptor, Events.data(), MaxReady, waitMilliseconds(Until));
   Ready.clear();
-  std::for_each_n(Events.begin(), std::max(Count, 0),
-                  [&](const epoll_event &Event) {
-                    bool Broken = Event.events & (EPOLLERR | EPOLLHUP);
-                    Ready.push_back({Event.data.fd,
-                                     Broken || (Event.events & EPOLLIN) != 0,
-                                     Broken || (Event.events & EPOLLOUT) != 0});
-                  });
+  std::for_each_n(
+      Events.begin(), std::max(Count, 0), [&](const epoll_event &Event) {
+        bool Broken = Event.events & (EPOLLERR | EPOLLHUP);
+        Ready.push_back({Event.data.fd, Broken || (Event.events & EPOLLIN) != 0,
+                         Broken || (Event.events & EPOLLOUT) != 0});
+      });
   return Ready;
 }
 
--- a/src/libs/process/event_loop.h
+++ b/src/libs/process/event_loop.h
@@ -48,9 +48,9 @@
 concept event_handler = requires(T Handler, steady_time Now,
                                  const ready_descriptor &Ready) {
   /// A watched descriptor is ready.
-  { Handler.onReady(Ready, Now) };
+  {Handler.onReady(Ready, Now)};
   /// Called after each wait, also when only time has passed.
-  { Handler.onWake(Now) };
+  {Handler.onWake(Now)};
   /// When onWake is due at the latest; nothing for no limit.
   { Handler.nextWake() } -> std::same_as<std::optional<steady_time>>;
   /// True ends the loop.
--- a/src/libs/process/fleet_key.cpp
+++ b/src/libs/process/fleet_key.cpp
@@ -11,7 +11,8 @@
 
 std::string shortMac(std::string_view Secret, std::string_view Text) {
   std::string Mac = hmacSha256(Secret, Text).substr(0, MacBytes);
-  return toHex({reinterpret_cast<const std::uint8_t *>(Mac.data()), Mac.size()});
+  return toHex(
+      {reinterpret_cast<const std::uint8_t *>(Mac.data()), Mac.size()});
 }
 
 std::string join(std::initializer_list<std::string_view> Parts) {
@@ -54,17 +55,17 @@
 
 std::string hopProof(std::string_view ProxyId, std::string_view Method,
                      std::string_view Target, std::string_view FleetSecret) {
-  return join({ProxyId,
-               shortMac(FleetSecret, hopText(ProxyId, Method, Target))});
+  return join(
+      {ProxyId, shortMac(FleetSecret, hopText(ProxyId, Method, Target))});
 }
 
 bool checkHopProof(std::string_view Proof, std::string_view Method,
                    std::string_view Target, std::string_view FleetSecret) {
   auto Parts = split(Proof, Separator);
   return Parts.size() == 2 &&
-         equalConstantTime(Parts[1],
-                           shortMac(FleetSecret,
-                                    hopText(Parts[0], Method, Target)));
+         equalConstantTime(
+             Parts[1],
+             shortMac(FleetSecret, hopText(Parts[0], Method, Target)));
 }
 
 } // namespace endiverail
--- a/src/libs/process/metrics.cpp
+++ b/src/libs/process/metrics.cpp
@@ -26,8 +26,8 @@
 double latency_summary::quantileMilliseconds(double Quantile) const {
   if (count() == 0)
     return 0;
-  return accumulators::quantile(
-      Times, accumulators::quantile_probability = Quantile);
+  return accumulators::quantile(Times,
+                                accumulators::quantile_probability = Quantile);
 }
 
 void process_metrics::onAnswer(std::string_view Service, rank Rank,
--- a/src/libs/process/metrics.h
+++ b/src/libs/process/metrics.h
@@ -36,10 +36,10 @@
 
 private:
   boost::accumulators::accumulator_set<
-      double, boost::accumulators::stats<
-                  boost::accumulators::tag::count,
-                  boost::accumulators::tag::sum,
-                  boost::accumulators::tag::extended_p_square_quantile>>
+      double,
+      boost::accumulators::stats<
+          boost::accumulators::tag::count, boost::accumulators::tag::sum,
+          boost::accumulators::tag::extended_p_square_quantile>>
       Times;
 };
 
--- a/src/libs/process/outcome_table.cpp
+++ b/src/libs/process/outcome_table.cpp
@@ -17,9 +17,8 @@
 
 const stored_answer *outcome_table::find(std::string_view Key) const {
   auto Found = Entries.find(Key);
-  return Found != Entries.end() && Found->second.Answer
-             ? &*Found->second.Answer
-             : nullptr;
+  return Found != Entries.end() && Found->second.Answer ? &*Found->second.Answer
+                                                        : nullptr;
 }
 
 void outcome_table::finish(std::string_view Key, stored_answer Answer,
--- a/src/libs/process/rank_queue.cpp
+++ b/src/libs/process/rank_queue.cpp
@@ -7,8 +7,8 @@
 
 rank_queue::organisation_queue &
 rank_queue::queueOf(const std::string &Organisation) {
-  auto Found = std::ranges::find(Turns, Organisation,
-                                 &organisation_queue::Organisation);
+  auto Found =
+      std::ranges::find(Turns, Organisation, &organisation_queue::Organisation);
   if (Found != Turns.end())
     return *Found;
   return Turns.emplace_back(organisation_queue{Organisation, {}});
@@ -24,9 +24,10 @@
   queueOf(Request.Organisation).Requests.push_back(std::move(Request));
   if (++Count <= Limit)
     return std::nullopt;
-  auto Longest = std::ranges::max_element(
-      Turns, {},
-      [](const organisation_queue &Queue) { return Queue.Requests.size(); });
+  auto Longest =
+      std::ranges::max_element(Turns, {}, [](const organisation_queue &Queue) {
+        return Queue.Requests.size();
+      });
   waiting_request Dropped = std::move(Longest->Requests.back());
   Longest->Requests.pop_back();
   --Count;
@@ -57,9 +58,8 @@
 bool rank_queue::remove(request_id Id) {
   std::size_t Removed = 0;
   for (organisation_queue &Queue : Turns)
-    Removed += std::erase_if(Queue.Requests, [&](const waiting_request &R) {
-      return R.Id == Id;
-    });
+    Removed += std::erase_if(
+        Queue.Requests, [&](const waiting_request &R) { return R.Id == Id; });
   Count -= Removed;
   dropEmpty();
   return Removed != 0;
@@ -68,11 +68,11 @@
 std::vector<waiting_request> rank_queue::takeExpired(steady_time Now) {
   std::vector<waiting_request> Expired;
   for (organisation_queue &Queue : Turns) {
-    auto Gone = std::stable_partition(
-        Queue.Requests.begin(), Queue.Requests.end(),
-        [&](const waiting_request &R) {
-          return Now + R.UsualTime < R.Deadline;
-        });
+    auto Gone =
+        std::stable_partition(Queue.Requests.begin(), Queue.Requests.end(),
+                              [&](const waiting_request &R) {
+                                return Now + R.UsualTime < R.Deadline;
+                              });
     std::move(Gone, Queue.Requests.end(), std::back_inserter(Expired));
     Queue.Requests.erase(Gone, Queue.Requests.end());
   }
--- a/src/libs/process/server_evidence.cpp
+++ b/src/libs/process/server_evidence.cpp
@@ -40,10 +40,10 @@
     PeriodGains.fill(0);
   }
   for (std::size_t Test = 0; Test < Alternatives.size(); ++Test) {
-    // With a baseline near the alternative the two can't be told apart.
-    double Usual = std::min(Baseline, Alternatives[Test] * 0.8);
-    double Gain = Bad ? std::log(Alternatives[Test] / Usual)
-                      : std::log((1 - Alternatives[Test]) / (1 - Usual));
+    // The alternative always lies above what the pool shows.
+    double Alternative = Baseline + (1 - Baseline) * Alternatives[Test];
+    double Gain = Bad ? std::log(Alternative / Baseline)
+                      : std::log((1 - Alternative) / (1 - Baseline));
     Gain = std::min(Gain, MostPerPeriod - PeriodGains[Test]);
     PeriodGains[Test] += std::max(0.0, Gain);
     // The cap keeps a long failure from delaying the return without bound.
--- a/src/libs/process/server_evidence.h
+++ b/src/libs/process/server_evidence.h
@@ -65,7 +65,7 @@
   /// server, which hits all its requests at once, ejects nobody.
   static constexpr double MostPerPeriod = 8;
   static constexpr milliseconds Period{200};
-  /// Failure shares of the two alternatives that are tested for.
+  /// Failure shares, above the baseline, of the two alternatives.
   static constexpr std::array<double, 2> Alternatives{0.9, 0.25};
 
   std::array<double, 2> Sums{};
--- a/src/libs/process/service_scheduler.cpp
+++ b/src/libs/process/service_scheduler.cpp
@@ -71,14 +71,14 @@
       Known->NextTrial = Now;
       // A proxy that has just started can't tell which ones are cold.
       Known->Warm = First;
-      Known->Limit = First ? static_cast<double>(Definition.SlotsPerServer)
-                           : WarmingLimit;
+      Known->Limit =
+          First ? static_cast<double>(Definition.SlotsPerServer) : WarmingLimit;
     }
     Known->Gone = false;
-    Known->Leaving = Listed.State == server_state::Leaving ||
-                     Now < Known->SaidLeavingUntil;
-    Known->Limit = std::min(Known->Limit,
-                            static_cast<double>(Definition.SlotsPerServer));
+    Known->Leaving =
+        Listed.State == server_state::Leaving || Now < Known->SaidLeavingUntil;
+    Known->Limit =
+        std::min(Known->Limit, static_cast<double>(Definition.SlotsPerServer));
   }
   dropGone();
 }
@@ -126,8 +126,8 @@
 }
 
 std::optional<rank> service_scheduler::chooseRank() const {
-  auto Ready = AllRanks | std::views::filter(
-                              [&](rank Rank) { return mayStart(Rank); });
+  auto Ready =
+      AllRanks | std::views::filter([&](rank Rank) { return mayStart(Rank); });
   auto BelowShare = std::ranges::find_if(Ready, [&](rank Rank) {
     return static_cast<double>(InUseByRank[rankIndex(Rank)]) <
            guaranteedSlots(Rank);
@@ -183,8 +183,9 @@
     bool TrialFits = Request.Idempotent && !Avoided && Request.Avoid.empty();
     if (Server.Ejected && !TrialFits)
       continue;
-    double Cost = static_cast<double>(Server.InUse) / std::max(1.0, Server.Limit) +
-                  Server.Evidence.suspicion() + Tie(Random);
+    double Cost =
+        static_cast<double>(Server.InUse) / std::max(1.0, Server.Limit) +
+        Server.Evidence.suspicion() + Tie(Random);
     if (Avoided)
       Cost += AvoidCost;
     if (Trial) {
@@ -226,7 +227,8 @@
 
 void service_scheduler::grow(server_slot &Server) {
   double Slots = static_cast<double>(Definition.SlotsPerServer);
-  Server.Limit = std::min(Slots, Server.Limit + 1 / std::max(1.0, Server.Limit));
+  Server.Limit =
+      std::min(Slots, Server.Limit + 1 / std::max(1.0, Server.Limit));
   if (Server.Limit >= Slots - 0.5)
     Server.Warm = true;
 }
@@ -244,8 +246,8 @@
   return std::clamp(Bad / Total, LeastBaseline, MostBaseline);
 }
 
-void service_scheduler::observe(std::string_view Address,
-                                attempt_signal Signal, steady_time Now) {
+void service_scheduler::observe(std::string_view Address, attempt_signal Signal,
+                                steady_time Now) {
   server_slot *Server = find(Address);
   if (!Server)
     return;
@@ -261,8 +263,7 @@
     Server->GoodTrials = Good ? Server->GoodTrials + 1 : 0;
 }
 
-void service_scheduler::markLeaving(std::string_view Address,
-                                    steady_time Now) {
+void service_scheduler::markLeaving(std::string_view Address, steady_time Now) {
   if (server_slot *Server = find(Address)) {
     Server->Leaving = true;
     Server->SaidLeavingUntil = Now + HostListLag;
@@ -309,8 +310,7 @@
       Queues, [&](rank_queue &Queue) { return Queue.remove(Id); });
 }
 
-std::vector<waiting_request>
-service_scheduler::takeExpired(steady_time Now) {
+std::vector<waiting_request> service_scheduler::takeExpired(steady_time Now) {
   std::vector<waiting_request> Expired;
   for (rank_queue &Queue : Queues)
     std::ranges::move(Queue.takeExpired(Now), std::back_inserter(Expired));
--- a/src/libs/process/service_scheduler.h
+++ b/src/libs/process/service_scheduler.h
@@ -77,8 +77,7 @@
   void release(std::string_view Server, rank Rank, steady_time Now);
 
   /// Takes what an attempt has shown of a backend server.
-  void observe(std::string_view Server, attempt_signal Signal,
-               steady_time Now);
+  void observe(std::string_view Server, attempt_signal Signal, steady_time Now);
 
   /// A backend server has said itself that it leaves.
   void markLeaving(std::string_view Server, steady_time Now);
--- a/src/libs/process/swim.cpp
+++ b/src/libs/process/swim.cpp
@@ -38,8 +38,7 @@
         Address == Self.Proxy.Address ||
         std::ranges::find(Suggested, Address) != Suggested.end() ||
         std::ranges::any_of(Members | std::views::values, [&](const member &M) {
-          return M.Update.Proxy.Address == Address &&
-                 isPresent(M.Update.State);
+          return M.Update.Proxy.Address == Address && isPresent(M.Update.State);
         });
     if (!Known && Suggested.size() < MostSuggested)
       Suggested.push_back(Address);
@@ -94,6 +93,15 @@
   return Message;
 }
 
+/// Whoever is suspected or taken for lost hears of it first, so that it can
+/// refute it.
+void swim::addBelief(std::string_view Id, gossip_message &Message) const {
+  auto Found = Members.find(Id);
+  if (Found != Members.end() &&
+      Found->second.Update.State != member_state::Alive)
+    Message.Updates.push_back(Found->second.Update);
+}
+
 std::optional<std::string> swim::nextTarget() {
   while (true) {
     if (Order.empty()) {
@@ -118,7 +126,11 @@
        Count < SuggestionsPerPeriod && !Suggested.empty(); ++Count) {
     endpoint_text Address = Suggested.front();
     Suggested.pop_front();
-    Out.push_back({Address, message(gossip_kind::Ping, NextSequence++)});
+    gossip_message Ping = message(gossip_kind::Ping, NextSequence++);
+    for (const member &Member : Members | std::views::values)
+      if (Member.Update.Proxy.Address == Address)
+        addBelief(Member.Update.Proxy.Id, Ping);
+    Out.push_back({Address, std::move(Ping)});
   }
   auto Target = nextTarget();
   if (!Target)
@@ -126,9 +138,7 @@
   Probe = probe{*Target, Members.at(*Target).Update.Proxy.Address,
                 NextSequence++, Now, false};
   gossip_message Ping = message(gossip_kind::Ping, Probe->Sequence);
-  // A suspect hears of the suspicion first, so that it can refute it.
-  if (Members.at(*Target).Update.State == member_state::Suspect)
-    Ping.Updates.push_back(Members.at(*Target).Update);
+  addBelief(*Target, Ping);
   Out.push_back({Probe->Address, std::move(Ping)});
 }
 
@@ -144,8 +154,7 @@
   std::ranges::shuffle(Helpers, Random);
   for (const member *Helper :
        Helpers | std::views::take(Timing.IndirectProbes)) {
-    gossip_message Request =
-        message(gossip_kind::PingRequest, Probe->Sequence);
+    gossip_message Request = message(gossip_kind::PingRequest, Probe->Sequence);
     Request.TargetId = Probe->Id;
     Request.TargetAddress = Probe->Address;
     Out.push_back({Helper->Update.Proxy.Address, std::move(Request)});
@@ -229,8 +238,8 @@
   member &Known = Found->second;
   if (precedence(Update) <= precedence(Known.Update))
     return;
-  bool Changed = Known.Update.State != Update.State ||
-                 Known.Update.Proxy != Update.Proxy;
+  bool Changed =
+      Known.Update.State != Update.State || Known.Update.Proxy != Update.Proxy;
   if (Known.Update.State != Update.State)
     Known.Since = Now;
   Known.Update = Update;
@@ -246,10 +255,16 @@
 
 void swim::receive(const gossip_message &Message, steady_time Now,
                    std::vector<outgoing_gossip> &Out) {
+  std::uint64_t RefutedBefore = Self.Refutation;
   learn(Message.Updates, Now);
+  // Who took this process for lost should hear at once that it is not.
+  if (Self.Refutation != RefutedBefore && Message.Kind == gossip_kind::Ack)
+    Out.push_back(
+        {Message.SenderAddress, message(gossip_kind::Ping, NextSequence++)});
   switch (Message.Kind) {
   case gossip_kind::Ping: {
     gossip_message Ack = message(gossip_kind::Ack, Message.Sequence);
+    addBelief(Message.SenderId, Ack);
     Out.push_back({Message.SenderAddress, std::move(Ack)});
     return;
   }
@@ -257,7 +272,8 @@
     std::uint64_t Sequence = NextSequence++;
     Relays[Sequence] = {Message.SenderAddress, Message.Sequence,
                         Now + Timing.Period * 4};
-    Out.push_back({Message.TargetAddress, message(gossip_kind::Ping, Sequence)});
+    Out.push_back(
+        {Message.TargetAddress, message(gossip_kind::Ping, Sequence)});
     return;
   }
   case gossip_kind::Ack:
--- a/src/libs/process/swim.h
+++ b/src/libs/process/swim.h
@@ -127,6 +127,7 @@
   void refute(const member_update &Claim);
   void spread(const member_update &Update);
   std::vector<member_update> takeRumours();
+  void addBelief(std::string_view Id, gossip_message &Message) const;
   gossip_message message(gossip_kind Kind, std::uint64_t Sequence);
   void startProbe(steady_time Now, std::vector<outgoing_gossip> &Out);
   void checkProbe(steady_time Now, std::vector<outgoing_gossip> &Out);
--- a/src/libs/process/time_line.cpp
+++ b/src/libs/process/time_line.cpp
@@ -25,12 +25,12 @@
 
 std::string_view eventName(event_kind Kind) {
   constexpr std::array<std::string_view, EventKindCount> Names{
-      "started",           "version-in-force", "member-joined",
-      "member-suspected",  "member-lost",      "ownership-changed",
-      "server-suspected",  "server-ejected",   "server-returned",
-      "server-leaving",    "request-quarantined", "flood-started",
-      "flood-ended",       "self-suspected",   "store-lost",
-      "store-back",        "record-skipped",   "drain-started",
+      "started",          "version-in-force",    "member-joined",
+      "member-suspected", "member-lost",         "ownership-changed",
+      "server-suspected", "server-ejected",      "server-returned",
+      "server-leaving",   "request-quarantined", "flood-started",
+      "flood-ended",      "self-suspected",      "store-lost",
+      "store-back",       "record-skipped",      "drain-started",
       "stopped"};
   return Names[static_cast<std::size_t>(Kind)];
 }
--- a/src/libs/process/traffic_message.h
+++ b/src/libs/process/traffic_message.h
@@ -69,13 +69,13 @@
 };
 
 /// What a traffic thread tells the control thread.
-using control_notice = std::variant<ejection_wish, server_leaving, server_death,
-                                    standing_report>;
+using control_notice =
+    std::variant<ejection_wish, server_leaving, server_death, standing_report>;
 
 /// Where notices of traffic threads go.
 template <typename T>
 concept control_link = requires(T Link, control_notice Notice) {
-  { Link.notify(std::move(Notice)) };
+  {Link.notify(std::move(Notice))};
 };
 
 } // namespace endiverail
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "base/hash.h"
-#include "base/text.h"
+#include "base/time_source.h"
+#include "connection/answer_judgement.h"
 #include "connection/answer_message.h"
 #include "connection/backend_attempt.h"
 #include "process/active_request.h"
+#include "process/attempt_fields.h"
 #include "process/death_watch.h"
 #include "process/event_loop.h"
 #include "process/fleet_key.h"
@@ -12,7 +14,6 @@
 #include "process/metrics.h"
 #include "process/service_state.h"
 #include "process/traffic_message.h"
-#include "request/message_fields.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -39,15 +40,16 @@
 /// others reach it through its mailbox. What carries attempts and what takes
 /// answers varies by template.
 template <template <typename> typename TransportOf, answer_sink Sink,
-          control_link Link>
+          control_link Link, time_source Time = machine_time>
 class traffic_thread {
 public:
   traffic_thread(poller Poller, event_descriptor Event,
                  traffic_settings Settings, Sink &To, Link &Control,
-                 process_metrics &Metrics)
+                 process_metrics &Metrics, Time Clock = {})
       : Poller(std::move(Poller)), Inbox(std::move(Event)),
         Settings(std::move(Settings)), To(To), Control(Control),
-        Metrics(Metrics), Transport(this->Poller, *this),
+        Metrics(Metrics), Clock(std::move(Clock)),
+        Transport(this->Poller, *this),
         Keys(this->Settings.KeyBytes, this->Settings.KeyLife) {
     this->Poller.watch(Inbox.descriptor(), true, false);
   }
@@ -55,15 +57,22 @@
   /// Hands over a message. Safe on any thread.
   void post(traffic_message Message) { Inbox.post(std::move(Message)); }
 
+  /// What carries the attempts of this thread.
+  TransportOf<traffic_thread> &transport() { return Transport; }
+
   /// Runs on the calling thread until a finish_traffic message was taken and
   /// all requests are answered.
   void run() { runEventLoop(Poller, *this); }
 
   void onReady(const ready_descriptor &Ready, steady_time Now) {
-    if (Ready.Descriptor != Inbox.descriptor()) {
+    if (Ready.Descriptor == Inbox.descriptor())
+      readInbox(Now);
+    else
       Transport.onReady(Ready);
-      return;
-    }
+  }
+
+  /// Takes all messages that wait.
+  void readInbox(steady_time Now) {
     for (traffic_message &Message : Inbox.takeAll())
       std::visit([&](auto &Part) { take(Part, Now); }, Message);
   }
@@ -79,9 +88,9 @@
 
   std::optional<steady_time> nextWake() const {
     std::optional<steady_time> Next = Transport.nextWake();
-    auto Consider = [&](std::optional<steady_time> Time) {
-      if (Time && (!Next || *Time < *Next))
-        Next = Time;
+    auto Consider = [&](std::optional<steady_time> At) {
+      if (At && (!Next || *At < *Next))
+        Next = At;
     };
     if (!Timers.empty())
       Consider(Timers.begin()->first);
@@ -101,7 +110,7 @@
       return error_kind::Internal;
     running_attempt &Attempt = *Active->Attempt;
     if (!Attempt.ToPeer) {
-      if (auto Refused = judge(*Active, Head, steadyNow()))
+      if (auto Refused = judge(*Active, Head, Clock.now()))
         return Refused;
     }
     Attempt.Head = std::move(Head);
@@ -126,7 +135,7 @@
     active_request *Active = findByAttempt(Id);
     if (!Active)
       return;
-    steady_time Now = steadyNow();
+    steady_time Now = Clock.now();
     running_attempt Attempt = std::move(*Active->Attempt);
     Active->Attempt.reset();
     ByAttempt.erase(Id);
@@ -302,8 +311,8 @@
   result<void> place(active_request &Active, steady_time Now) {
     std::string Name = Active.Request.Service->Definition.Name;
     const service_owners &Owners = Version->ownersOf(Name);
-    auto Self = std::ranges::find(Owners, Version->SelfId,
-                                  &service_owner::ProxyId);
+    auto Self =
+        std::ranges::find(Owners, Version->SelfId, &service_owner::ProxyId);
     bool Owns = Self != Owners.end() && !Self->Servers.empty();
     if (!Owns && !Active.Request.Forwarded)
       if (const service_owner *Owner = chooseOwner(Owners, Active)) {
@@ -332,8 +341,8 @@
                                 Active.Failed.end();
                    });
     // Any spread will do; the request's identity gives one without a state.
-    auto Best = std::ranges::max_element(
-        Untried, {}, [&](const service_owner &Owner) {
+    auto Best =
+        std::ranges::max_element(Untried, {}, [&](const service_owner &Owner) {
           return stableHash(Owner.ProxyId, std::to_string(Active.Request.Id));
         });
     return Best == Untried.end() ? nullptr : &*Best;
@@ -353,11 +362,11 @@
 
   service_state &stateOf(const active_request &Active) {
     const service_definition &Definition = Active.Request.Service->Definition;
-    auto [Found, Added] = Services.try_emplace(
-        Definition.Name, Definition,
-        Settings.Seed ^ stableHash(Definition.Name));
+    auto [Found, Added] =
+        Services.try_emplace(Definition.Name, Definition,
+                             Settings.Seed ^ stableHash(Definition.Name));
     if (Added)
-      configure(Definition.Name, Found->second, steadyNow());
+      configure(Definition.Name, Found->second, Clock.now());
     return Found->second;
   }
 
@@ -367,8 +376,8 @@
     if (!Service)
       return;
     const service_owners &Owners = Version->ownersOf(Name);
-    auto Self = std::ranges::find(Owners, Version->SelfId,
-                                  &service_owner::ProxyId);
+    auto Self =
+        std::ranges::find(Owners, Version->SelfId, &service_owner::ProxyId);
     bool Owns = Self != Owners.end() && !Self->Servers.empty();
     // A proxy that owns none still runs what an owner in its view would: the
     // views of two proxies may differ for a while.
@@ -415,9 +424,11 @@
     Active.Attempt = running_attempt{Id, Server, ToPeer, Now, std::nullopt, 0};
     ++Active.Attempts;
     ByAttempt[Id] = Request.Id;
-    auto Left = std::chrono::duration_cast<milliseconds>(Request.Deadline - Now);
+    auto Left =
+        std::chrono::duration_cast<milliseconds>(Request.Deadline - Now);
     std::vector<header_field> Headers =
-        ToPeer ? peerHeaders(Active, Left) : serverHeaders(Request, Id, Left);
+        ToPeer ? peerFields(sender(), Active, Left)
+               : serverFields(sender(), Request, Id, Left);
     if (!ToPeer) {
       ServiceOfServer[Server] = Request.Service->Definition.Name;
       Deaths.onStart(Server, Id);
@@ -432,56 +443,29 @@
                      Request.Body, connectionFor(Active.repeatable()), Left});
   }
 
-  std::vector<header_field> serverHeaders(const caller_request &Request,
-                                          attempt_id Id, milliseconds Left) {
-    auto Headers = endToEndFields(Request.Headers);
-    Headers.push_back({std::string(AttemptHeader), attemptName(Id)});
-    Headers.push_back({"Endiverail-Deadline-Ms", std::to_string(Left.count())});
-    Headers.push_back(
-        {"Endiverail-Rank", std::string(rankName(Request.Kind->Rank))});
-    return Headers;
-  }
-
-  std::vector<header_field> peerHeaders(const active_request &Active,
-                                        milliseconds Left) {
-    const caller_request &Request = Active.Request;
-    auto Headers = endToEndFields(Request.Headers);
-    Headers.push_back({"Endiverail-Hop",
-                       hopProof(Version->SelfId, Request.Method,
-                                Request.Target, Settings.FleetSecret)});
-    Headers.push_back({"Endiverail-Deadline-Ms", std::to_string(Left.count())});
-    Headers.push_back({"Endiverail-Organisation", Request.Organisation});
-    // The issuer keeps the key itself and forwards the bare work.
-    if (!Request.Key.empty() && !Active.HoldsKey)
-      Headers.push_back({"Endiverail-Key", Request.Key});
-    return Headers;
-  }
-
-  std::string attemptName(attempt_id Id) const {
-    return Version->SelfId + "." + std::to_string(Version->SelfIncarnation) +
-           "." + std::to_string(Settings.Seed) + "." + std::to_string(Id);
+  attempt_sender sender() const {
+    return {Version->SelfId, Version->SelfIncarnation, Settings.Seed,
+            Settings.FleetSecret};
   }
 
   /// Judges a backend server's head; a value refuses the answer.
   std::optional<error_kind> judge(active_request &Active,
                                   const backend_head &Head, steady_time Now) {
-    running_attempt &Attempt = *Active.Attempt;
+    const running_attempt &Attempt = *Active.Attempt;
     service_state &State = stateOf(Active);
-    if (!findHeader(Head.Headers, "Endiverail-Leaving").empty()) {
+    attempt_failure Failure{error_kind::BackendError, false, false};
+    bool MayRetry =
+        nextStep(Failure, history(Active, Now)) == attempt_step::Retry;
+    answer_judgement Judgement =
+        judgeAnswer(Head, attemptName(sender(), Attempt.Id), MayRetry);
+    if (Judgement.Leaving) {
       State.Scheduler.markLeaving(Attempt.Server, Now);
       Control.notify(server_leaving{Active.Request.Service->Definition.Name,
                                     Attempt.Server});
     }
-    if (!answersAttempt(Head.Headers, attemptName(Attempt.Id)))
-      return error_kind::ForeignAnswer;
-    if (Head.Status == 503 &&
-        findHeader(Head.Headers, "Endiverail-Not-Run") == "true")
-      return error_kind::BackendShed;
-    if (Head.Status >= 500) {
-      attempt_failure Failure{error_kind::BackendError, false, false};
-      // Without another attempt the backend server's own words are better.
-      if (nextStep(Failure, history(Active, Now)) == attempt_step::Retry)
-        return error_kind::BackendError;
+    if (Judgement.Refused)
+      return Judgement.Refused;
+    if (Judgement.ServerFailed) {
       State.Scheduler.observe(Attempt.Server, attempt_signal::Failed, Now);
       return std::nullopt;
     }
@@ -555,28 +539,11 @@
 
   // Answers.
 
-  answer_head answerHead(const running_attempt &Attempt) const {
-    answer_head Head;
-    Head.Status = Attempt.Head->Status;
-    Head.Length = Attempt.Head->Length;
-    std::string_view Connection =
-        findHeader(Attempt.Head->Headers, "Connection");
-    for (const header_field &Field : Attempt.Head->Headers) {
-      if (isHopByHop(Field.Name, Connection))
-        continue;
-      if (equalIgnoringCase(Field.Name, "Endiverail-Outcome")) {
-        if (Attempt.ToPeer)
-          Head.Outcome = outcomeFromName(Field.Value);
-        continue;
-      }
-      Head.Headers.push_back(Field);
-    }
-    return Head;
-  }
-
   void passOn(active_request &Active) {
     if (!std::exchange(Active.HeadPosted, true))
-      To.post(answer_begin{Active.Request.Ticket, answerHead(*Active.Attempt)});
+      To.post(answer_begin{
+          Active.Request.Ticket,
+          callerHead(*Active.Attempt->Head, Active.Attempt->ToPeer)});
     Active.Unwritten += Active.Buffered.size();
     To.post(answer_piece{Active.Request.Ticket,
                          std::exchange(Active.Buffered, {})});
@@ -584,7 +551,7 @@
 
   void complete(active_request &Active, const running_attempt &Attempt,
                 steady_time Now) {
-    answer_head Head = answerHead(Attempt);
+    answer_head Head = callerHead(*Attempt.Head, Attempt.ToPeer);
     std::string Error(findHeader(Head.Headers, "Endiverail-Error"));
     if (!Active.HeadPosted) {
       std::string Body = std::exchange(Active.Buffered, {});
@@ -679,8 +646,7 @@
 
   void rememberTooLarge(const active_request &Active, steady_time Now) {
     rememberOutcome(Active, errorHead(error_kind::KeyExpired),
-                    "the request ran; its answer was too large to keep\n",
-                    Now);
+                    "the request ran; its answer was too large to keep\n", Now);
   }
 
   void answerWhole(active_request &Active, answer_head Head, std::string Body,
@@ -699,10 +665,10 @@
 
   void count(const active_request &Active, outcome Outcome,
              std::string_view Error, steady_time Now) {
-    Metrics.onAnswer(Active.Request.Service->Definition.Name,
-                     Active.Request.Kind->Rank, Outcome, Error,
-                     std::chrono::duration_cast<microseconds>(
-                         Now - Active.Request.Arrived));
+    Metrics.onAnswer(
+        Active.Request.Service->Definition.Name, Active.Request.Kind->Rank,
+        Outcome, Error,
+        std::chrono::duration_cast<microseconds>(Now - Active.Request.Arrived));
   }
 
   void drop(active_request &Active) {
@@ -810,6 +776,7 @@
   Sink &To;
   Link &Control;
   process_metrics &Metrics;
+  Time Clock;
   TransportOf<traffic_thread> Transport;
 
   fleet_version_ref Version;
--- a/src/libs/request/message_fields.cpp
+++ b/src/libs/request/message_fields.cpp
@@ -9,11 +9,16 @@
 namespace endiverail {
 namespace {
 
-constexpr std::array<std::string_view, 10> HopByHopFields{
-    "Connection",          "Keep-Alive", "Proxy-Authenticate",
-    "Proxy-Authorization", "TE",         "Transfer-Encoding",
-    "Trailer",             "Upgrade",    "Content-Length",
-    "Expect"};
+constexpr std::array<std::string_view, 10> HopByHopFields{"Connection",
+                                                          "Keep-Alive",
+                                                          "Proxy-Authenticate",
+                                                          "Proxy-Authorization",
+                                                          "TE",
+                                                          "Transfer-Encoding",
+                                                          "Trailer",
+                                                          "Upgrade",
+                                                          "Content-Length",
+                                                          "Expect"};
 constexpr std::string_view FleetPrefix = "Endiverail-";
 
 } // namespace
@@ -33,11 +38,10 @@
 std::vector<header_field> endToEndFields(std::span<const header_field> Fields) {
   std::string_view Connection = findHeader(Fields, "Connection");
   std::vector<header_field> Kept;
-  std::ranges::copy_if(Fields, std::back_inserter(Kept),
-                       [&](const header_field &Field) {
-                         return !isHopByHop(Field.Name, Connection) &&
-                                !isFleetField(Field.Name);
-                       });
+  std::ranges::copy_if(
+      Fields, std::back_inserter(Kept), [&](const header_field &Field) {
+        return !isHopByHop(Field.Name, Connection) && !isFleetField(Field.Name);
+      });
   return Kept;
 }
 
--- a/src/libs/standin/backend_model.cpp
+++ b/src/libs/standin/backend_model.cpp
@@ -36,7 +36,8 @@
   backend_decision Decision;
   Decision.HoldsSlot = true;
   Decision.After = std::chrono::duration_cast<milliseconds>(
-      Settings.ServiceTime * Spread(Random) * (Now < ColdUntil ? ColdFactor : 1));
+      Settings.ServiceTime * Spread(Random) *
+      (Now < ColdUntil ? ColdFactor : 1));
   if (!Hit)
     return Decision;
   switch (Current) {
--- a/src/libs/standin/log_model.cpp
+++ b/src/libs/standin/log_model.cpp
@@ -14,9 +14,9 @@
 }
 
 void log_model::dropOld(std::int64_t NowMilliseconds) {
-  while (!Records.empty() && Records.front().TimeMilliseconds +
-                                     RetentionMilliseconds <
-                                 NowMilliseconds)
+  while (!Records.empty() &&
+         Records.front().TimeMilliseconds + RetentionMilliseconds <
+             NowMilliseconds)
     Records.pop_front();
 }
 
@@ -27,8 +27,8 @@
   std::uint64_t First = Records.empty() ? Next : Records.front().Offset;
   std::uint64_t Start = std::clamp(From, First, Next);
   nlohmann::json List = nlohmann::json::array();
-  auto Wanted = Records | std::views::drop(Start - First) |
-                std::views::take(Most);
+  auto Wanted =
+      Records | std::views::drop(Start - First) | std::views::take(Most);
   for (const kept_record &Record : Wanted)
     List.push_back({{"offset", Record.Offset},
                     {"time_ms", Record.TimeMilliseconds},
--- a/src/libs/standin/scenario.cpp
+++ b/src/libs/standin/scenario.cpp
@@ -36,10 +36,9 @@
       Object.mistake("address", "expected either an address or a pool");
     Order.Fault =
         static_cast<backend_fault>(Object.requiredWord("fault", BackendWords));
-    Order.Share =
-        static_cast<double>(
-            Object.optionalNumber("share_percent", 100, {0, 100})) /
-        100;
+    Order.Share = static_cast<double>(
+                      Object.optionalNumber("share_percent", 100, {0, 100})) /
+                  100;
     return Order;
   }
   case 2:
--- a/src/libs/standin/standin_process.cpp
+++ b/src/libs/standin/standin_process.cpp
@@ -248,8 +248,8 @@
     if (!Answer.Begun)
       return;
     while (Answer.Left > 0 && Answer.Sent < Answer.Size) {
-      std::size_t Size = std::min({PieceBytes, Answer.Left,
-                                   Answer.Size - Answer.Sent});
+      std::size_t Size =
+          std::min({PieceBytes, Answer.Left, Answer.Size - Answer.Sent});
       front(Answer.Door)
           .post(answer_piece{Answer.Ticket, answerContent(Answer.RequestId,
                                                           Answer.Sent, Size)});
@@ -430,15 +430,14 @@
     front_end_settings Settings;
     std::tie(Settings.Address, Settings.Port) = splitEndpoint(Address);
     Settings.Limits.BodyBytes = MostBodyBytes;
-    BOOST_LEAF_AUTO(Front,
-                    door_front::create(Settings, *Doors.back(), Memory));
+    BOOST_LEAF_AUTO(Front, door_front::create(Settings, *Doors.back(), Memory));
     return Front;
   }
 
   result<void> start() {
     BOOST_LEAF_AUTO(Poller, poller::create());
-    Thread = std::make_unique<standin_thread>(std::move(Poller), Inbox,
-                                              Scenario);
+    Thread =
+        std::make_unique<standin_thread>(std::move(Poller), Inbox, Scenario);
     for (std::size_t Index = 0; Index < Scenario.Servers.size(); ++Index) {
       BOOST_LEAF_AUTO(Front, listen(Index, Scenario.Servers[Index].Address));
       Fronts.push_back(std::move(Front));
--- a/src/libs/version/ejection_claim.h
+++ b/src/libs/version/ejection_claim.h
@@ -11,9 +11,11 @@
 struct ejection_claim {
   std::string Service;
   endpoint_text Server;
+  /// Names the incarnation of a proxy: a restarted one has no old claims.
   std::string Holder;
-  /// Incarnation of the holder: a restarted holder has no old claims.
-  std::uint64_t Incarnation = 0;
+  /// Counts the holder's claims; the holder goes by the latest that it has
+  /// read back.
+  std::uint64_t Sequence = 0;
   /// Backend servers of the pool that the holder knows to be no healthy
   /// capacity, beside those that are claimed.
   std::size_t Unavailable = 0;
--- a/src/libs/version/ownership.cpp
+++ b/src/libs/version/ownership.cpp
@@ -41,9 +41,9 @@
     for (const candidate &Candidate : Candidates)
       Weighted.push_back(
           {mixHashes(ServiceHash, Candidate.IdHash), 0, Candidate.Proxy});
-    auto Heaviest = Weighted.begin() +
-                    static_cast<std::ptrdiff_t>(
-                        std::min(PerDataCentre, Weighted.size()));
+    auto Heaviest =
+        Weighted.begin() +
+        static_cast<std::ptrdiff_t>(std::min(PerDataCentre, Weighted.size()));
     std::ranges::partial_sort(Weighted, Heaviest, std::ranges::greater{},
                               &weighted_proxy::Weight);
     for (auto At = Weighted.begin(); At != Heaviest; ++At) {
@@ -80,8 +80,8 @@
     auto Open = Owners | std::views::filter([&](const service_owner &Owner) {
                   return Owner.Servers.size() < Most;
                 });
-    auto Best = std::ranges::max_element(
-        Open, {}, [&](const service_owner &Owner) {
+    auto Best =
+        std::ranges::max_element(Open, {}, [&](const service_owner &Owner) {
           return stableHash(Server->Address, Owner.ProxyId);
         });
     Best->Servers.push_back(*Server);
--- a/src/libs/version/record_fold.cpp
+++ b/src/libs/version/record_fold.cpp
@@ -61,15 +61,15 @@
   if (sha256Hex(Record.Content) != Record.ContentHash)
     return fail(error_kind::BadRecord, Name + ": content and hash differ");
   if (std::ranges::find(CustomerKeys, Record.Signer) == CustomerKeys.end() ||
-      !verify(Record.Signer,
-              signedText(Name, Record.Parent, Record.ContentHash,
-                         Record.Version),
-              Record.Signature))
+      !verify(
+          Record.Signer,
+          signedText(Name, Record.Parent, Record.ContentHash, Record.Version),
+          Record.Signature))
     return fail(error_kind::BadSignature,
                 Name + ": no customer key signed the acceptance");
 
-  auto Service = std::make_shared<accepted_service>(accepted_service{
-      Record.Definition, Record.Version, Record.ContentHash});
+  auto Service = std::make_shared<accepted_service>(
+      accepted_service{Record.Definition, Record.Version, Record.ContentHash});
   InForce.insert_or_assign(Name, accepted_record{Record, std::move(Service)});
   dropPending(Name, Record.ContentHash);
   return true;
--- a/src/tools/endiverail-load/main.cpp
+++ b/src/tools/endiverail-load/main.cpp
@@ -20,10 +20,12 @@
 
 constexpr std::string_view Usage =
     "endiverail-load COMMAND ...\n\n"
-    "  run PLAN              sends the load of a plan file, checks each answer\n"
+    "  run PLAN              sends the load of a plan file, checks each "
+    "answer\n"
     "                        and prints a table by rank; exit code 1 when an\n"
     "                        answer was wrong or a request ran twice\n"
-    "  deployment NAME DIR   writes all files to run a deployment on loopback;\n"
+    "  deployment NAME DIR   writes all files to run a deployment on "
+    "loopback;\n"
     "                        NAME is zbytky or vezilica";
 
 result<exit_code> runPlan(const std::string &FileName) {
@@ -61,9 +63,9 @@
 
 int main(int ArgumentCount, char **Arguments) {
   auto Words = startProgram(ArgumentCount, Arguments, Usage);
-  return static_cast<int>(
-      handleFailure([&] { return run(Words); }, [](const failure &Failure) {
-        std::cerr << Failure.Detail << '\n';
-        return exit_code::Failure;
-      }));
+  return static_cast<int>(handleFailure([&] { return run(Words); },
+                                        [](const failure &Failure) {
+                                          std::cerr << Failure.Detail << '\n';
+                                          return exit_code::Failure;
+                                        }));
 }
--- a/src/tools/endiverail-standin/main.cpp
+++ b/src/tools/endiverail-standin/main.cpp
@@ -33,9 +33,9 @@
 
 int main(int ArgumentCount, char **Arguments) {
   auto Words = startProgram(ArgumentCount, Arguments, Usage);
-  return static_cast<int>(
-      handleFailure([&] { return run(Words); }, [](const failure &Failure) {
-        std::cerr << Failure.Detail << '\n';
-        return exit_code::Failure;
-      }));
+  return static_cast<int>(handleFailure([&] { return run(Words); },
+                                        [](const failure &Failure) {
+                                          std::cerr << Failure.Detail << '\n';
+                                          return exit_code::Failure;
+                                        }));
 }
--- a/src/tools/endiverailctl/main.cpp
+++ b/src/tools/endiverailctl/main.cpp
@@ -34,10 +34,13 @@
 constexpr std::string_view Usage =
     "endiverailctl COMMAND ... [--fleet FILE]\n\n"
     "  check FOLDER         checks the service files below a folder\n"
-    "  publish FOLDER       proposes the files that differ from those in force\n"
-    "  accept [SERVICE]     signs the proposals with the customer's key (--key)\n"
+    "  publish FOLDER       proposes the files that differ from those in "
+    "force\n"
+    "  accept [SERVICE]     signs the proposals with the customer's key "
+    "(--key)\n"
     "  reject SERVICE       refuses the proposals of a service\n"
-    "  status               what is proposed, accepted and in force, and where\n"
+    "  status               what is proposed, accepted and in force, and "
+    "where\n"
     "  addresses SERVICE    which proxies callers of a service should use\n"
     "  timeline             events of all daemons, in order\n"
     "  keygen FILE          writes a new customer key and prints its public "
@@ -91,8 +94,8 @@
 /// Versions in force at a daemon, by service.
 result<std::map<std::string, std::uint64_t>>
 versionsAt(const endpoint_text &Daemon) {
-  BOOST_LEAF_AUTO(Answer, fetch("GET", Daemon, "/endiverail/status", "",
-                                CallTimeout));
+  BOOST_LEAF_AUTO(Answer,
+                  fetch("GET", Daemon, "/endiverail/status", "", CallTimeout));
   json Value = json::parse(Answer.Body, nullptr, false);
   if (!Value.is_object() || !Value.contains("in_force"))
     return fail(error_kind::BadRecord, Daemon + " tells no status");
@@ -242,8 +245,8 @@
   BOOST_LEAF_AUTO(Fleet, loadFleet());
   std::vector<endpoint_text> Unreachable;
   auto Events = gatherTimeLine(
-      Fleet.Daemons,
-      {FLAGS_service, FLAGS_kind, FLAGS_process, FLAGS_since_ms}, Unreachable);
+      Fleet.Daemons, {FLAGS_service, FLAGS_kind, FLAGS_process, FLAGS_since_ms},
+      Unreachable);
   for (const endpoint_text &Daemon : Unreachable)
     std::cerr << Daemon << " does not answer; its events are missing\n";
   if (FLAGS_format == "html")
@@ -277,28 +280,28 @@
 };
 
 constexpr std::array Commands{
-    command{"check", 1, 1, check},         command{"publish", 1, 1, publish},
-    command{"accept", 0, 1, accept},       command{"reject", 1, 1, reject},
-    command{"status", 0, 0, status},       command{"addresses", 1, 1, addresses},
-    command{"timeline", 0, 0, timeLine},   command{"keygen", 1, 1, keygen},
+    command{"check", 1, 1, check},       command{"publish", 1, 1, publish},
+    command{"accept", 0, 1, accept},     command{"reject", 1, 1, reject},
+    command{"status", 0, 0, status},     command{"addresses", 1, 1, addresses},
+    command{"timeline", 0, 0, timeLine}, command{"keygen", 1, 1, keygen},
 };
 
 } // namespace
 
 int main(int ArgumentCount, char **Arguments) {
   auto Words = startProgram(ArgumentCount, Arguments, Usage);
-  auto Found = Words.empty() ? Commands.end()
-                             : std::ranges::find(Commands, Words[0],
-                                                 &command::Name);
+  auto Found = Words.empty()
+                   ? Commands.end()
+                   : std::ranges::find(Commands, Words[0], &command::Name);
   if (Found == Commands.end() || Words.size() - 1 < Found->LeastWords ||
       Words.size() - 1 > Found->MostWords) {
     std::cerr << Usage << '\n';
     return static_cast<int>(exit_code::Usage);
   }
-  return static_cast<int>(handleFailure(
-      [&] { return Found->Run(words(Words).subspan(1)); },
-      [](const failure &Failure) {
-        std::cerr << "endiverailctl: " << Failure.Detail << '\n';
-        return exit_code::Failure;
-      }));
+  return static_cast<int>(
+      handleFailure([&] { return Found->Run(words(Words).subspan(1)); },
+                    [](const failure &Failure) {
+                      std::cerr << "endiverailctl: " << Failure.Detail << '\n';
+                      return exit_code::Failure;
+                    }));
 }
--- /dev/null
+++ b/tests/auto/connection/tst_answer_judgement.cpp
@@ -0,0 +1,67 @@
+#include "connection/answer_judgement.h"
+
+#include <catch2/catch.hpp>
+
+using namespace endiverail;
+
+TEST_CASE("heads of backend servers are judged by the contract") {
+  struct row {
+    const char *What;
+    int Status;
+    std::vector<header_field> Headers;
+    bool MayRetry;
+    std::optional<error_kind> Refused;
+    bool ServerFailed;
+    bool Leaving;
+  };
+  const row Rows[]{
+      {"plain answer", 200, {}, true, {}, false, false},
+      {"own attempt",
+       200,
+       {{"endiverail-attempt", "a.1"}},
+       true,
+       {},
+       false,
+       false},
+      {"answer to another attempt",
+       200,
+       {{"Endiverail-Attempt", "a.2"}},
+       true,
+       error_kind::ForeignAnswer,
+       false,
+       false},
+      {"caller's mistake", 404, {}, true, {}, false, false},
+      {"failure, retry follows",
+       500,
+       {},
+       true,
+       error_kind::BackendError,
+       true,
+       false},
+      {"failure, no retry", 500, {}, false, {}, true, false},
+      {"shed",
+       503,
+       {{"Endiverail-Not-Run", "true"}},
+       false,
+       error_kind::BackendShed,
+       false,
+       false},
+      {"503 without the promise", 503, {}, false, {}, true, false},
+      {"promise with another status",
+       500,
+       {{"Endiverail-Not-Run", "true"}},
+       false,
+       {},
+       true,
+       false},
+      {"leaving", 200, {{"Endiverail-Leaving", "true"}}, true, {}, false, true},
+  };
+  for (const row &Row : Rows) {
+    INFO(Row.What);
+    backend_head Head{Row.Status, Row.Headers, 0};
+    answer_judgement Judgement = judgeAnswer(Head, "a.1", Row.MayRetry);
+    CHECK(Judgement.Refused == Row.Refused);
+    CHECK(Judgement.ServerFailed == Row.ServerFailed);
+    CHECK(Judgement.Leaving == Row.Leaving);
+  }
+}
--- /dev/null
+++ b/tests/auto/connection/tst_caller_connection.cpp
@@ -0,0 +1,61 @@
+#include "connection/caller_connection.h"
+#include "failure_check.h"
+
+#include <catch2/catch.hpp>
+
+using namespace endiverail;
+using namespace endiverail::test;
+
+namespace {
+
+const framing_limits Limits{1024, 1024};
+
+} // namespace
+
+TEST_CASE("pipelined requests are taken one after the other's answer") {
+  caller_connection Connection(Limits);
+  REQUIRE(Connection.receive("GET /1 HTTP/1.1\r\n\r\n"
+                             "POST /2 HTTP/1.1\r\nContent-Length: 2\r\n\r\nab"
+                             "GET /3 HTTP/1.1\r\n\r\n"));
+  auto First = valueOf(Connection.takeRequest());
+  REQUIRE(First);
+  CHECK(First->Frame.Target == "/1");
+  CHECK_FALSE(valueOf(Connection.takeRequest()));
+  Connection.finishAnswer();
+  auto Second = valueOf(Connection.takeRequest());
+  REQUIRE(Second);
+  CHECK(Second->Body == "ab");
+  Connection.finishAnswer();
+  CHECK(valueOf(Connection.takeRequest())->Frame.Target == "/3");
+}
+
+TEST_CASE("an answer fits only the request that is in progress") {
+  caller_connection Connection(Limits);
+  REQUIRE(Connection.receive("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n"));
+  CHECK_FALSE(Connection.awaitsAnswer(1));
+  valueOf(Connection.takeRequest());
+  CHECK(Connection.awaitsAnswer(1));
+  CHECK_FALSE(Connection.awaitsAnswer(2));
+  Connection.finishAnswer();
+  CHECK_FALSE(Connection.awaitsAnswer(1));
+  valueOf(Connection.takeRequest());
+  CHECK_FALSE(Connection.awaitsAnswer(1));
+  CHECK(Connection.awaitsAnswer(2));
+}
+
+TEST_CASE("a body in pieces is awaited") {
+  caller_connection Connection(Limits);
+  REQUIRE(
+      Connection.receive("POST /1 HTTP/1.1\r\nContent-Length: 4\r\n\r\nab"));
+  CHECK_FALSE(valueOf(Connection.takeRequest()));
+  CHECK(valueOf(Connection.awaitedFrame())->BodyBytes == 4);
+  REQUIRE(Connection.receive("cd"));
+  CHECK(valueOf(Connection.takeRequest())->Body == "abcd");
+}
+
+TEST_CASE("a caller can't send ahead without bound") {
+  caller_connection Connection(Limits);
+  CHECK(Connection.receive(std::string(2048, 'x')));
+  CHECK(failureOf([&] { return Connection.receive("x"); }) ==
+        error_kind::BodyTooLarge);
+}
--- /dev/null
+++ b/tests/auto/process/fake_transport.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "connection/answer_message.h"
+#include "connection/backend_attempt.h"
+#include "process/event_loop.h"
+#include "process/traffic_message.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace endiverail::test {
+
+/// An attempt as the fake holds it, with copies of all views.
+struct started_attempt {
+  attempt_id Id = 0;
+  std::string Server;
+  std::string Method;
+  std::string Target;
+  std::vector<header_field> Headers;
+  std::string Body;
+  connection_choice Connection = connection_choice::Fresh;
+  milliseconds Timeout{0};
+};
+
+/// Carries nothing: the test plays the backend servers.
+template <typename Observer> class fake_transport {
+public:
+  fake_transport(poller &, Observer &To) : To(To) {}
+
+  void start(const attempt_request &Request) {
+    Attempts[Request.Id] = {Request.Id,
+                            std::string(Request.Server),
+                            std::string(Request.Method),
+                            std::string(Request.Target),
+                            {Request.Headers.begin(), Request.Headers.end()},
+                            std::string(Request.Body),
+                            Request.Connection,
+                            Request.Timeout};
+  }
+  void resume(attempt_id Id) { Resumed.push_back(Id); }
+  void cancel(attempt_id Id) {
+    Cancelled.push_back(Id);
+    Attempts.erase(Id);
+  }
+  bool onReady(const ready_descriptor &) { return false; }
+  void onWake(steady_time) {}
+  std::optional<steady_time> nextWake() const { return std::nullopt; }
+
+  /// Answers as a backend server would.
+  void answer(attempt_id Id, int Status, std::string_view Body,
+              std::vector<header_field> Headers = {}) {
+    if (!head(Id, Status, Body.size(), std::move(Headers)))
+      return;
+    if (Attempts.contains(Id) && !Body.empty())
+      To.onPiece(Id, Body);
+    end(Id, {});
+  }
+
+  /// The head of an answer; false when it was refused.
+  bool head(attempt_id Id, int Status, std::optional<std::uint64_t> Length,
+            std::vector<header_field> Headers = {}) {
+    auto Refused = To.onHead(Id, {Status, std::move(Headers), Length});
+    if (Refused)
+      end(Id, {attempt_failure{*Refused, false, false}, ""});
+    return !Refused;
+  }
+
+  void fail(attempt_id Id, error_kind Kind, bool ProvenNotRun = false) {
+    end(Id, {attempt_failure{Kind, ProvenNotRun, false}, ""});
+  }
+
+  void end(attempt_id Id, const attempt_end &End) {
+    Attempts.erase(Id);
+    To.onEnd(Id, End);
+  }
+
+  Observer &To;
+  std::map<attempt_id, started_attempt> Attempts;
+  std::vector<attempt_id> Cancelled;
+  std::vector<attempt_id> Resumed;
+};
+
+/// Collects what callers would see.
+struct collected_answer {
+  std::optional<answer_head> Head;
+  std::string Body;
+  bool Ended = false;
+  bool Broken = false;
+};
+
+class answer_collector {
+public:
+  void post(answer_message Message) {
+    collected_answer &Answer = Answers[ticketOf(Message).Connection];
+    if (auto *Begin = std::get_if<answer_begin>(&Message))
+      Answer.Head = std::move(Begin->Head);
+    if (auto *Piece = std::get_if<answer_piece>(&Message))
+      Answer.Body += Piece->Bytes;
+    Answer.Ended |= std::holds_alternative<answer_end>(Message);
+    Answer.Broken |= std::holds_alternative<answer_break>(Message);
+  }
+  std::map<std::uint64_t, collected_answer> Answers;
+};
+
+struct notice_collector {
+  void notify(control_notice Notice) { Notices.push_back(std::move(Notice)); }
+  std::vector<control_notice> Notices;
+};
+
+/// A time source that the test moves.
+struct hand_clock {
+  const steady_time *Time = nullptr;
+  steady_time now() const { return *Time; }
+};
+
+} // namespace endiverail::test
--- /dev/null
+++ b/tests/auto/process/traffic_fixture.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include "failure_check.h"
+#include "fake_transport.h"
+#include "process/fleet_key.h"
+#include "process/traffic_thread.h"
+
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace endiverail::test {
+
+using traffic_under_test = traffic_thread<fake_transport, answer_collector,
+                                          notice_collector, hand_clock>;
+
+/// A traffic thread with one service, moved by hand.
+class traffic_fixture {
+public:
+  static constexpr std::string_view Secret = "a secret of the fleet";
+
+  explicit traffic_fixture(std::size_t ServerCount = 3) {
+    Traffic = std::make_unique<traffic_under_test>(
+        valueOf(poller::create()), valueOf(event_descriptor::create()),
+        traffic_settings{std::string(Secret), 1'000'000,
+                         std::chrono::seconds(60), 5},
+        Answers, Notices, Metrics, hand_clock{&Now});
+    auto Service = std::make_shared<accepted_service>();
+    Service->Definition = definition(ServerCount);
+    this->Service = Service;
+    publish("self", ServerCount);
+  }
+
+  static service_definition definition(std::size_t ServerCount) {
+    using namespace std::chrono_literals;
+    service_definition Definition;
+    Definition.Name = Definition.Pool = "s";
+    Definition.PoolSize = ServerCount;
+    auto Kind = [](std::string Name, std::string Method, bool Idempotent) {
+      return work_kind{std::move(Name),
+                       std::move(Method),
+                       valueOf(path_pattern::create("/s/**")),
+                       rank::Urgent,
+                       Idempotent,
+                       200ms,
+                       2000ms,
+                       false};
+    };
+    Definition.Kinds = {Kind("read", "GET", true),
+                        Kind("write", "POST", false)};
+    return Definition;
+  }
+
+  /// Puts a version in force in which \p Owner owns all backend servers.
+  void publish(const std::string &Owner, std::size_t ServerCount) {
+    auto Version = std::make_shared<fleet_version>();
+    Version->Number = ++VersionNumber;
+    Version->Ready = true;
+    Version->SelfId = "self";
+    Version->SelfIncarnation = 7;
+    Version->Configuration = configuration::build(std::vector{Service});
+    Version->View.Proxies = {{"other", "dc2", "other:1", 8, true},
+                             {"self", "dc1", "self:1", 7, true}};
+    service_owner Owning{Owner, Owner + ":1", "dc", {}};
+    for (std::size_t Index = 0; Index < ServerCount; ++Index) {
+      backend_server Server{std::string(1, static_cast<char>('a' + Index)), "s",
+                            "dc", server_state::Live};
+      Version->View.Servers.push_back(Server);
+      Owning.Servers.push_back(Server);
+    }
+    Version->Owners["s"] = {Owning};
+    tell(version_changed{std::move(Version)});
+  }
+
+  /// Sends a caller's request; its connection stands for it.
+  std::uint64_t send(std::string Method, std::string Target,
+                     std::string Key = "", bool Forwarded = false) {
+    using namespace std::chrono_literals;
+    caller_request Request;
+    Request.Id = ++LastRequest;
+    Request.Ticket = {0, Request.Id, 1};
+    Request.Method = std::move(Method);
+    Request.Target = std::move(Target);
+    Request.Service = Service;
+    Request.Kind = Service->Definition.findKind(Request.Method, Request.path());
+    Request.Key = std::move(Key);
+    Request.Forwarded = Forwarded;
+    Request.Arrived = Now;
+    Request.Deadline = Now + 2000ms;
+    std::uint64_t Connection = Request.Ticket.Connection;
+    tell(run_request{std::move(Request)});
+    return Connection;
+  }
+
+  void tell(traffic_message Message) {
+    Traffic->post(std::move(Message));
+    Traffic->readInbox(Now);
+  }
+
+  /// Lets time pass in small steps.
+  void pass(milliseconds Time) {
+    for (milliseconds Step(0); Step < Time; Step += milliseconds(10)) {
+      Now += milliseconds(10);
+      Traffic->onWake(Now);
+    }
+  }
+
+  static std::string key(std::string_view Proxy = "self",
+                         std::uint64_t Incarnation = 7,
+                         std::string_view Number = "1") {
+    return fleet_key::issuePrefix(Proxy, Incarnation, "nonce", Secret) + "~" +
+           std::string(Number);
+  }
+
+  auto &transport() { return Traffic->transport(); }
+  auto &attempts() { return transport().Attempts; }
+  const collected_answer &answer(std::uint64_t Connection) {
+    return Answers.Answers[Connection];
+  }
+  outcome outcomeOf(std::uint64_t Connection) {
+    return answer(Connection).Head.value().Outcome;
+  }
+
+  steady_time Now{std::chrono::hours(1)};
+  answer_collector Answers;
+  notice_collector Notices;
+  process_metrics Metrics;
+  accepted_service_ref Service;
+  std::unique_ptr<traffic_under_test> Traffic;
+  request_id LastRequest = 0;
+  std::uint64_t VersionNumber = 0;
+};
+
+} // namespace endiverail::test
--- /dev/null
+++ b/tests/auto/process/tst_fleet_key.cpp
@@ -0,0 +1,29 @@
+#include "process/fleet_key.h"
+
+#include <catch2/catch.hpp>
+
+using namespace endiverail;
+
+TEST_CASE("a key names its issuer and can't be made by a caller") {
+  std::string Prefix = fleet_key::issuePrefix("brno-a-1", 7, "n", "secret");
+  auto Key = fleet_key::parse(Prefix + "~1", "secret");
+  REQUIRE(Key);
+  CHECK(Key->ProxyId == "brno-a-1");
+  CHECK(Key->Incarnation == 7);
+  CHECK_FALSE(fleet_key::parse(Prefix + "~1", "other secret"));
+  CHECK_FALSE(fleet_key::parse(Prefix, "secret"));
+  CHECK_FALSE(fleet_key::parse(Prefix + "~", "secret"));
+  CHECK_FALSE(fleet_key::parse("", "secret"));
+  std::string Forged = Prefix;
+  Forged.replace(Forged.find("~7~"), 3, "~8~");
+  CHECK_FALSE(fleet_key::parse(Forged + "~1", "secret"));
+}
+
+TEST_CASE("a hop is proven for its request only") {
+  std::string Proof = hopProof("p", "POST", "/a", "secret");
+  CHECK(checkHopProof(Proof, "POST", "/a", "secret"));
+  CHECK_FALSE(checkHopProof(Proof, "POST", "/b", "secret"));
+  CHECK_FALSE(checkHopProof(Proof, "GET", "/a", "secret"));
+  CHECK_FALSE(checkHopProof(Proof, "POST", "/a", "other"));
+  CHECK_FALSE(checkHopProof("", "POST", "/a", "secret"));
+}
--- /dev/null
+++ b/tests/auto/process/tst_rank_queue.cpp
@@ -0,0 +1,65 @@
+#include "process/rank_queue.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace endiverail;
+using namespace std::chrono_literals;
+
+namespace {
+
+const steady_time Now{1h};
+
+waiting_request requestOf(request_id Id, const std::string &Organisation,
+                          steady_time Deadline = Now + 1s) {
+  waiting_request Request;
+  Request.Id = Id;
+  Request.Organisation = Organisation;
+  Request.Deadline = Deadline;
+  Request.UsualTime = 20ms;
+  return Request;
+}
+
+} // namespace
+
+TEST_CASE("organisations take turns") {
+  rank_queue Queue(100);
+  for (request_id Id = 1; Id <= 4; ++Id)
+    Queue.push(requestOf(Id, "flood"));
+  Queue.push(requestOf(5, "other"));
+  std::vector<request_id> Order;
+  while (!Queue.empty())
+    Order.push_back(Queue.pop().Id);
+  CHECK(Order == std::vector<request_id>{1, 5, 2, 3, 4});
+}
+
+TEST_CASE("a full queue drops the flood's newest request") {
+  rank_queue Queue(3);
+  for (request_id Id = 1; Id <= 3; ++Id)
+    CHECK_FALSE(Queue.push(requestOf(Id, "flood")));
+  auto Dropped = Queue.push(requestOf(4, "other"));
+  REQUIRE(Dropped);
+  CHECK(Dropped->Id == 3);
+  CHECK(Queue.size() == 3);
+}
+
+TEST_CASE("requests that can't be answered in time are taken out") {
+  rank_queue Queue(10);
+  Queue.push(requestOf(1, "a", Now + 100ms));
+  Queue.push(requestOf(2, "a", Now + 10ms));
+  Queue.push(requestOf(3, "b", Now - 1ms));
+  auto Expired = Queue.takeExpired(Now);
+  CHECK(Expired.size() == 2);
+  CHECK(Queue.size() == 1);
+  CHECK(Queue.front()->Id == 1);
+}
+
+TEST_CASE("a removed request is gone") {
+  rank_queue Queue(10);
+  Queue.push(requestOf(1, "a"));
+  CHECK(Queue.remove(1));
+  CHECK_FALSE(Queue.remove(1));
+  CHECK(Queue.empty());
+  CHECK(Queue.front() == nullptr);
+}
--- /dev/null
+++ b/tests/auto/process/tst_traffic_thread.cpp
@@ -0,0 +1,324 @@
+#include "traffic_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace endiverail;
+using namespace endiverail::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+started_attempt onlyAttempt(traffic_fixture &Fixture) {
+  REQUIRE(Fixture.attempts().size() == 1);
+  return Fixture.attempts().begin()->second;
+}
+
+} // namespace
+
+TEST_CASE_METHOD(traffic_fixture, "an answer is passed on whole") {
+  auto Caller = send("GET", "/s/1");
+  started_attempt Attempt = onlyAttempt(*this);
+  CHECK(Attempt.Target == "/s/1");
+  CHECK(Attempt.Connection == connection_choice::Reuse);
+  transport().answer(Attempt.Id, 200, "body");
+  CHECK(answer(Caller).Ended);
+  CHECK(answer(Caller).Body == "body");
+  CHECK(outcomeOf(Caller) == outcome::Done);
+}
+
+TEST_CASE_METHOD(traffic_fixture,
+                 "work that is not idempotent goes on a fresh connection") {
+  send("POST", "/s/1");
+  CHECK(onlyAttempt(*this).Connection == connection_choice::Fresh);
+}
+
+TEST_CASE_METHOD(traffic_fixture, "what callers are told of failures") {
+  struct row {
+    const char *What;
+    const char *Method;
+    error_kind Failure;
+    bool ProvenNotRun;
+    bool Retried;
+    outcome Told;
+  };
+  const row Rows[]{
+      {"a read that is cut", "GET", error_kind::BackendCut, false, true,
+       outcome::Unknown},
+      {"a write that is cut", "POST", error_kind::BackendCut, false, false,
+       outcome::Unknown},
+      {"a write that timed out", "POST", error_kind::BackendTimeout, false,
+       false, outcome::Unknown},
+      {"a write that met nobody", "POST", error_kind::BackendUnreachable, true,
+       true, outcome::NotRun},
+      {"a write that was shed", "POST", error_kind::BackendShed, false, true,
+       outcome::NotRun},
+      {"a write with another's answer", "POST", error_kind::ForeignAnswer,
+       false, false, outcome::Unknown},
+  };
+  for (const row &Row : Rows) {
+    INFO(Row.What);
+    traffic_fixture Fixture;
+    auto Caller = Fixture.send(Row.Method, "/s/1");
+    Fixture.transport().fail(onlyAttempt(Fixture).Id, Row.Failure,
+                             Row.ProvenNotRun);
+    CHECK(Fixture.attempts().empty() != Row.Retried);
+    // Whatever follows fails in the same way.
+    for (int Count = 0; Count < 5 && !Fixture.attempts().empty(); ++Count)
+      Fixture.transport().fail(onlyAttempt(Fixture).Id, Row.Failure,
+                               Row.ProvenNotRun);
+    REQUIRE(Fixture.answer(Caller).Ended);
+    CHECK(Fixture.outcomeOf(Caller) == Row.Told);
+  }
+}
+
+TEST_CASE_METHOD(traffic_fixture, "a retry goes to another backend server") {
+  auto Caller = send("GET", "/s/1");
+  started_attempt First = onlyAttempt(*this);
+  transport().fail(First.Id, error_kind::BackendCut);
+  started_attempt Second = onlyAttempt(*this);
+  CHECK(Second.Server != First.Server);
+  transport().answer(Second.Id, 200, "x");
+  CHECK(outcomeOf(Caller) == outcome::Done);
+}
+
+TEST_CASE_METHOD(traffic_fixture,
+                 "an answer that is cut after its start breaks visibly") {
+  auto Caller = send("GET", "/s/1");
+  attempt_id Id = onlyAttempt(*this).Id;
+  transport().head(Id, 200, 1'000'000);
+  transport().To.onPiece(Id, std::string(100'000, 'x'));
+  REQUIRE(answer(Caller).Head);
+  transport().fail(Id, error_kind::BackendCut);
+  CHECK(answer(Caller).Broken);
+  CHECK_FALSE(answer(Caller).Ended);
+}
+
+TEST_CASE_METHOD(traffic_fixture,
+                 "a small answer that is cut is tried again unseen") {
+  auto Caller = send("GET", "/s/1");
+  attempt_id Id = onlyAttempt(*this).Id;
+  transport().head(Id, 200, 1'000);
+  transport().To.onPiece(Id, std::string(500, 'x'));
+  transport().fail(Id, error_kind::BackendCut);
+  CHECK_FALSE(answer(Caller).Head);
+  transport().answer(onlyAttempt(*this).Id, 200, "whole");
+  CHECK(answer(Caller).Body == "whole");
+}
+
+TEST_CASE_METHOD(traffic_fixture, "a stalled caller pauses the answer") {
+  auto Caller = send("GET", "/s/1");
+  attempt_id Id = onlyAttempt(*this).Id;
+  transport().head(Id, 200, 100'000'000);
+  std::string Piece(64 * 1024, 'x');
+  std::size_t Taken = 0;
+  while (transport().To.onPiece(Id, Piece)) {
+    Taken += Piece.size();
+    REQUIRE(Taken < 2'000'000);
+  }
+  tell(answer_written{{0, Caller, 1}, Taken});
+  CHECK(transport().Resumed == std::vector<attempt_id>{Id});
+  CHECK(transport().To.onPiece(Id, Piece));
+}
+
+TEST_CASE_METHOD(traffic_fixture, "a key runs once and answers again") {
+  auto First = send("POST", "/s/1", key());
+  attempt_id Id = onlyAttempt(*this).Id;
+  auto Meanwhile = send("POST", "/s/1", key());
+  CHECK(outcomeOf(Meanwhile) == outcome::Unknown);
+  transport().answer(Id, 200, "held");
+  auto Again = send("POST", "/s/1", key());
+  CHECK(attempts().empty());
+  CHECK(answer(First).Body == "held");
+  CHECK(answer(Again).Body == "held");
+  CHECK(findHeader(answer(Again).Head->Headers, "Endiverail-Replayed") ==
+        "true");
+}
+
+TEST_CASE_METHOD(traffic_fixture, "an unknown outcome is remembered") {
+  send("POST", "/s/1", key());
+  transport().fail(onlyAttempt(*this).Id, error_kind::BackendTimeout);
+  auto Again = send("POST", "/s/1", key());
+  CHECK(attempts().empty());
+  CHECK(outcomeOf(Again) == outcome::Unknown);
+}
+
+TEST_CASE_METHOD(traffic_fixture, "a key that was not run may run") {
+  auto First = send("POST", "/s/1", key());
+  while (!attempts().empty())
+    transport().fail(onlyAttempt(*this).Id, error_kind::BackendUnreachable,
+                     true);
+  CHECK(outcomeOf(First) == outcome::NotRun);
+  pass(2000ms);
+  send("POST", "/s/1", key());
+  CHECK(attempts().size() == 1);
+}
+
+TEST_CASE_METHOD(traffic_fixture, "another proxy's key goes to its issuer") {
+  struct row {
+    const char *What;
+    std::string Key;
+    bool Forwarded;
+    bool ToIssuer;
+  };
+  const row Rows[]{
+      {"issuer there", key("other", 8), false, true},
+      {"issuer restarted", key("other", 6), false, false},
+      {"issuer gone", key("third", 1), false, false},
+      {"own earlier incarnation", key("self", 6), false, false},
+      {"forwarded already", key("other", 8), true, false},
+  };
+  for (const row &Row : Rows) {
+    INFO(Row.What);
+    traffic_fixture Fixture;
+    auto Caller = Fixture.send("POST", "/s/1", Row.Key, Row.Forwarded);
+    if (Row.ToIssuer) {
+      started_attempt Attempt = onlyAttempt(Fixture);
+      CHECK(Attempt.Server == "other:1");
+      CHECK(findHeader(Attempt.Headers, "Endiverail-Key") == Row.Key);
+    } else {
+      CHECK(Fixture.attempts().empty());
+      CHECK(Fixture.outcomeOf(Caller) == outcome::Unknown);
+    }
+  }
+}
+
+TEST_CASE_METHOD(traffic_fixture,
+                 "an issuer that owns nothing forwards the bare work") {
+  publish("other", 3);
+  auto Caller = send("POST", "/s/1", key());
+  started_attempt Attempt = onlyAttempt(*this);
+  CHECK(Attempt.Server == "other:1");
+  CHECK(findHeader(Attempt.Headers, "Endiverail-Key").empty());
+  CHECK(checkHopProof(findHeader(Attempt.Headers, "Endiverail-Hop"), "POST",
+                      "/s/1", Secret));
+  transport().answer(Attempt.Id, 200, "held", {{"Endiverail-Outcome", "done"}});
+  CHECK(answer(Caller).Body == "held");
+  auto Again = send("POST", "/s/1", key());
+  CHECK(answer(Again).Body == "held");
+}
+
+TEST_CASE_METHOD(traffic_fixture,
+                 "a forwarded request is not forwarded again") {
+  publish("other", 3);
+  send("GET", "/s/1", "", true);
+  CHECK(onlyAttempt(*this).Server != "other:1");
+}
+
+TEST_CASE_METHOD(traffic_fixture, "a peer's outcome is passed on truthfully") {
+  struct row {
+    const char *Outcome;
+    int Status;
+    outcome Told;
+  };
+  for (const row &Row : {row{"not-run", 503, outcome::NotRun},
+                         row{"unknown", 504, outcome::Unknown},
+                         row{"done", 200, outcome::Done}}) {
+    INFO(Row.Outcome);
+    traffic_fixture Fixture;
+    Fixture.publish("other", 3);
+    auto Caller = Fixture.send("POST", "/s/1");
+    Fixture.transport().answer(onlyAttempt(Fixture).Id, Row.Status, "",
+                               {{"Endiverail-Outcome", Row.Outcome}});
+    CHECK(Fixture.outcomeOf(Caller) == Row.Told);
+  }
+}
+
+TEST_CASE_METHOD(traffic_fixture,
+                 "a backend server can't speak for the fleet") {
+  auto Caller = send("POST", "/s/1");
+  transport().answer(onlyAttempt(*this).Id, 200, "x",
+                     {{"Endiverail-Outcome", "not-run"}});
+  CHECK(outcomeOf(Caller) == outcome::Done);
+}
+
+TEST_CASE_METHOD(traffic_fixture, "a killing request stops at two servers") {
+  std::set<std::string> Dead;
+  for (int Resent = 0; Resent < 5; ++Resent) {
+    send("GET", "/s/killer");
+    while (!attempts().empty()) {
+      started_attempt Attempt = onlyAttempt(*this);
+      Dead.insert(Attempt.Server);
+      transport().fail(Attempt.Id, error_kind::BackendCut);
+    }
+    pass(100ms);
+  }
+  CHECK(Dead.size() <= 2);
+  auto Caller = send("GET", "/s/killer");
+  CHECK(findHeader(answer(Caller).Head->Headers, "Endiverail-Error") ==
+        "quarantined");
+}
+
+TEST_CASE_METHOD(traffic_fixture,
+                 "deaths that peers tell of count as one's own") {
+  request_fingerprint Killer = fingerprintOf("s", "read", "/s/killer", "");
+  tell(server_death{"s", Killer, "x"});
+  tell(server_death{"s", Killer, "y"});
+  auto Caller = send("GET", "/s/killer");
+  CHECK(attempts().empty());
+  CHECK(outcomeOf(Caller) == outcome::NotRun);
+}
+
+TEST_CASE_METHOD(traffic_fixture,
+                 "a read is given up in time for another try") {
+  auto Caller = send("GET", "/s/1");
+  started_attempt First = onlyAttempt(*this);
+  pass(1100ms);
+  started_attempt Second = onlyAttempt(*this);
+  CHECK(Second.Id != First.Id);
+  CHECK(transport().Cancelled == std::vector<attempt_id>{First.Id});
+  transport().answer(Second.Id, 200, "x");
+  CHECK(outcomeOf(Caller) == outcome::Done);
+}
+
+TEST_CASE_METHOD(traffic_fixture, "a write that hangs is never sent again") {
+  send("POST", "/s/1");
+  started_attempt First = onlyAttempt(*this);
+  pass(1900ms);
+  CHECK(onlyAttempt(*this).Id == First.Id);
+}
+
+TEST_CASE_METHOD(traffic_fixture, "work that waits too long is not run") {
+  std::vector<std::uint64_t> Callers;
+  for (int Count = 0; Count < 30; ++Count)
+    Callers.push_back(send("POST", "/s/1"));
+  CHECK(attempts().size() == 18);
+  pass(2100ms);
+  CHECK(outcomeOf(Callers.back()) == outcome::NotRun);
+  CHECK(attempts().size() == 18);
+}
+
+TEST_CASE_METHOD(traffic_fixture, "a caller who leaves frees what waits") {
+  for (int Count = 0; Count < 18; ++Count)
+    send("POST", "/s/1");
+  auto Waiting = send("POST", "/s/1", key());
+  tell(caller_gone{{0, Waiting, 1}});
+  transport().answer(attempts().begin()->first, 200, "x");
+  CHECK(attempts().size() == 17);
+  // Nothing ran, so the key may.
+  send("POST", "/s/1", key());
+  CHECK(attempts().size() == 18);
+}
+
+TEST_CASE_METHOD(traffic_fixture,
+                 "a write whose caller has left runs to its end") {
+  auto Caller = send("POST", "/s/1", key());
+  tell(caller_gone{{0, Caller, 1}});
+  transport().answer(onlyAttempt(*this).Id, 200, "held");
+  auto Again = send("POST", "/s/1", key());
+  CHECK(answer(Again).Body == "held");
+}
+
+TEST_CASE_METHOD(traffic_fixture, "a server's word of leaving is told on") {
+  send("GET", "/s/1");
+  started_attempt Attempt = onlyAttempt(*this);
+  transport().answer(Attempt.Id, 200, "x", {{"Endiverail-Leaving", "true"}});
+  bool Told = false;
+  for (const control_notice &Notice : Notices.Notices)
+    if (const auto *Leaving = std::get_if<server_leaving>(&Notice))
+      Told |= Leaving->Server == Attempt.Server;
+  CHECK(Told);
+  for (int Count = 0; Count < 30; ++Count)
+    send("GET", "/s/1");
+  for (const auto &[Id, Each] : attempts())
+    CHECK(Each.Server != Attempt.Server);
+}
--- /dev/null
+++ b/tests/auto/version/fuzz_record_fold.cpp
@@ -0,0 +1,89 @@
+#include "signed_records.h"
+#include "version/record_fold.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <random>
+
+using namespace endiverail;
+using namespace endiverail::test;
+
+namespace {
+
+/// A world of records: a chain that the customer signed, rivals of it that the
+/// customer signed too, and forgeries.
+struct record_world {
+  signing_key Customer = valueOf(signing_key::generate());
+  signing_key Stranger = valueOf(signing_key::generate());
+  std::vector<acceptance> Chain;
+  std::vector<acceptance> Log;
+
+  explicit record_world(std::size_t Length) {
+    std::string Parent;
+    std::uint64_t Offset = 0;
+    for (std::size_t Version = 1; Version <= Length; ++Version) {
+      std::string Content = "content " + std::to_string(Version);
+      Chain.push_back(
+          signedAcceptance(Customer, "s", Content, Parent, Version, Offset++));
+      Log.push_back(Chain.back());
+      Log.push_back(signedAcceptance(Customer, "s", "rival " + Content, Parent,
+                                     Version, Offset++));
+      Log.push_back(
+          signedAcceptance(Stranger, "s", "forged", Parent, Version, Offset++));
+      Parent = sha256Hex(Content);
+    }
+  }
+};
+
+} // namespace
+
+TEST_CASE("readers of the log agree, wherever they pause, reread or restart") {
+  const record_world World(12);
+  REQUIRE(rc::check([&](const std::vector<std::uint8_t> &Choices) {
+    record_fold Fold =
+        valueOf(record_fold::create(std::vector{World.Customer.Public}));
+    std::size_t At = 0;
+    std::uint64_t Highest = 0;
+    for (std::uint8_t Choice : Choices) {
+      // Reread from an earlier offset now and then, as after a lost answer.
+      if (Choice % 5 == 0)
+        At -= std::min<std::size_t>(At, Choice / 5);
+      if (At == World.Log.size())
+        break;
+      const acceptance &Record = World.Log[At++];
+      handleFailure([&] { return Fold.apply(Record); },
+                    [](const failure &) { return false; });
+      auto Found = Fold.inForce().find("s");
+      RC_ASSERT(Found != Fold.inForce().end());
+      const acceptance &InForce = Found->second.Record;
+      // Never reverts, and is the customer's own chain.
+      RC_ASSERT(InForce.Version >= Highest);
+      RC_ASSERT(InForce.Content == World.Chain[InForce.Version - 1].Content);
+      Highest = InForce.Version;
+    }
+  }));
+}
+
+TEST_CASE("what peers pass on in any order never puts a forgery in force") {
+  const record_world World(6);
+  REQUIRE(rc::check([&](std::uint32_t Seed, std::uint8_t Count) {
+    std::mt19937 Random(Seed);
+    record_fold Fold =
+        valueOf(record_fold::create(std::vector{World.Customer.Public}));
+    std::uint64_t Highest = 0;
+    for (int Step = 0; Step < Count; ++Step) {
+      const acceptance &Record = World.Log[Random() % World.Log.size()];
+      handleFailure([&] { return Fold.apply(Record); },
+                    [](const failure &) { return false; });
+      auto Found = Fold.inForce().find("s");
+      if (Found == Fold.inForce().end())
+        continue;
+      RC_ASSERT(Found->second.Record.Signer == World.Customer.Public);
+      RC_ASSERT(Found->second.Record.Content != "forged");
+      RC_ASSERT(Found->second.Record.Version >= Highest);
+      Highest = Found->second.Record.Version;
+    }
+  }));
+}
--- /dev/null
+++ b/tests/auto/version/tst_record_fold.cpp
@@ -0,0 +1,129 @@
+#include "signed_records.h"
+#include "version/record_fold.h"
+
+#include <catch2/catch.hpp>
+
+using namespace endiverail;
+using namespace endiverail::test;
+
+namespace {
+
+struct fold_fixture {
+  signing_key Customer = valueOf(signing_key::generate());
+  signing_key Stranger = valueOf(signing_key::generate());
+  record_fold Fold = valueOf(record_fold::create(std::vector{Customer.Public}));
+
+  std::uint64_t version(std::string_view Service = "s") const {
+    auto Found = Fold.inForce().find(Service);
+    return Found == Fold.inForce().end() ? 0 : Found->second.Record.Version;
+  }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(fold_fixture, "an accepted change is in force") {
+  CHECK(valueOf(Fold.apply(signedAcceptance(Customer, "s", "one", "", 1))));
+  CHECK(version() == 1);
+  CHECK(valueOf(
+      Fold.apply(signedAcceptance(Customer, "s", "two", sha256Hex("one"), 2))));
+  CHECK(version() == 2);
+}
+
+TEST_CASE_METHOD(fold_fixture, "what the customer did not sign has no effect") {
+  acceptance Good = signedAcceptance(Customer, "s", "one", "", 1);
+  struct row {
+    const char *What;
+    acceptance Record;
+    error_kind Kind;
+  };
+  auto With = [&](auto Change) {
+    acceptance Record = Good;
+    Change(Record);
+    return Record;
+  };
+  const row Rows[]{
+      {"a stranger's key", signedAcceptance(Stranger, "s", "one", "", 1),
+       error_kind::BadSignature},
+      {"a stranger who names the customer", With([&](auto &R) {
+         R = signedAcceptance(Stranger, "s", "one", "", 1);
+         R.Signer = Customer.Public;
+       }),
+       error_kind::BadSignature},
+      {"another content", With([](auto &R) { R.Content = "two"; }),
+       error_kind::BadRecord},
+      {"another content with its hash", With([](auto &R) {
+         R.Content = "two";
+         R.ContentHash = sha256Hex("two");
+       }),
+       error_kind::BadSignature},
+      {"another service", With([](auto &R) { R.Definition.Name = "t"; }),
+       error_kind::BadSignature},
+      {"another version", With([](auto &R) { R.Version = 7; }),
+       error_kind::BadSignature},
+      {"another parent", With([](auto &R) { R.Parent = "p"; }),
+       error_kind::BadSignature},
+      {"no signature", With([](auto &R) { R.Signature.clear(); }),
+       error_kind::BadSignature},
+  };
+  for (const row &Row : Rows) {
+    INFO(Row.What);
+    CHECK(failureOf([&] { return Fold.apply(Row.Record); }) == Row.Kind);
+    CHECK(Fold.inForce().empty());
+  }
+}
+
+TEST_CASE_METHOD(fold_fixture, "of two racing acceptances the first one wins") {
+  std::string One = sha256Hex("one");
+  REQUIRE(Fold.apply(signedAcceptance(Customer, "s", "one", "", 1, 1)));
+  REQUIRE(Fold.apply(signedAcceptance(Customer, "s", "a", One, 2, 5)));
+  CHECK_FALSE(
+      valueOf(Fold.apply(signedAcceptance(Customer, "s", "b", One, 2, 6))));
+  CHECK(Fold.inForce().find("s")->second.Record.Content == "a");
+  CHECK(failureOf([&] {
+          return Fold.apply(
+              signedAcceptance(Customer, "s", "c", sha256Hex("b"), 3, 7));
+        }) == error_kind::StaleParent);
+}
+
+TEST_CASE_METHOD(fold_fixture, "copies and old records change nothing") {
+  acceptance One = signedAcceptance(Customer, "s", "one", "", 1);
+  acceptance Two = signedAcceptance(Customer, "s", "two", One.ContentHash, 2);
+  REQUIRE(Fold.apply(One));
+  REQUIRE(Fold.apply(Two));
+  auto Digest = Fold.digest();
+  CHECK_FALSE(valueOf(Fold.apply(One)));
+  CHECK_FALSE(valueOf(Fold.apply(Two)));
+  CHECK(Fold.digest() == Digest);
+}
+
+TEST_CASE_METHOD(fold_fixture,
+                 "a newcomer takes the greatest version it sees") {
+  // Retention has dropped what came before.
+  REQUIRE(Fold.apply(signedAcceptance(Customer, "s", "nine", "parent", 9)));
+  CHECK(version() == 9);
+  CHECK_FALSE(valueOf(
+      Fold.apply(signedAcceptance(Customer, "s", "eight", "older", 8))));
+  CHECK(version() == 9);
+}
+
+TEST_CASE_METHOD(fold_fixture, "proposals alone put nothing in force") {
+  proposal Proposal;
+  Proposal.Definition.Name = "s";
+  Proposal.Content = "one";
+  Proposal.ContentHash = sha256Hex("one");
+  REQUIRE(Fold.apply(Proposal));
+  CHECK(Fold.inForce().empty());
+  CHECK(Fold.pending().size() == 1);
+  REQUIRE(Fold.apply(rejection{"s", Proposal.ContentHash, "no"}));
+  CHECK(Fold.pending().empty());
+  for (int Count = 0; Count < 1000; ++Count) {
+    Proposal.ContentHash = std::to_string(Count);
+    REQUIRE(Fold.apply(Proposal));
+  }
+  CHECK(Fold.pending().size() <= 256);
+}
+
+TEST_CASE("without customer keys nothing could be accepted") {
+  CHECK(failureOf([] { return record_fold::create({}); }) ==
+        error_kind::BadSettings);
+}
