Test the front end, the transport and the codecs against the libraries' hazards

Cause: libcurl reports success for an answer whose head ends with its connection; the traffic thread would then have used a head that is not there. Change: an exchange without a complete head is a cut one.

--- a/src/libs/http/curl_exchange.cpp
+++ b/src/libs/http/curl_exchange.cpp
@@ -151,7 +151,8 @@
 }
 
 attempt_end curl_exchange::end(CURLcode Code) const {
-  if (Code == CURLE_OK && !Aborted)
+  // The library takes a head that ends with its connection for an answer.
+  if (Code == CURLE_OK && !Aborted && HeadComplete)
     return {};
   long SentBytes = 0;
   curl_easy_getinfo(Handle.get(), CURLINFO_REQUEST_SIZE, &SentBytes);
@@ -160,7 +161,8 @@
   Failure.Kind = Aborted.value_or(kindOf(Code));
   if (Failure.ProvenNotRun)
     Failure.Kind = error_kind::BackendUnreachable;
-  return {Failure, curl_easy_strerror(Code)};
+  return {Failure, Code == CURLE_OK ? "the answer's head is cut"
+                                    : curl_easy_strerror(Code)};
 }
 
 void initialiseCurl() {
--- /dev/null
+++ b/tests/auto/http/tst_curl_transport.cpp
@@ -0,0 +1,258 @@
+#include "failure_check.h"
+#include "http/blocking_client.h"
+#include "http/curl_transport.h"
+#include "raw_socket.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+
+using namespace endiverail;
+using namespace endiverail::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Runs one attempt at a time and keeps what was reported.
+class attempt_runner {
+public:
+  attempt_end run(attempt_request Request) {
+    Request.Id = ++LastId;
+    Head = {};
+    Body.clear();
+    End.reset();
+    Transport.start(Request);
+    runEventLoop(Poller, *this);
+    return *End;
+  }
+
+  static attempt_request request(std::string_view Method,
+                                 std::string_view Server) {
+    attempt_request Request;
+    Request.Server = Server;
+    Request.Method = Method;
+    Request.Target = "/x";
+    Request.Timeout = 10s;
+    return Request;
+  }
+
+  void onReady(const ready_descriptor &Ready, steady_time) {
+    Transport.onReady(Ready);
+  }
+  void onWake(steady_time Now) { Transport.onWake(Now); }
+  std::optional<steady_time> nextWake() const { return Transport.nextWake(); }
+  bool finished() const { return End.has_value(); }
+
+  std::optional<error_kind> onHead(attempt_id, backend_head Read) {
+    Head = std::move(Read);
+    return Refuse;
+  }
+  bool onPiece(attempt_id, std::string_view Piece) {
+    Body.append(Piece);
+    return true;
+  }
+  void onEnd(attempt_id, const attempt_end &Ended) { End = Ended; }
+
+  backend_head Head;
+  std::string Body;
+  std::optional<error_kind> Refuse;
+
+private:
+  poller Poller = valueOf(poller::create());
+  curl_transport<attempt_runner> Transport{Poller, *this};
+  std::optional<attempt_end> End;
+  attempt_id LastId = 0;
+};
+
+constexpr std::string_view KeptAnswer =
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+/// Answers the first request of a connection, takes the second one and closes
+/// without a word. Counts all requests that begin with \p Method.
+raw_server::handler closesOnSecond(std::atomic<int> &Count,
+                                   std::string_view Method) {
+  return [&Count, Method](raw_connection Connection, std::size_t) {
+    for (int Request = 0; Request < 2; ++Request) {
+      std::string Head = Connection.readUntil("\r\n\r\n");
+      Count += Head.starts_with(Method) ? 1 : 0;
+      if (Head.empty() || Request == 1)
+        return;
+      Connection.send(KeptAnswer);
+    }
+  };
+}
+
+} // namespace
+
+TEST_CASE("work that is not idempotent is sent once, whatever the connection "
+          "does") {
+  struct row {
+    const char *What;
+    connection_choice Choice;
+    bool SentAgain;
+  };
+  // The second row shows that the hazard is there: without the guard the
+  // library sends the request again by itself.
+  const row Rows[]{{"guarded", connectionFor(false), false},
+                   {"unguarded", connection_choice::Reuse, true}};
+  for (const row &Row : Rows) {
+    INFO(Row.What);
+    std::atomic<int> Posts = 0;
+    raw_server Server(closesOnSecond(Posts, "POST"));
+    std::string Endpoint = Server.endpoint();
+    attempt_runner Runner;
+    attempt_request First = attempt_runner::request("GET", Endpoint);
+    First.Connection = connection_choice::Reuse;
+    REQUIRE_FALSE(Runner.run(First).Failure);
+    attempt_request Post = attempt_runner::request("POST", Endpoint);
+    Post.Body = "body";
+    Post.Connection = Row.Choice;
+    Runner.run(Post);
+    CHECK((Posts > 1) == Row.SentAgain);
+  }
+}
+
+TEST_CASE("how failed attempts are told apart") {
+  struct row {
+    const char *What;
+    std::string Bytes;
+    error_kind Kind;
+  };
+  using enum error_kind;
+  const row Rows[]{
+      {"cut before the head", "", BackendCut},
+      {"cut within the head", "HTTP/1.1 200 OK\r\nContent-Le", BackendCut},
+      {"cut short of its length",
+       "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nabc", BackendCut},
+      {"a broken chunk",
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+       BackendCut},
+      {"no last chunk",
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+       BackendCut},
+      {"a chunk size that is none",
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n",
+       BackendCut},
+      {"no length at all", "HTTP/1.1 200 OK\r\n\r\nabc", BackendMalformed},
+      {"two lengths",
+       "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+       BackendMalformed},
+      {"a length with chunks",
+       "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: "
+       "chunked\r\n\r\n0\r\n\r\n",
+       BackendMalformed},
+      {"no HTTP", "SSH-2.0-nonsense\r\n\r\n", BackendMalformed},
+      {"an endless head",
+       "HTTP/1.1 200 OK\r\nX: " + std::string(100'000, 'x') + "\r\n\r\n",
+       BackendMalformed},
+  };
+  for (const row &Row : Rows) {
+    INFO(Row.What);
+    raw_server Server([&](raw_connection Connection, std::size_t) {
+      Connection.readUntil("\r\n\r\n");
+      Connection.send(Row.Bytes);
+    });
+    std::string Endpoint = Server.endpoint();
+    attempt_runner Runner;
+    attempt_end End = Runner.run(attempt_runner::request("GET", Endpoint));
+    REQUIRE(End.Failure);
+    CHECK(End.Failure->Kind == Row.Kind);
+    CHECK_FALSE(End.Failure->ProvenNotRun);
+  }
+}
+
+TEST_CASE("only an attempt that sent nothing is proven not run") {
+  attempt_runner Runner;
+  std::string Nobody = "127.0.0.1:" + std::to_string(freePort());
+  attempt_end Refused = Runner.run(attempt_runner::request("POST", Nobody));
+  REQUIRE(Refused.Failure);
+  CHECK(Refused.Failure->ProvenNotRun);
+  CHECK(Refused.Failure->Kind == error_kind::BackendUnreachable);
+
+  raw_server Silent(
+      [](raw_connection Connection, std::size_t) { Connection.readAll(); });
+  std::string Endpoint = Silent.endpoint();
+  attempt_request Request = attempt_runner::request("POST", Endpoint);
+  Request.Timeout = 100ms;
+  attempt_end TimedOut = Runner.run(Request);
+  REQUIRE(TimedOut.Failure);
+  CHECK_FALSE(TimedOut.Failure->ProvenNotRun);
+  CHECK(TimedOut.Failure->Kind == error_kind::BackendTimeout);
+}
+
+TEST_CASE("whole answers of all shapes are read") {
+  struct row {
+    const char *What;
+    std::string_view Method;
+    std::string Bytes;
+    std::string Body;
+  };
+  const row Rows[]{
+      {"with a length", "GET",
+       "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", "abc"},
+      {"in chunks with trailers", "GET",
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\n"
+       "c\r\n0\r\nX-Trailer: 1\r\n\r\n",
+       "abc"},
+      {"after an interim answer", "GET",
+       "HTTP/1.1 103 Early Hints\r\nX: 1\r\n\r\nHTTP/1.1 200 "
+       "OK\r\nContent-Length: 1\r\n\r\na",
+       "a"},
+      {"without a body", "GET", "HTTP/1.1 204 No Content\r\n\r\n", ""},
+      {"to HEAD", "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", ""},
+  };
+  for (const row &Row : Rows) {
+    INFO(Row.What);
+    raw_server Server([&](raw_connection Connection, std::size_t) {
+      Connection.readUntil("\r\n\r\n");
+      Connection.send(Row.Bytes);
+    });
+    std::string Endpoint = Server.endpoint();
+    attempt_runner Runner;
+    attempt_end End = Runner.run(attempt_runner::request(Row.Method, Endpoint));
+    CHECK_FALSE(End.Failure);
+    CHECK(Runner.Body == Row.Body);
+  }
+}
+
+TEST_CASE("an answer that is refused ends with the reason") {
+  raw_server Server([&](raw_connection Connection, std::size_t) {
+    Connection.readUntil("\r\n\r\n");
+    Connection.send(KeptAnswer);
+  });
+  std::string Endpoint = Server.endpoint();
+  attempt_runner Runner;
+  Runner.Refuse = error_kind::ForeignAnswer;
+  attempt_end End = Runner.run(attempt_runner::request("GET", Endpoint));
+  REQUIRE(End.Failure);
+  CHECK(End.Failure->Kind == error_kind::ForeignAnswer);
+  CHECK(Runner.Body.empty());
+}
+
+TEST_CASE("a request goes out as it is meant") {
+  std::string Seen;
+  raw_server Server([&](raw_connection Connection, std::size_t) {
+    Seen = Connection.readUntil("body");
+    Connection.send(KeptAnswer);
+  });
+  std::string Endpoint = Server.endpoint();
+  attempt_request Request = attempt_runner::request("POST", Endpoint);
+  const std::vector<header_field> Fields{{"X-A", "1"}, {"X-Empty", ""}};
+  Request.Target = "/a/../b?c=%20";
+  Request.Headers = Fields;
+  Request.Body = "body";
+  attempt_runner Runner;
+  REQUIRE_FALSE(Runner.run(Request).Failure);
+  CHECK(Seen.starts_with("POST /a/../b?c=%20 HTTP/1.1\r\n"));
+  CHECK(Seen.find("X-A: 1\r\n") != std::string::npos);
+  CHECK(Seen.find("X-Empty:\r\n") != std::string::npos);
+  CHECK(Seen.find("Content-Length: 4\r\n") != std::string::npos);
+  for (const char *Unwanted : {"Accept:", "Content-Type:", "Expect:"})
+    CHECK(Seen.find(Unwanted) == std::string::npos);
+}
+
+TEST_CASE("a single call tells failures too") {
+  std::string Nobody = "127.0.0.1:" + std::to_string(freePort());
+  CHECK(failureOf([&] { return fetch("GET", Nobody, "/", "", 1s); }) ==
+        error_kind::BackendUnreachable);
+}
--- /dev/null
+++ b/tests/auto/http/tst_front_end.cpp
@@ -0,0 +1,345 @@
+#include "failure_check.h"
+#include "http/front_end.h"
+#include "raw_socket.h"
+
+#include <catch2/catch.hpp>
+
+#include <condition_variable>
+#include <mutex>
+
+using namespace endiverail;
+using namespace endiverail::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct taken_request {
+  caller_ticket Ticket;
+  received_request Request;
+};
+
+/// Keeps requests until the test answers them from its own thread.
+class holding_sink {
+public:
+  request_owner onRequest(const caller_ticket &Ticket,
+                          received_request Request) {
+    std::lock_guard Lock(Mutex);
+    Requests.push_back({Ticket, std::move(Request)});
+    Changed.notify_all();
+    return 0;
+  }
+  void onWritten(request_owner, const caller_ticket &, std::size_t Bytes) {
+    std::lock_guard Lock(Mutex);
+    WrittenBytes += Bytes;
+    Changed.notify_all();
+  }
+  void onCallerGone(request_owner, const caller_ticket &) {
+    std::lock_guard Lock(Mutex);
+    ++GoneCallers;
+    Changed.notify_all();
+  }
+
+  taken_request take() {
+    std::unique_lock Lock(Mutex);
+    if (!Changed.wait_for(Lock, 20s, [&] { return !Requests.empty(); }))
+      throw std::runtime_error("no request came");
+    taken_request Taken = std::move(Requests.front());
+    Requests.erase(Requests.begin());
+    return Taken;
+  }
+
+  void awaitGone(std::size_t Count) {
+    std::unique_lock Lock(Mutex);
+    if (!Changed.wait_for(Lock, 20s, [&] { return GoneCallers >= Count; }))
+      throw std::runtime_error("no caller went");
+  }
+
+  void awaitWritten(std::size_t Bytes) {
+    std::unique_lock Lock(Mutex);
+    if (!Changed.wait_for(Lock, 20s, [&] { return WrittenBytes >= Bytes; }))
+      throw std::runtime_error("not all was written");
+  }
+
+  bool empty() {
+    std::lock_guard Lock(Mutex);
+    return Requests.empty();
+  }
+
+private:
+  std::mutex Mutex;
+  std::condition_variable Changed;
+  std::vector<taken_request> Requests;
+  std::size_t WrittenBytes = 0;
+  std::size_t GoneCallers = 0;
+};
+
+struct front_fixture {
+  front_fixture() {
+    front_end_settings Settings;
+    Settings.Address = "127.0.0.1";
+    Settings.Limits = {4'096, 100'000};
+    Settings.ReceiveTimeout = 300ms;
+    Front = valueOf(front_end<holding_sink>::create(Settings, Sink, Memory));
+    REQUIRE(Front->start());
+  }
+
+  raw_connection connect(int ReceiveBuffer = 0) const {
+    return raw_connection::to(Front->port(), ReceiveBuffer);
+  }
+
+  void answer(const caller_ticket &Ticket, std::string Body) {
+    postWhole(*Front, Ticket, answer_head{}, std::move(Body));
+  }
+
+  holding_sink Sink;
+  memory_budget Memory{150'000};
+  std::unique_ptr<front_end<holding_sink>> Front;
+};
+
+bool hasBody(const std::string &Answer, std::string_view Body) {
+  return Answer.ends_with("\r\n\r\n" + std::string(Body));
+}
+
+} // namespace
+
+TEST_CASE_METHOD(front_fixture,
+                 "two requests in one packet are both answered") {
+  raw_connection Caller = connect();
+  Caller.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  taken_request First = Sink.take();
+  CHECK(First.Request.Frame.Target == "/1");
+  answer(First.Ticket, "one");
+  CHECK(hasBody(Caller.readAnswer(), "one"));
+  taken_request Second = Sink.take();
+  CHECK(Second.Request.Frame.Target == "/2");
+  answer(Second.Ticket, "two");
+  CHECK(hasBody(Caller.readAnswer(), "two"));
+}
+
+TEST_CASE_METHOD(front_fixture,
+                 "a second request never gets the first one's answer") {
+  raw_connection Caller = connect();
+  Caller.send("GET /1 HTTP/1.1\r\n\r\n");
+  taken_request First = Sink.take();
+  Caller.send("GET /2 HTTP/1.1\r\n\r\n");
+  // An answer to a request that has not begun is dropped.
+  caller_ticket Early = First.Ticket;
+  ++Early.Sequence;
+  answer(Early, "early");
+  answer(First.Ticket, "one");
+  CHECK(hasBody(Caller.readAnswer(), "one"));
+  taken_request Second = Sink.take();
+  // So is a second answer to the first one.
+  answer(First.Ticket, "late");
+  answer(Second.Ticket, "two");
+  CHECK(hasBody(Caller.readAnswer(), "two"));
+}
+
+TEST_CASE_METHOD(front_fixture,
+                 "a late answer does not meet a new caller under the same "
+                 "descriptor number") {
+  for (std::size_t Round = 1; Round <= 50; ++Round) {
+    raw_connection Gone = connect();
+    Gone.send("GET /gone HTTP/1.1\r\n\r\n");
+    taken_request Late = Sink.take();
+    Gone.closeNow();
+    Sink.awaitGone(Round);
+    raw_connection Caller = connect();
+    Caller.send("GET /new HTTP/1.1\r\n\r\n");
+    taken_request Own = Sink.take();
+    answer(Late.Ticket, "for the one who has gone");
+    answer(Own.Ticket, "own");
+    CHECK(hasBody(Caller.readAnswer(), "own"));
+  }
+}
+
+TEST_CASE_METHOD(front_fixture,
+                 "a write that is under way when its caller leaves does not "
+                 "meet a new one") {
+  for (int Round = 0; Round < 50; ++Round) {
+    raw_connection Gone = connect();
+    Gone.send("GET /gone HTTP/1.1\r\n\r\n");
+    taken_request Late = Sink.take();
+    answer(Late.Ticket, std::string(50'000, 'x'));
+    Gone.closeNow();
+    raw_connection Caller = connect();
+    Caller.send("GET /new HTTP/1.1\r\n\r\n");
+    answer(Sink.take().Ticket, "own");
+    CHECK(hasBody(Caller.readAnswer(), "own"));
+  }
+}
+
+TEST_CASE_METHOD(front_fixture, "what is no clear request is refused, and the "
+                                "others go on") {
+  struct row {
+    const char *Bytes;
+    const char *Status;
+  };
+  const row Rows[]{
+      {"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+       "400"},
+      {"POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: "
+       "chunked\r\n\r\n0\r\n\r\n",
+       "400"},
+      {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "411"},
+      {"POST / HTTP/1.1\r\nContent-Length: 200000\r\n\r\n", "413"},
+      {"BREW / HTTP/1.1\r\n\r\n", "405"},
+      {"nonsense\r\n\r\n", "400"},
+      {"\x16\x03\x01\x02\r\n\r\n", "400"},
+  };
+  raw_connection Other = connect();
+  Other.send("GET /other HTTP/1.1\r\n\r\n");
+  taken_request Waiting = Sink.take();
+  for (const row &Row : Rows) {
+    INFO(Row.Bytes);
+    raw_connection Caller = connect();
+    Caller.send(Row.Bytes);
+    std::string Answer = Caller.readAll();
+    CHECK(Answer.starts_with("HTTP/1.1 " + std::string(Row.Status)));
+    CHECK(Answer.find("Endiverail-Outcome: not-run") != std::string::npos);
+    // Exactly one answer.
+    CHECK(Answer.find("HTTP/1.1", 1) == std::string::npos);
+  }
+  CHECK(Sink.empty());
+  answer(Waiting.Ticket, "fine");
+  CHECK(hasBody(Other.readAnswer(), "fine"));
+}
+
+TEST_CASE_METHOD(front_fixture, "an oversize head is refused") {
+  raw_connection Caller = connect();
+  Caller.send("GET / HTTP/1.1\r\nX: " + std::string(5'000, 'x'));
+  CHECK(Caller.readAll().starts_with("HTTP/1.1 431"));
+}
+
+TEST_CASE_METHOD(front_fixture, "a slow sender is told and closed") {
+  raw_connection Caller = connect();
+  Caller.send("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nab");
+  CHECK(Caller.readAll().starts_with("HTTP/1.1 408"));
+  CHECK(Sink.empty());
+}
+
+TEST_CASE_METHOD(front_fixture, "a caller who says nothing is closed") {
+  raw_connection Caller = connect();
+  CHECK(Caller.readAll().empty());
+}
+
+TEST_CASE_METHOD(front_fixture, "HTTP/1.1 keeps the connection by default") {
+  raw_connection Caller = connect();
+  for (int Count = 0; Count < 3; ++Count) {
+    Caller.send("GET / HTTP/1.1\r\n\r\n");
+    answer(Sink.take().Ticket, "x");
+    CHECK(Caller.readAnswer().find("Connection: keep-alive") !=
+          std::string::npos);
+  }
+  Caller.send("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+  answer(Sink.take().Ticket, "x");
+  CHECK(hasBody(Caller.readAll(), "x"));
+}
+
+TEST_CASE_METHOD(front_fixture, "a body is asked for where the caller waits") {
+  raw_connection Caller = connect();
+  Caller.send("POST / HTTP/1.1\r\nContent-Length: 2\r\nExpect: "
+              "100-continue\r\n\r\n");
+  CHECK(Caller.readUntil("\r\n\r\n") == "HTTP/1.1 100 Continue\r\n\r\n");
+  Caller.send("ab");
+  taken_request Taken = Sink.take();
+  CHECK(Taken.Request.Body == "ab");
+  answer(Taken.Ticket, "x");
+  CHECK(hasBody(Caller.readAnswer(), "x"));
+}
+
+TEST_CASE_METHOD(front_fixture, "bodies beyond the memory limit are refused "
+                                "before they come") {
+  raw_connection First = connect();
+  First.send("POST / HTTP/1.1\r\nContent-Length: 90000\r\n\r\n" +
+             std::string(90'000, 'x'));
+  taken_request Held = Sink.take();
+  raw_connection Second = connect();
+  Second.send("POST / HTTP/1.1\r\nContent-Length: 90000\r\n\r\n");
+  std::string Refused = Second.readAll();
+  CHECK(Refused.starts_with("HTTP/1.1 503"));
+  CHECK(Refused.find("memory-limit") != std::string::npos);
+  answer(Held.Ticket, "x");
+  First.readAnswer();
+  raw_connection Third = connect();
+  Third.send("POST / HTTP/1.1\r\nContent-Length: 90000\r\n\r\n" +
+             std::string(90'000, 'x'));
+  answer(Sink.take().Ticket, "x");
+  CHECK(hasBody(Third.readAnswer(), "x"));
+}
+
+TEST_CASE_METHOD(front_fixture, "a caller that stalls holds only its own") {
+  constexpr std::size_t PieceBytes = 256 * 1024;
+  constexpr std::size_t Pieces = 64;
+  raw_connection Stalled = connect(8'192);
+  Stalled.send("GET /big HTTP/1.1\r\n\r\n");
+  caller_ticket Big = Sink.take().Ticket;
+  answer_head Head;
+  Head.Length = PieceBytes * Pieces;
+  Front->post(answer_begin{Big, Head});
+  for (std::size_t Count = 0; Count < Pieces; ++Count)
+    Front->post(answer_piece{Big, std::string(PieceBytes, 'x')});
+  Front->post(answer_end{Big});
+  raw_connection Other = connect();
+  Other.send("GET / HTTP/1.1\r\n\r\n");
+  answer(Sink.take().Ticket, "fine");
+  CHECK(hasBody(Other.readAnswer(), "fine"));
+  Stalled.readUntil("\r\n\r\n");
+  CHECK(Stalled.read(PieceBytes * Pieces).size() == PieceBytes * Pieces);
+  Sink.awaitWritten(PieceBytes * Pieces);
+}
+
+TEST_CASE_METHOD(front_fixture, "an answer of unknown length comes in chunks") {
+  raw_connection Caller = connect();
+  Caller.send("GET / HTTP/1.1\r\n\r\n");
+  caller_ticket Ticket = Sink.take().Ticket;
+  Front->post(answer_begin{Ticket, {}});
+  Front->post(answer_piece{Ticket, "abc"});
+  Front->post(answer_end{Ticket});
+  CHECK(Caller.readUntil("0\r\n\r\n").ends_with("3\r\nabc\r\n0\r\n\r\n"));
+}
+
+TEST_CASE_METHOD(front_fixture, "an answer that breaks is seen as broken") {
+  raw_connection Caller = connect();
+  Caller.send("GET / HTTP/1.1\r\n\r\n");
+  caller_ticket Ticket = Sink.take().Ticket;
+  Front->post(answer_begin{Ticket, {}});
+  Front->post(answer_piece{Ticket, "abc"});
+  Sink.awaitWritten(3);
+  Front->post(answer_break{Ticket});
+  CHECK(Caller.readAll().ends_with("3\r\nabc\r\n"));
+}
+
+TEST_CASE_METHOD(front_fixture, "HEAD gets a head only") {
+  raw_connection Caller = connect();
+  Caller.send("HEAD / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\n");
+  caller_ticket Ticket = Sink.take().Ticket;
+  answer_head Head;
+  Head.Length = 5;
+  Front->post(answer_begin{Ticket, Head});
+  Front->post(answer_end{Ticket});
+  CHECK(Caller.readUntil("\r\n\r\n").find("Content-Length: 5") !=
+        std::string::npos);
+  answer(Sink.take().Ticket, "next");
+  CHECK(hasBody(Caller.readAnswer(), "next"));
+}
+
+TEST_CASE_METHOD(front_fixture, "a caller that leaves is noticed") {
+  raw_connection Caller = connect();
+  Caller.send("GET / HTTP/1.1\r\n\r\n");
+  Sink.take();
+  Caller.closeNow();
+  Sink.awaitGone(1);
+}
+
+TEST_CASE("an address that is taken is a mistake of the settings") {
+  front_fixture Fixture;
+  holding_sink Sink;
+  memory_budget Memory{1'000};
+  front_end_settings Settings;
+  Settings.Address = "127.0.0.1";
+  Settings.Port = Fixture.Front->port();
+  auto Second =
+      valueOf(front_end<holding_sink>::create(Settings, Sink, Memory));
+  CHECK(failureOf([&] { return Second->start(); }) == error_kind::BadSettings);
+}
--- /dev/null
+++ b/tests/auto/peer/peer_samples.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "failure_check.h"
+#include "peer/peer_codec.h"
+#include "platform/service_file.h"
+
+namespace endiverail::test {
+
+inline peer_message sampleMessage() {
+  peer_message Message;
+  Message.Gossip.Kind = gossip_kind::PingRequest;
+  Message.Gossip.Sequence = 0xffffffffffffffffULL;
+  Message.Gossip.SenderId = "a";
+  Message.Gossip.SenderAddress = "127.0.0.1:1";
+  Message.Gossip.TargetId = "b";
+  Message.Gossip.TargetAddress = "127.0.0.1:2";
+  Message.Gossip.Updates = {
+      {{"c", "dc", "127.0.0.1:3", 9, false}, 4, member_state::Suspect}};
+  Message.Digest = {0x8000000000000001ULL, 5};
+  Message.Changes = {{"s", 6}};
+  Message.Deaths = {{"s", 7, "x"}};
+  Message.Leaving = {{"s", "y"}};
+  Message.Time = {8, 9};
+  return Message;
+}
+
+inline pull_reply sampleReply() {
+  service_file File =
+      valueOf(readServiceFile("f", R"({"service": "s", "pool_size": 2,
+    "floor": 1, "kinds": [{"name": "n", "method": "GET", "path": "/s/*",
+    "rank": "normal", "idempotent": true, "target_ms": 10}]})"));
+  pull_reply Reply;
+  Reply.Records = {{File.Definition, "parent", File.ContentHash, File.Content,
+                    3, "signer", "signature", 4, false}};
+  Reply.Hosts = {5,
+                 {{"p", "dc", "127.0.0.1:1"}},
+                 {{"127.0.0.1:2", "s", "dc", server_state::Leaving}}};
+  Reply.Members = {{{"c", "dc", "127.0.0.1:3", 9, true}, 4, {}}};
+  return Reply;
+}
+
+} // namespace endiverail::test
--- /dev/null
+++ b/tests/auto/peer/tst_peer_codec.cpp
@@ -0,0 +1,65 @@
+#include "peer_samples.h"
+
+#include <catch2/catch.hpp>
+
+using namespace endiverail;
+using namespace endiverail::test;
+
+namespace {
+
+const peer_codec Codec("a secret of the fleet");
+const peer_codec Stranger("another secret of others");
+
+} // namespace
+
+TEST_CASE("a datagram comes back as it was") {
+  peer_message Sent = sampleMessage();
+  peer_message Back = valueOf(Codec.decodeMessage(Codec.encode(Sent)));
+  CHECK(Back.Gossip.Kind == Sent.Gossip.Kind);
+  CHECK(Back.Gossip.Sequence == Sent.Gossip.Sequence);
+  CHECK(Back.Gossip.SenderId == Sent.Gossip.SenderId);
+  CHECK(Back.Gossip.TargetAddress == Sent.Gossip.TargetAddress);
+  CHECK(Back.Gossip.Updates == Sent.Gossip.Updates);
+  CHECK(Back.Digest == Sent.Digest);
+  CHECK(Back.Changes == Sent.Changes);
+  REQUIRE(Back.Deaths.size() == 1);
+  CHECK(Back.Deaths[0].Fingerprint == 7);
+  CHECK(Back.Leaving[0].Server == "y");
+  CHECK(Back.Time == Sent.Time);
+}
+
+TEST_CASE("pulls and replies come back as they were") {
+  pull_request Request{{{"s", 1}}, true, 2, true};
+  pull_request Back = valueOf(Codec.decodeRequest(Codec.encode(Request)));
+  CHECK(Back.Have == Request.Have);
+  CHECK(Back.Only);
+  CHECK(Back.HostListRevision == 2);
+  pull_reply Reply = valueOf(Codec.decodeReply(Codec.encode(sampleReply())));
+  REQUIRE(Reply.Records.size() == 1);
+  CHECK(Reply.Records[0].ContentHash == sampleReply().Records[0].ContentHash);
+  CHECK(Reply.Records[0].FirstOffset == 4);
+  CHECK(Reply.Hosts.Servers == sampleReply().Hosts.Servers);
+  CHECK(Reply.Members == sampleReply().Members);
+}
+
+TEST_CASE("a stranger's messages are refused") {
+  CHECK(failureOf([] {
+          return Codec.decodeMessage(Stranger.encode(sampleMessage()));
+        }) == error_kind::BadSignature);
+  CHECK(failureOf([] {
+          return Codec.decodeReply(Stranger.encode(sampleReply()));
+        }) == error_kind::BadSignature);
+}
+
+TEST_CASE("a message of one purpose does not pass as another") {
+  std::string Request = Codec.encode(pull_request{});
+  CHECK(failureOf([&] { return Codec.decodeReply(Request); }) ==
+        error_kind::BadSignature);
+  CHECK(failureOf([&] { return Codec.decodeMessage(Request); }) ==
+        error_kind::BadSignature);
+}
+
+TEST_CASE("a datagram of the usual content is small") {
+  peer_message Message = sampleMessage();
+  CHECK(Codec.encode(Message).size() < 400);
+}
