--- a/src/libs/daemon/proxy_daemon.cpp
+++ b/src/libs/daemon/proxy_daemon.cpp
@@ -9,8 +9,8 @@
 #include <spdlog/spdlog.h>
 
 #include <atomic>
-#include <condition_variable>
 #include <functional>
+#include <future>
 #include <memory>
 #include <mutex>
 #include <random>
@@ -199,6 +199,11 @@
     return Front->start();
   }
   void post(answer_message Message) { Front->post(std::move(Message)); }
+  std::size_t connections() const { return Front->connections(); }
+  void announceClose() { Front->announceClose(); }
+  bool closeWhenIdle(milliseconds Timeout) {
+    return Front->closeWhenIdle(Timeout);
+  }
   void shutdown() { Front->shutdown(); }
 
 private:
@@ -308,14 +313,15 @@
 }
 
 void proxy_daemon::drain() {
-  spdlog::info("daemon: drains");
   Parts->Control->post(begin_drain{});
+  Parts->Door.announceClose();
   // Callers may hold an answer with this address for its whole lifetime.
-  std::mutex Mutex;
-  std::unique_lock Lock(Mutex);
-  std::condition_variable Never;
-  Never.wait_for(Lock, std::min(Parts->Settings.AddressLifetime,
-                                Parts->Settings.DrainTimeout));
+  std::promise<void> Never;
+  Never.get_future().wait_for(
+      std::min(Parts->Settings.AddressLifetime, Parts->Settings.DrainTimeout));
+  if (!Parts->Door.closeWhenIdle(Parts->Settings.DrainTimeout))
+    spdlog::warn("daemon: {} connections are open after the drain timeout",
+                 Parts->Door.connections());
 }
 
 } // namespace endiverail
--- a/src/libs/http/blocking_client.cpp
+++ b/src/libs/http/blocking_client.cpp
@@ -11,6 +11,20 @@
   return Size * Count;
 }
 
+std::size_t readHeader(char *Data, std::size_t Size, std::size_t Count,
+                       void *Exchange) {
+  auto &Reading = *static_cast<detail::curl_exchange *>(Exchange);
+  return handleFailure(
+      [&]() -> result<std::size_t> {
+        BOOST_LEAF_CHECK(Reading.readHeaderLine({Data, Size * Count}));
+        return Size * Count;
+      },
+      [&](const failure &Failure) {
+        Reading.abortWith(Failure.Kind);
+        return std::size_t{0};
+      });
+}
+
 } // namespace
 
 result<fetched_answer> fetch(std::string_view Method, std::string_view Server,
@@ -26,6 +40,8 @@
   detail::curl_exchange Exchange(Request);
   CURL *Easy = Exchange.handle();
   fetched_answer Answer;
+  curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, &readHeader);
+  curl_easy_setopt(Easy, CURLOPT_HEADERDATA, &Exchange);
   curl_easy_setopt(Easy, CURLOPT_WRITEFUNCTION, &append);
   curl_easy_setopt(Easy, CURLOPT_WRITEDATA, &Answer.Body);
   attempt_end End = Exchange.end(curl_easy_perform(Easy));
--- a/src/libs/http/connection_worker.h
+++ b/src/libs/http/connection_worker.h
@@ -12,10 +12,13 @@
 #include <concepts>
 #include <cstdint>
 #include <deque>
+#include <future>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
+#include <variant>
 
 namespace endiverail {
 
@@ -48,6 +51,17 @@
 
 namespace detail {
 
+/// From now on answers tell callers to close their connections.
+struct announce_close {};
+/// Each connection is closed as soon as it is owed nothing; the promise is
+/// kept when none is left.
+struct close_when_idle {
+  std::promise<void> Closed;
+};
+using worker_message =
+    std::variant<answer_begin, answer_piece, answer_end, answer_break,
+                 announce_close, close_when_idle>;
+
 /// All callers' connections of one connection thread. Only that thread calls
 /// it, but for post().
 template <caller_request_sink Sink> class connection_worker {
@@ -57,7 +71,7 @@
       : Index(Index), Settings(Settings), To(To), Memory(Memory),
         Inbox(std::move(Event)) {}
 
-  void post(answer_message &&Message) { Inbox.post(std::move(Message)); }
+  void post(worker_message &&Message) { Inbox.post(std::move(Message)); }
   int inboxDescriptor() const { return Inbox.descriptor(); }
   int timerDescriptor() const { return Timer.descriptor(); }
   std::size_t connections() const {
@@ -96,10 +110,11 @@
     Count.store(Connections.size(), std::memory_order_relaxed);
     if (Owed)
       To.onCallerGone(Owner, Ticket);
+    tellIfClosed();
   }
 
   void onInbox() {
-    for (answer_message &Message : Inbox.takeAll())
+    for (worker_message &Message : Inbox.takeAll())
       std::visit([&](auto &Part) { take(Part); }, Message);
   }
 
@@ -212,7 +227,7 @@
   }
 
   void start(entry &Entry, received_request Request) {
-    Entry.KeepAlive = Request.Frame.KeepAlive;
+    Entry.KeepAlive = Request.Frame.KeepAlive && !KeepNone;
     Entry.ReadsChunks = Request.Frame.ReadsChunks;
     Entry.NoBody = Request.Frame.Method == "HEAD";
     Entry.ContinueSent = false;
@@ -257,6 +272,7 @@
       close(*Entry);
       return;
     }
+    Entry->KeepAlive = Entry->KeepAlive && !KeepNone;
     send(*Entry, answerHeadText(Begin.Head, Entry->Framing, Entry->KeepAlive),
          0);
   }
@@ -283,6 +299,24 @@
     finishIfSent(*Entry);
   }
 
+  void take(announce_close &) { KeepNone = true; }
+
+  void take(close_when_idle &Close) {
+    KeepNone = true;
+    Closed = std::move(Close.Closed);
+    for (auto &[Id, Entry] : Connections) {
+      Entry.KeepAlive = false;
+      if (!Entry.State.inProgress() && !Entry.Closing)
+        closeGently(Entry);
+    }
+    tellIfClosed();
+  }
+
+  void tellIfClosed() {
+    if (Closed && Connections.empty())
+      std::exchange(Closed, std::nullopt)->set_value();
+  }
+
   void take(answer_break &Break) {
     if (entry *Entry = awaiting(Break.Ticket))
       close(*Entry);
@@ -338,10 +372,12 @@
   front_end_settings Settings;
   Sink &To;
   memory_budget &Memory;
-  mailbox<answer_message> Inbox;
+  mailbox<worker_message> Inbox;
   timer_descriptor Timer;
   std::unordered_map<std::uint64_t, entry> Connections;
   std::atomic<std::size_t> Count = 0;
+  bool KeepNone = false;
+  std::optional<std::promise<void>> Closed;
 };
 
 } // namespace detail
--- a/src/libs/http/front_end.h
+++ b/src/libs/http/front_end.h
@@ -148,7 +148,29 @@
   /// Hands a part of an answer to the connection's thread. Safe on any thread.
   void post(answer_message Message) {
     std::size_t Worker = ticketOf(Message).Worker;
-    Workers[Worker]->post(std::move(Message));
+    std::visit([&](auto &Part) { Workers[Worker]->post(std::move(Part)); },
+               Message);
+  }
+
+  /// Tells callers with each answer to close their connections.
+  void announceClose() {
+    for (auto &Worker : Workers)
+      Worker->post(detail::announce_close{});
+  }
+
+  /// Closes each connection once it is owed nothing, and waits for that.
+  /// False when some are left after \p Timeout.
+  bool closeWhenIdle(milliseconds Timeout) {
+    std::vector<std::future<void>> Closing;
+    for (auto &Worker : Workers) {
+      detail::close_when_idle Close;
+      Closing.push_back(Close.Closed.get_future());
+      Worker->post(std::move(Close));
+    }
+    steady_time Until = steadyNow() + Timeout;
+    return std::ranges::all_of(Closing, [&](std::future<void> &Each) {
+      return Each.wait_until(Until) == std::future_status::ready;
+    });
   }
 
   /// Connections that are open now.
--- a/src/libs/load/load_report.cpp
+++ b/src/libs/load/load_report.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <iterator>
 #include <numeric>
 
@@ -45,7 +46,7 @@
   if (Times.empty())
     return 0;
   auto Place = static_cast<std::size_t>(
-      Share * static_cast<double>(Times.size() - 1) + 0.5);
+      std::lround(Share * static_cast<double>(Times.size() - 1)));
   std::ranges::nth_element(Times,
                            Times.begin() + static_cast<std::ptrdiff_t>(Place));
   return static_cast<double>(Times[Place].count()) / 1000;
--- a/src/libs/load/load_run.cpp
+++ b/src/libs/load/load_run.cpp
@@ -227,6 +227,7 @@
           [&] { return refreshAddresses(Service); },
           [&](const failure &) { Book.Until = steadyNow() + FetchTimeout; });
     std::vector<double> Shares;
+    Shares.reserve(Book.Addresses.size());
     for (const known_address &Known : Book.Addresses)
       Shares.push_back(Known.Address == Avoid
                            ? 0.0001
--- /dev/null
+++ b/tests/auto/daemon/tst_control_state.cpp
@@ -0,0 +1,213 @@
+#include "base/hash.h"
+#include "failure_check.h"
+#include "process/control_state.h"
+
+#include <catch2/catch.hpp>
+
+using namespace endiverail;
+using namespace endiverail::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One control state with a log that the test plays.
+struct control_fixture {
+  control_fixture() {
+    service_definition Definition;
+    Definition.Name = Definition.Pool = "s";
+    Definition.PoolSize = 4;
+    Definition.Floor = 3;
+    Record.Definition = Definition;
+    Record.Content = "content";
+    Record.ContentHash = sha256Hex("content");
+    Record.Version = 1;
+    Record.Signer = Customer.Public;
+    Record.Signature =
+        valueOf(sign(Customer, signedText("s", "", Record.ContentHash, 1)));
+    Hosts.Revision = 1;
+    for (const char *Server : {"a", "b", "c", "d"})
+      Hosts.Servers.push_back({Server, "s", "dc", server_state::Live});
+    page({log_entry{0, Clock, Record}});
+    State.onHosts(Hosts, Now, Out);
+    tick(6s);
+  }
+
+  void page(std::vector<log_entry> Entries) {
+    log_page Page;
+    Page.Next = Page.End = 100;
+    Page.NowMilliseconds = Clock;
+    Page.RetentionMilliseconds = 100'000;
+    Page.Entries = std::move(Entries);
+    State.onLogPage(Page, Now, Out);
+  }
+
+  void tick(milliseconds Time) {
+    for (milliseconds Step = 0ms; Step < Time; Step += 100ms) {
+      Now += 100ms;
+      Clock += 100;
+      State.tick(Now, Out);
+    }
+  }
+
+  template <typename Action> std::vector<Action> take() {
+    std::vector<Action> Found;
+    for (const control_action &Each : Out)
+      if (const auto *Typed = std::get_if<Action>(&Each))
+        Found.push_back(*Typed);
+    Out.clear();
+    return Found;
+  }
+
+  std::vector<ejection_claim> claims() {
+    std::vector<ejection_claim> Found;
+    for (const append_log &Append : take<append_log>())
+      if (const auto *Claim = std::get_if<ejection_claim>(&Append.Record))
+        Found.push_back(*Claim);
+    return Found;
+  }
+
+  std::vector<ejection_changed> ejections() {
+    std::vector<ejection_changed> Found;
+    for (const tell_traffic &Tell : take<tell_traffic>())
+      if (const auto *Change = std::get_if<ejection_changed>(&Tell.Message))
+        Found.push_back(*Change);
+    return Found;
+  }
+
+  signing_key Customer = valueOf(signing_key::generate());
+  time_line Events{100};
+  steady_time Now{1h};
+  std::int64_t Clock = 1'000'000;
+  acceptance Record;
+  host_list Hosts;
+  control_actions Out;
+  control_state State = valueOf(control_state::create(
+      {{"p", "dc", "p:1", 1, true}, {Customer.Public}, {}, {}, 1}, Events));
+};
+
+} // namespace
+
+TEST_CASE_METHOD(control_fixture, "an ejection waits until its claim is read") {
+  REQUIRE(State.ready());
+  Out.clear();
+  State.onNotice(ejection_wish{"s", "a", true}, Now, Out);
+  auto Claims = claims();
+  REQUIRE(Claims.size() == 1);
+  CHECK(ejections().empty());
+  page({log_entry{1, Clock, Claims[0]}});
+  auto Changes = ejections();
+  REQUIRE(Changes.size() == 1);
+  CHECK(Changes[0].Until > Now);
+  CHECK(*Changes[0].Until <=
+        Now + ejection_ledger::Lease - ejection_ledger::HolderMargin);
+}
+
+TEST_CASE_METHOD(control_fixture, "an ejection below the floor is not made") {
+  Out.clear();
+  State.onNotice(ejection_wish{"s", "a", true}, Now, Out);
+  auto First = claims();
+  page({log_entry{1, Clock, First.at(0)}});
+  Out.clear();
+  State.onNotice(ejection_wish{"s", "b", true}, Now, Out);
+  auto Second = claims();
+  page({log_entry{2, Clock, Second.at(0)}});
+  CHECK(ejections().empty());
+}
+
+TEST_CASE_METHOD(control_fixture, "a leaving server uses the budget up") {
+  Hosts.Revision = 2;
+  Hosts.Servers[3].State = server_state::Leaving;
+  State.onHosts(Hosts, Now, Out);
+  Out.clear();
+  State.onNotice(ejection_wish{"s", "a", true}, Now, Out);
+  auto Claims = claims();
+  REQUIRE(Claims.size() == 1);
+  CHECK(Claims[0].Unavailable == 1);
+  page({log_entry{1, Clock, Claims[0]}});
+  CHECK(ejections().empty());
+}
+
+TEST_CASE_METHOD(control_fixture, "without the log nobody is ejected") {
+  for (int Count = 0; Count < 5; ++Count)
+    State.onLogFailure(Now, Out);
+  CHECK(State.storeAway());
+  Out.clear();
+  State.onNotice(ejection_wish{"s", "a", true}, Now, Out);
+  CHECK(claims().empty());
+}
+
+TEST_CASE_METHOD(control_fixture,
+                 "a claim that is never read back ejects nobody") {
+  State.onNotice(ejection_wish{"s", "a", true}, Now, Out);
+  Out.clear();
+  for (int Count = 0; Count < 60; ++Count) {
+    tick(1s);
+    page({});
+    CHECK(ejections().empty());
+  }
+}
+
+TEST_CASE_METHOD(control_fixture,
+                 "renewals that get lost end the ejection in time") {
+  Out.clear();
+  State.onNotice(ejection_wish{"s", "a", true}, Now, Out);
+  page({log_entry{1, Clock, claims().at(0)}});
+  steady_time Until = *ejections().at(0).Until;
+  for (int Count = 0; Count < 60; ++Count) {
+    tick(1s);
+    State.onNotice(ejection_wish{"s", "a", true}, Now, Out);
+    page({});
+    for (const ejection_changed &Change : ejections())
+      CHECK((!Change.Until || *Change.Until <= Until));
+  }
+}
+
+TEST_CASE_METHOD(control_fixture, "a floor that is raised ends an ejection") {
+  Out.clear();
+  State.onNotice(ejection_wish{"s", "a", true}, Now, Out);
+  page({log_entry{1, Clock, claims().at(0)}});
+  REQUIRE(ejections().size() == 1);
+  acceptance Raised = Record;
+  Raised.Definition.Floor = 4;
+  Raised.Content = "raised";
+  Raised.ContentHash = sha256Hex("raised");
+  Raised.Parent = Record.ContentHash;
+  Raised.Version = 2;
+  Raised.Signature =
+      valueOf(sign(Customer, signedText("s", Raised.Parent, Raised.ContentHash,
+                                        Raised.Version)));
+  page({log_entry{2, Clock, Raised}});
+  auto Changes = ejections();
+  REQUIRE(Changes.size() == 1);
+  CHECK_FALSE(Changes[0].Until);
+}
+
+TEST_CASE_METHOD(control_fixture, "records are appended again before the log "
+                                  "drops them") {
+  Out.clear();
+  tick(40s);
+  page({});
+  CHECK(claims().empty());
+  Out.clear();
+  for (int Count = 0; Count < 30; ++Count) {
+    tick(1s);
+    page({});
+  }
+  std::size_t Refreshed = 0;
+  for (const append_log &Append : take<append_log>())
+    if (const auto *Accepted = std::get_if<acceptance>(&Append.Record)) {
+      CHECK(Accepted->Refresh);
+      CHECK(Accepted->Version == 1);
+      ++Refreshed;
+    }
+  CHECK(Refreshed == 1);
+}
+
+TEST_CASE_METHOD(control_fixture, "a drained proxy is handed out no more") {
+  Out.clear();
+  State.drain(Now, Out);
+  auto Versions = take<publish_version>();
+  REQUIRE_FALSE(Versions.empty());
+  CHECK(Versions.back().Version->Draining);
+  CHECK_FALSE(Versions.back().Version->View.findProxy("p")->Offered);
+}
--- a/tests/auto/failure_check.h
+++ b/tests/auto/failure_check.h
@@ -3,6 +3,9 @@
 #include "base/error_kind.h"
 
 #include <optional>
+#include <stdexcept>
+#include <string>
+#include <type_traits>
 #include <utility>
 
 namespace endiverail::test {
@@ -35,4 +38,17 @@
   return std::move(Result.value());
 }
 
+/// The value that \p Try has to give; throws with the detail of its failure.
+template <typename TryBlock> auto valueFrom(TryBlock &&Try) {
+  using value = std::remove_cvref_t<decltype(Try().value())>;
+  std::optional<value> Value;
+  std::string Detail = detailOf([&]() -> result<void> {
+    BOOST_LEAF_ASSIGN(Value, Try());
+    return {};
+  });
+  if (!Value)
+    throw std::runtime_error(Detail);
+  return std::move(*Value);
+}
+
 } // namespace endiverail::test
