Let single requests find out about a doubted server, and report recoveries

Cause: a server with one failure was only less preferred, so at low load it never got another request, and evidence neither grew nor went away; recoveries were reported only together with failures.

--- a/src/libs/process/control_state.cpp
+++ b/src/libs/process/control_state.cpp
@@ -34,6 +34,8 @@
 
 constexpr milliseconds LeavingMemory{60'000};
 constexpr std::size_t LeastServersToSuspectSelf = 4;
+/// Suspicion from which a backend server counts against the proxy itself.
+constexpr double BadFrom = 0.5;
 constexpr milliseconds SelfSuspicionLasts{20'000};
 constexpr milliseconds ReportLasts{3'000};
 
@@ -548,7 +550,7 @@
   for (const standing_report &Report : Reports | std::views::values)
     for (const server_status &Server : Report.Servers) {
       ++All;
-      bool IsBad = Server.Standing == server_standing::Suspected ||
+      bool IsBad = Server.Suspicion >= BadFrom ||
                    Server.Standing == server_standing::Ejected;
       Bad += IsBad ? 1 : 0;
     }
--- a/src/libs/process/server_evidence.h
+++ b/src/libs/process/server_evidence.h
@@ -46,7 +46,8 @@
   /// 0 for no evidence, 1 and more for enough to eject.
   double suspicion() const;
 
-  /// Enough evidence to prefer any other backend server.
+  /// Enough evidence to prefer any other backend server, and to let single
+  /// requests find out more.
   bool suspected() const { return suspicion() >= SuspectedFrom; }
 
   /// Enough evidence to eject.
@@ -58,7 +59,7 @@
   void clear();
 
 private:
-  static constexpr double SuspectedFrom = 0.35;
+  static constexpr double SuspectedFrom = 0.1;
   /// Log of the mean number of signals between two false alarms.
   static constexpr double Threshold = 21;
   /// One burst counts at most this much, so that a single pause of a backend
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -500,6 +500,7 @@
       Deaths.onEnd(Attempt.Server, Attempt.Id);
       Scheduler.retries().onSuccess(Active.Request.Kind->Rank);
       Quarantine.clear(Active.Fingerprint);
+      reportEvidence(Active, Scheduler);
       return;
     }
     bool Cut = End.Failure->Kind == error_kind::BackendCut;
