Measure detection, false ejections, floods and control state in simulated time

The experiments run the daemons' own traffic thread before simulated backend servers; endiverail-load experiment prints tables, JSON and plots. Found on the way and mended: trials of a doubted server used up the retry budget at low rates, so callers met its wrong answers (seen under the thread sanitizer); a trial now needs a retry that is left. A request without time left is told not-run at once, and a peer gets nine tenths of the time that is left, so that its own answer comes before the forwarder's time-out.

--- a/src/libs/process/attempt_fields.h
+++ b/src/libs/process/attempt_fields.h
@@ -30,7 +30,8 @@
                                        attempt_id Id, milliseconds Left);
 
 /// Fields for a peer: the caller's and what places the request there. The key
-/// goes along only while this proxy does not hold it itself.
+/// goes along only while this proxy does not hold it itself. The peer should
+/// have less time than this proxy, so that its answer comes before the end.
 std::vector<header_field> peerFields(const attempt_sender &Sender,
                                      const active_request &Active,
                                      milliseconds Left);
--- a/src/libs/process/service_scheduler.cpp
+++ b/src/libs/process/service_scheduler.cpp
@@ -179,8 +179,10 @@
     bool Avoided =
         std::ranges::find(Request.Avoid, Server.Address) != Request.Avoid.end();
     bool Trial = Server.Ejected || Server.Evidence.suspected();
-    // A trial risks the request, so it goes to one that can be repeated.
-    bool TrialFits = Request.Idempotent && !Avoided && Request.Avoid.empty();
+    // A trial risks the request, so it goes to one that can be repeated and
+    // for which a retry is left.
+    bool TrialFits = Request.Idempotent && !Avoided && Request.Avoid.empty() &&
+                     Retries.available(Request.Rank);
     if (Server.Ejected && !TrialFits)
       continue;
     double Cost =
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -242,6 +242,9 @@
     if (!Version || !Version->Ready)
       return endiverail::fail(error_kind::NotReady,
                               "the configuration or the hosts are not known");
+    if (Now >= Request.Deadline)
+      return endiverail::fail(error_kind::DeadlineBeforeRun,
+                              "no time was left for the request");
     Active.Fingerprint =
         fingerprintOf(Request.Service->Definition.Name, Request.Kind->Name,
                       Request.Target, Request.Body);
@@ -427,7 +430,7 @@
     auto Left =
         std::chrono::duration_cast<milliseconds>(Request.Deadline - Now);
     std::vector<header_field> Headers =
-        ToPeer ? peerFields(sender(), Active, Left)
+        ToPeer ? peerFields(sender(), Active, Left * 9 / 10)
                : serverFields(sender(), Request, Id, Left);
     if (!ToPeer) {
       ServiceOfServer[Server] = Request.Service->Definition.Name;
--- a/src/tools/endiverail-load/main.cpp
+++ b/src/tools/endiverail-load/main.cpp
@@ -1,3 +1,4 @@
+#include "experiment/experiments.h"
 #include "load/deployment.h"
 #include "load/load_run.h"
 #include "program/program.h"
@@ -14,6 +15,11 @@
 DEFINE_uint64(daemons, 6, "deployment: how many daemons");
 DEFINE_uint32(first_port, 20'000, "deployment: first port on loopback");
 DEFINE_uint64(rate, 300, "deployment: requests a second of its plan");
+DEFINE_uint64(seed, 1, "experiment: seed of the random numbers");
+DEFINE_uint64(runs, 100, "experiment detection: runs of each case");
+DEFINE_double(server_hours, 100, "experiment false-ejections: length");
+DEFINE_string(plot, "", "experiment: also write a bar chart (SVG)");
+DEFINE_uint64(plot_column, 0, "experiment: which column to plot");
 DEFINE_uint64(seconds, 8, "deployment: length of its plan");
 
 namespace {
@@ -24,6 +30,9 @@
     "answer\n"
     "                        and prints a table by rank; exit code 1 when an\n"
     "                        answer was wrong or a request ran twice\n"
+    "  experiment NAME       prints a measurement: detection, "
+    "false-ejections,\n"
+    "                        flood or capacity\n"
     "  deployment NAME DIR   writes all files to run a deployment on "
     "loopback;\n"
     "                        NAME is zbytky or vezilica";
@@ -50,7 +59,28 @@
   return exit_code::Success;
 }
 
+result<exit_code> runExperiment(const std::string &Name) {
+  experiment_table Table;
+  if (Name == "detection")
+    Table = detectionExperiment(FLAGS_seed, FLAGS_runs);
+  else if (Name == "false-ejections")
+    Table = falseEjectionExperiment(FLAGS_seed, FLAGS_server_hours);
+  else if (Name == "flood")
+    Table = floodExperiment(FLAGS_seed);
+  else if (Name == "capacity")
+    Table = capacityExperiment();
+  else
+    return fail(error_kind::BadSettings,
+                "no experiment is called \"" + Name + "\"");
+  std::cout << (FLAGS_json ? Table.json() : Table.text());
+  if (!FLAGS_plot.empty())
+    std::ofstream(FLAGS_plot) << Table.svg(FLAGS_plot_column);
+  return exit_code::Success;
+}
+
 result<exit_code> run(const std::vector<std::string> &Words) {
+  if (Words.size() == 2 && Words[0] == "experiment")
+    return runExperiment(Words[1]);
   if (Words.size() == 2 && Words[0] == "run")
     return runPlan(Words[1]);
   if (Words.size() == 3 && Words[0] == "deployment")
