Serve the newest first while all who wait would be late

Cause: under a flood the queue of the flooded rank stood at its limit, so each answer came after about 280 ms of waiting and most missed the target of 300 ms, although the slots were all in use. Change: while an organisation's oldest request has waited for half of its target, its newest one goes first, and a full queue drops the one that would be served last.

--- a/src/libs/experiment/capacity_experiment.cpp
+++ b/src/libs/experiment/capacity_experiment.cpp
@@ -183,7 +183,7 @@
       waiting_request Request;
       Request.Id = Index + 1;
       Request.Organisation = "organisation-" + std::to_string(Index);
-      Queue.push(std::move(Request));
+      Queue.push(std::move(Request), {});
     }
   });
   auto Count = static_cast<double>(Organisations);
--- a/src/libs/process/rank_queue.cpp
+++ b/src/libs/process/rank_queue.cpp
@@ -20,7 +20,13 @@
   });
 }
 
-std::optional<waiting_request> rank_queue::push(waiting_request Request) {
+bool rank_queue::organisation_queue::newestFirst(steady_time Now) const {
+  const waiting_request &Oldest = Requests.front();
+  return Now - Oldest.Arrived > Oldest.Target / 2;
+}
+
+std::optional<waiting_request> rank_queue::push(waiting_request Request,
+                                                steady_time Now) {
   queueOf(Request.Organisation).Requests.push_back(std::move(Request));
   if (++Count <= Limit)
     return std::nullopt;
@@ -28,8 +34,14 @@
       std::ranges::max_element(Turns, {}, [](const organisation_queue &Queue) {
         return Queue.Requests.size();
       });
-  waiting_request Dropped = std::move(Longest->Requests.back());
-  Longest->Requests.pop_back();
+  bool DropOldest = Longest->newestFirst(Now);
+  std::deque<waiting_request> &Requests = Longest->Requests;
+  waiting_request Dropped =
+      std::move(DropOldest ? Requests.front() : Requests.back());
+  if (DropOldest)
+    Requests.pop_front();
+  else
+    Requests.pop_back();
   --Count;
   dropEmpty();
   return Dropped;
@@ -40,15 +52,23 @@
   ++Count;
 }
 
-const waiting_request *rank_queue::front() const {
-  return Turns.empty() ? nullptr : &Turns.front().Requests.front();
+const waiting_request *rank_queue::front(steady_time Now) const {
+  if (Turns.empty())
+    return nullptr;
+  const organisation_queue &Turn = Turns.front();
+  return Turn.newestFirst(Now) ? &Turn.Requests.back() : &Turn.Requests.front();
 }
 
-waiting_request rank_queue::pop() {
+waiting_request rank_queue::pop(steady_time Now) {
   organisation_queue Turn = std::move(Turns.front());
   Turns.pop_front();
-  waiting_request Request = std::move(Turn.Requests.front());
-  Turn.Requests.pop_front();
+  bool Newest = Turn.newestFirst(Now);
+  waiting_request Request =
+      std::move(Newest ? Turn.Requests.back() : Turn.Requests.front());
+  if (Newest)
+    Turn.Requests.pop_back();
+  else
+    Turn.Requests.pop_front();
   --Count;
   if (!Turn.Requests.empty())
     Turns.push_back(std::move(Turn));
--- a/src/libs/process/rank_queue.h
+++ b/src/libs/process/rank_queue.h
@@ -17,6 +17,9 @@
   bool Bulk = false;
   bool Idempotent = false;
   std::string Organisation;
+  steady_time Arrived;
+  /// When an answer counts as in time, from the arrival on.
+  milliseconds Target{0};
   steady_time Deadline;
   /// Time that an answer usually takes.
   milliseconds UsualTime{0};
@@ -25,23 +28,26 @@
 };
 
 /// Requests of one rank, served in turn by organisation, so that a flood from
-/// one organisation delays that organisation first.
+/// one organisation delays that organisation first. While an organisation's
+/// oldest request has waited for half of its target, its newest one goes first:
+/// with first come first served, all of them would be late.
 class rank_queue {
 public:
   explicit rank_queue(std::size_t Limit) : Limit(Limit) {}
 
-  /// Adds a request. When the queue is full, the newest request of the
-  /// organisation with the most waiting ones leaves and is returned.
-  std::optional<waiting_request> push(waiting_request Request);
+  /// Adds a request. When the queue is full, the request of the organisation
+  /// with the most waiting ones that would be served last leaves and is
+  /// returned.
+  std::optional<waiting_request> push(waiting_request Request, steady_time Now);
 
   /// Puts back a request that has waited its turn already.
   void pushFront(waiting_request Request);
 
   /// The request whose turn it is, or nullptr.
-  const waiting_request *front() const;
+  const waiting_request *front(steady_time Now) const;
 
   /// Takes the request whose turn it is; the queue is not empty.
-  waiting_request pop();
+  waiting_request pop(steady_time Now);
 
   /// Removes the request; false when it does not wait here.
   bool remove(request_id Id);
@@ -57,6 +63,8 @@
   struct organisation_queue {
     std::string Organisation;
     std::deque<waiting_request> Requests;
+
+    bool newestFirst(steady_time Now) const;
   };
 
   organisation_queue &queueOf(const std::string &Organisation);
--- a/src/libs/process/service_scheduler.cpp
+++ b/src/libs/process/service_scheduler.cpp
@@ -89,8 +89,9 @@
   });
 }
 
-std::optional<request_id> service_scheduler::submit(waiting_request Request) {
-  auto Dropped = Queues[rankIndex(Request.Rank)].push(std::move(Request));
+std::optional<request_id> service_scheduler::submit(waiting_request Request,
+                                                    steady_time Now) {
+  auto Dropped = Queues[rankIndex(Request.Rank)].push(std::move(Request), Now);
   return Dropped ? std::optional(Dropped->Id) : std::nullopt;
 }
 
@@ -104,8 +105,8 @@
   return std::ceil(static_cast<double>(capacity()) * Share);
 }
 
-bool service_scheduler::mayStart(rank Rank) const {
-  const waiting_request *Front = Queues[rankIndex(Rank)].front();
+bool service_scheduler::mayStart(rank Rank, steady_time Now) const {
+  const waiting_request *Front = Queues[rankIndex(Rank)].front(Now);
   if (!Front)
     return false;
   if (!Front->Bulk)
@@ -125,9 +126,9 @@
   return static_cast<double>(InUseByRank[rankIndex(Rank)]) < Open;
 }
 
-std::optional<rank> service_scheduler::chooseRank() const {
-  auto Ready =
-      AllRanks | std::views::filter([&](rank Rank) { return mayStart(Rank); });
+std::optional<rank> service_scheduler::chooseRank(steady_time Now) const {
+  auto Ready = AllRanks | std::views::filter(
+                              [&](rank Rank) { return mayStart(Rank, Now); });
   auto BelowShare = std::ranges::find_if(Ready, [&](rank Rank) {
     return static_cast<double>(InUseByRank[rankIndex(Rank)]) <
            guaranteedSlots(Rank);
@@ -202,14 +203,14 @@
 
 std::optional<slot_assignment> service_scheduler::next(steady_time Now) {
   endEjections(Now);
-  auto Rank = chooseRank();
+  auto Rank = chooseRank(Now);
   if (!Rank)
     return std::nullopt;
   rank_queue &Queue = Queues[rankIndex(*Rank)];
-  server_slot *Server = chooseServer(*Queue.front(), Now);
+  server_slot *Server = chooseServer(*Queue.front(Now), Now);
   if (!Server)
     return std::nullopt;
-  waiting_request Request = Queue.pop();
+  waiting_request Request = Queue.pop(Now);
   if (Server->Ejected || Server->Evidence.suspected())
     Server->NextTrial = Now + (Server->Ejected ? trialPause(Server->Ejections)
                                                : milliseconds(100));
--- a/src/libs/process/service_scheduler.h
+++ b/src/libs/process/service_scheduler.h
@@ -62,7 +62,7 @@
 
   /// Lets a request wait. Returns the request that has to leave for it, which
   /// may be the same one.
-  std::optional<request_id> submit(waiting_request Request);
+  std::optional<request_id> submit(waiting_request Request, steady_time Now);
 
   /// Lets a request wait again after a failed attempt.
   void resubmit(waiting_request Request);
@@ -136,8 +136,8 @@
   server_standing standing(const server_slot &Server) const;
   bool hasFreeSlot(const server_slot &Server, steady_time Now) const;
   server_slot *chooseServer(const waiting_request &Request, steady_time Now);
-  std::optional<rank> chooseRank() const;
-  bool mayStart(rank Rank) const;
+  std::optional<rank> chooseRank(steady_time Now) const;
+  bool mayStart(rank Rank, steady_time Now) const;
   double guaranteedSlots(rank Rank) const;
   void grow(server_slot &Server);
   void takeBack(server_slot &Server);
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -327,7 +327,7 @@
     if (!State.Scheduler.hasServers())
       return endiverail::fail(error_kind::NoBackendServer,
                               "no backend server of the pool is there");
-    auto Dropped = State.Scheduler.submit(waiting(Active, State));
+    auto Dropped = State.Scheduler.submit(waiting(Active, State), Now);
     if (Dropped)
       answerError(Requests.at(*Dropped), error_kind::QueueFull,
                   "too much of this rank waits", Now);
@@ -358,6 +358,8 @@
             Request.Kind->Bulk,
             Request.Kind->Idempotent,
             Request.Organisation,
+            Request.Arrived,
+            Request.Kind->Target,
             Request.Deadline,
             State.times(*Request.Kind).usual(),
             Active.Failed};
--- a/tests/auto/process/tst_rank_queue.cpp
+++ b/tests/auto/process/tst_rank_queue.cpp
@@ -16,6 +16,8 @@
   waiting_request Request;
   Request.Id = Id;
   Request.Organisation = Organisation;
+  Request.Arrived = Now;
+  Request.Target = 300ms;
   Request.Deadline = Deadline;
   Request.UsualTime = 20ms;
   return Request;
@@ -26,40 +28,54 @@
 TEST_CASE("organisations take turns") {
   rank_queue Queue(100);
   for (request_id Id = 1; Id <= 4; ++Id)
-    Queue.push(requestOf(Id, "flood"));
-  Queue.push(requestOf(5, "other"));
+    Queue.push(requestOf(Id, "flood"), Now);
+  Queue.push(requestOf(5, "other"), Now);
   std::vector<request_id> Order;
   while (!Queue.empty())
-    Order.push_back(Queue.pop().Id);
+    Order.push_back(Queue.pop(Now).Id);
   CHECK(Order == std::vector<request_id>{1, 5, 2, 3, 4});
 }
 
 TEST_CASE("a full queue drops the flood's newest request") {
   rank_queue Queue(3);
   for (request_id Id = 1; Id <= 3; ++Id)
-    CHECK_FALSE(Queue.push(requestOf(Id, "flood")));
-  auto Dropped = Queue.push(requestOf(4, "other"));
+    CHECK_FALSE(Queue.push(requestOf(Id, "flood"), Now));
+  auto Dropped = Queue.push(requestOf(4, "other"), Now);
   REQUIRE(Dropped);
   CHECK(Dropped->Id == 3);
   CHECK(Queue.size() == 3);
 }
 
+TEST_CASE("when all would be late, the newest goes first and the oldest "
+          "leaves") {
+  rank_queue Queue(3);
+  for (request_id Id = 1; Id <= 3; ++Id)
+    Queue.push(requestOf(Id, "a"), Now);
+  CHECK(Queue.front(Now + 150ms)->Id == 1);
+  steady_time Late = Now + 151ms;
+  CHECK(Queue.front(Late)->Id == 3);
+  waiting_request Newest = requestOf(4, "a");
+  Newest.Arrived = Late;
+  CHECK(Queue.push(Newest, Late)->Id == 1);
+  CHECK(Queue.pop(Late).Id == 4);
+}
+
 TEST_CASE("requests that can't be answered in time are taken out") {
   rank_queue Queue(10);
-  Queue.push(requestOf(1, "a", Now + 100ms));
-  Queue.push(requestOf(2, "a", Now + 10ms));
-  Queue.push(requestOf(3, "b", Now - 1ms));
+  Queue.push(requestOf(1, "a", Now + 100ms), Now);
+  Queue.push(requestOf(2, "a", Now + 10ms), Now);
+  Queue.push(requestOf(3, "b", Now - 1ms), Now);
   auto Expired = Queue.takeExpired(Now);
   CHECK(Expired.size() == 2);
   CHECK(Queue.size() == 1);
-  CHECK(Queue.front()->Id == 1);
+  CHECK(Queue.front(Now)->Id == 1);
 }
 
 TEST_CASE("a removed request is gone") {
   rank_queue Queue(10);
-  Queue.push(requestOf(1, "a"));
+  Queue.push(requestOf(1, "a"), Now);
   CHECK(Queue.remove(1));
   CHECK_FALSE(Queue.remove(1));
   CHECK(Queue.empty());
-  CHECK(Queue.front() == nullptr);
+  CHECK(Queue.front(Now) == nullptr);
 }
--- a/tests/auto/process/tst_service_scheduler.cpp
+++ b/tests/auto/process/tst_service_scheduler.cpp
@@ -36,9 +36,11 @@
     Request.Rank = Rank;
     Request.Bulk = Bulk;
     Request.Idempotent = Idempotent;
+    Request.Arrived = Now;
+    Request.Target = 1s;
     Request.Deadline = Now + 10s;
     RankOf[Request.Id] = Rank;
-    Scheduler.submit(Request);
+    Scheduler.submit(Request, Now);
     return Request.Id;
   }
 
