Let only a key's issuer say that it was not run, and blame nobody for a slow pool

Reading the path showed worse: with the issuer unreachable, a proxy that owns the servers would have run the request itself. Change: whoever does not hold the key answers unknown and runs nothing; the load no longer takes a refused connection for a word about an earlier sending. Change: the share of bad signals of the last 0.3 s counts too, and above a half nobody is blamed.

--- a/src/libs/daemon/proxy_daemon.cpp
+++ b/src/libs/daemon/proxy_daemon.cpp
@@ -132,7 +132,14 @@
 private:
   static constexpr request_owner NoTrafficThread = SIZE_MAX;
 
+  static answer_head unknownHead(error_kind Kind) {
+    answer_head Head = errorHead(Kind);
+    Head.Outcome = outcome::Unknown;
+    return Head;
+  }
+
   request_owner run(const caller_ticket &Ticket, received_request Request) {
+    bool Keyed = !findHeader(Request.Frame.Fields, "Endiverail-Key").empty();
     return handleFailure(
         [&]() -> result<request_owner> {
           auto Version = Versions.load();
@@ -146,7 +153,12 @@
           return Owner;
         },
         [&](const failure &Failure) {
-          postError(Answers, Ticket, Failure.Kind, Failure.Detail);
+          // Another proxy may have run a request with this key.
+          if (Keyed)
+            postWhole(Answers, Ticket, unknownHead(Failure.Kind),
+                      Failure.Detail + "\n");
+          else
+            postError(Answers, Ticket, Failure.Kind, Failure.Detail);
           return NoTrafficThread;
         });
   }
--- a/src/libs/load/load_run.cpp
+++ b/src/libs/load/load_run.cpp
@@ -45,6 +45,8 @@
   endpoint_text Address;
   bool Direct = false;
   std::size_t Sends = 0;
+  /// An earlier sending was told "unknown".
+  bool MayHaveRun = false;
   steady_time First;
   int Status = 0;
   outcome Outcome = outcome::Unknown;
@@ -289,6 +291,7 @@
     load_row &Row = rowOf(Request);
     if (!Request.Error.empty())
       ++Row.Errors[Request.Error];
+    Request.MayHaveRun |= Request.Outcome == outcome::Unknown;
     if (!Work.Idempotent)
       NonIdempotent[Request.Id] = {Work.Rank, Request.Outcome};
     bool SendAgain = Request.Outcome != outcome::Done && !Request.Key.empty() &&
--- a/src/libs/process/server_evidence.cpp
+++ b/src/libs/process/server_evidence.cpp
@@ -6,8 +6,6 @@
 namespace endiverail {
 namespace {
 
-constexpr double RateHalfLifeSeconds = 10;
-
 double seconds(steady_time::duration Time) {
   return std::chrono::duration<double>(Time).count();
 }
@@ -15,7 +13,7 @@
 } // namespace
 
 double failure_rate::decay(steady_time Now) const {
-  return std::exp2(-std::max(0.0, seconds(Now - Last)) / RateHalfLifeSeconds);
+  return std::exp2(-std::max(0.0, seconds(Now - Last)) / seconds(HalfLife));
 }
 
 void failure_rate::observe(bool IsBad, steady_time Now) {
@@ -35,6 +33,7 @@
     return;
   bool Bad = Signal != attempt_signal::Good;
   Rate.observe(Bad, Now);
+  RecentRate.observe(Bad, Now);
   if (Now - PeriodStart >= Period) {
     PeriodStart = Now;
     PeriodGains.fill(0);
@@ -44,6 +43,9 @@
     double Alternative = Baseline + (1 - Baseline) * Alternatives[Test];
     double Gain = Bad ? std::log(Alternative / Baseline)
                       : std::log((1 - Alternative) / (1 - Baseline));
+    // Where most of the pool fails, the cause lies with none of its servers.
+    if (Bad && Baseline > PoolTrouble)
+      Gain = 0;
     Gain = std::min(Gain, MostPerPeriod - PeriodGains[Test]);
     PeriodGains[Test] += std::max(0.0, Gain);
     // The cap keeps a long failure from delaying the return without bound.
--- a/src/libs/process/server_evidence.h
+++ b/src/libs/process/server_evidence.h
@@ -22,6 +22,8 @@
 /// Recent share of bad signals, decaying with time.
 class failure_rate {
 public:
+  explicit failure_rate(milliseconds HalfLife) : HalfLife(HalfLife) {}
+
   void observe(bool Bad, steady_time Now);
   /// Weight of the observations that are still remembered.
   double total(steady_time Now) const;
@@ -29,6 +31,7 @@
 
 private:
   double decay(steady_time Now) const;
+  milliseconds HalfLife;
   double Total = 0;
   double Bad = 0;
   steady_time Last;
@@ -53,7 +56,10 @@
   /// Enough evidence to eject.
   bool condemned() const { return suspicion() >= 1; }
 
+  /// Bad signals of the last half minute or so.
   const failure_rate &rate() const { return Rate; }
+  /// Bad signals of the last seconds: shows at once when a whole pool fails.
+  const failure_rate &recentRate() const { return RecentRate; }
 
   /// Forgets the evidence, as after a return.
   void clear();
@@ -66,13 +72,17 @@
   /// server, which hits all its requests at once, ejects nobody.
   static constexpr double MostPerPeriod = 8;
   static constexpr milliseconds Period{200};
+  /// Share of bad signals in the rest of the pool from which on nobody is
+  /// blamed.
+  static constexpr double PoolTrouble = 0.5;
   /// Failure shares, above the baseline, of the two alternatives.
   static constexpr std::array<double, 2> Alternatives{0.9, 0.25};
 
   std::array<double, 2> Sums{};
   std::array<double, 2> PeriodGains{};
   steady_time PeriodStart;
-  failure_rate Rate;
+  failure_rate Rate{milliseconds(10'000)};
+  failure_rate RecentRate{milliseconds(300)};
 };
 
 } // namespace endiverail
--- a/src/libs/process/service_scheduler.cpp
+++ b/src/libs/process/service_scheduler.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <numeric>
 #include <ranges>
 #include <utility>
@@ -22,7 +23,8 @@
 /// Share of bad signals that a healthy pool shows now and then.
 constexpr double LeastBaseline = 0.01;
 constexpr double BaselinePriorWeight = 100;
-constexpr double MostBaseline = 0.7;
+constexpr double RecentPriorWeight = 2;
+constexpr double MostBaseline = 0.97;
 
 milliseconds trialPause(std::size_t Ejections) {
   auto Doublings = std::min<std::size_t>(Ejections, 6);
@@ -238,15 +240,23 @@
 
 double service_scheduler::baselineFor(const server_slot &Server,
                                       steady_time Now) const {
-  double Bad = LeastBaseline * BaselinePriorWeight;
-  double Total = BaselinePriorWeight;
-  for (const server_slot &Other : Servers) {
-    if (&Other == &Server)
-      continue;
-    Bad += Other.Evidence.rate().bad(Now);
-    Total += Other.Evidence.rate().total(Now);
-  }
-  return std::clamp(Bad / Total, LeastBaseline, MostBaseline);
+  auto ShareOfOthers = [&](auto RateOf, double PriorWeight) {
+    double Bad = LeastBaseline * PriorWeight;
+    double Total = PriorWeight;
+    for (const server_slot &Other : Servers) {
+      if (&Other == &Server)
+        continue;
+      Bad += RateOf(Other.Evidence).bad(Now);
+      Total += RateOf(Other.Evidence).total(Now);
+    }
+    return Bad / Total;
+  };
+  // A pool that fails as a whole shows in the last seconds first.
+  double Share = std::max(
+      ShareOfOthers(std::mem_fn(&server_evidence::rate), BaselinePriorWeight),
+      ShareOfOthers(std::mem_fn(&server_evidence::recentRate),
+                    RecentPriorWeight));
+  return std::clamp(Share, LeastBaseline, MostBaseline);
 }
 
 void service_scheduler::observe(std::string_view Address, attempt_signal Signal,
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -264,9 +264,12 @@
   result<bool> admitKey(active_request &Active, steady_time Now) {
     const caller_request &Request = Active.Request;
     auto Key = fleet_key::parse(Request.Key, Settings.FleetSecret);
-    if (!Key)
+    if (!Key) {
+      // No proxy can have run it under a key that is none.
+      Active.Request.Key.clear();
       return endiverail::fail(error_kind::BadRequest,
                               "the fleet did not issue this key");
+    }
     bool Issued = Key->ProxyId == Version->SelfId &&
                   Key->Incarnation == Version->SelfIncarnation;
     if (!Issued)
@@ -577,6 +580,10 @@
 
   void fail(active_request &Active, const running_attempt &Attempt,
             attempt_failure Failure, steady_time Now) {
+    // Only the issuer of a key may run its request or tell of it.
+    if (Attempt.ToPeer && isKeyOfAnother(Active))
+      return answerError(Active, error_kind::KeyExpired,
+                         "the proxy that issued the key does not answer", Now);
     // What a peer has not taken was run by nobody.
     if (Attempt.ToPeer && !Failure.ProvenNotRun)
       Failure.Kind = error_kind::PeerLost;
@@ -633,6 +640,9 @@
     // A retry that never started does not undo what an earlier attempt did.
     if (Active.MayHaveRun && errorAnswer(Kind).Outcome == outcome::NotRun)
       Kind = error_kind::BackendCut;
+    answer_head Head = errorHead(Kind);
+    if (isKeyOfAnother(Active))
+      Head.Outcome = outcome::Unknown;
     std::string Body(errorAnswer(Kind).Name);
     Body.append(": ").append(Detail).push_back('\n');
     if (Active.HoldsKey) {
@@ -641,10 +651,17 @@
       else
         rememberOutcome(Active, errorHead(Kind), Body, Now);
     }
-    answerWhole(Active, errorHead(Kind), std::move(Body),
+    answerWhole(Active, std::move(Head), std::move(Body),
                 errorAnswer(Kind).Name, Now);
   }
 
+  /// Whether the request has a key that this thread does not hold: an earlier
+  /// sending may have run, so nothing here can tell that it has not.
+  static bool isKeyOfAnother(const active_request &Active) {
+    return !Active.Request.Kind->Idempotent && !Active.Request.Key.empty() &&
+           !Active.HoldsKey;
+  }
+
   void rememberOutcome(const active_request &Active, answer_head Head,
                        std::string Body, steady_time Now) {
     Keys.finish(keyOf(Active.Request), {std::move(Head), std::move(Body)}, Now);
--- a/tests/auto/process/tst_service_scheduler.cpp
+++ b/tests/auto/process/tst_service_scheduler.cpp
@@ -183,6 +183,21 @@
   CHECK(PauseOf() == First);
 }
 
+TEST_CASE_METHOD(scheduler_fixture,
+                 "a pool that slows as a whole loses nobody") {
+  configure(10);
+  auto ObserveAll = [&](attempt_signal Signal, milliseconds Time) {
+    for (milliseconds Passed = 0ms; Passed < Time; Passed += 100ms) {
+      Now += 100ms;
+      for (const backend_server &Server : Servers)
+        Scheduler.observe(Server.Address, Signal, Now);
+      CHECK(Scheduler.condemned().empty());
+    }
+  };
+  ObserveAll(attempt_signal::Good, 60s);
+  ObserveAll(attempt_signal::Slow, 10s);
+}
+
 TEST_CASE_METHOD(scheduler_fixture, "a leaving server gets nothing new") {
   SECTION("by its own word") { Scheduler.markLeaving("a", Now); }
   SECTION("by the host list") {
--- a/tests/auto/process/tst_traffic_thread.cpp
+++ b/tests/auto/process/tst_traffic_thread.cpp
@@ -182,6 +182,30 @@
   }
 }
 
+TEST_CASE_METHOD(traffic_fixture,
+                 "a key whose issuer is not reached runs nowhere else") {
+  // This proxy owns the servers and could run the work itself.
+  for (bool ProvenNotSent : {true, false}) {
+    traffic_fixture Fixture;
+    auto Caller = Fixture.send("POST", "/s/1", key("other", 8));
+    Fixture.transport().fail(onlyAttempt(Fixture).Id,
+                             error_kind::BackendUnreachable, ProvenNotSent);
+    CHECK(Fixture.attempts().empty());
+    CHECK(Fixture.outcomeOf(Caller) == outcome::Unknown);
+  }
+}
+
+TEST_CASE_METHOD(traffic_fixture,
+                 "only the issuer of a key says that it was not run") {
+  request_fingerprint Killer = fingerprintOf("s", "write", "/s/killer", "");
+  tell(server_death{"s", Killer, "x"});
+  tell(server_death{"s", Killer, "y"});
+  auto Plain = send("POST", "/s/killer");
+  CHECK(outcomeOf(Plain) == outcome::NotRun);
+  auto Keyed = send("POST", "/s/killer", key("other", 8));
+  CHECK(outcomeOf(Keyed) == outcome::Unknown);
+}
+
 TEST_CASE_METHOD(traffic_fixture,
                  "an issuer that owns nothing forwards the bare work") {
   publish("other", 3);
