Pass the linter over headers as well

Cause: the linter's header filter used a look-ahead that its regular expressions do not know, so headers were never looked at.

--- a/src/libs/daemon/control_thread.h
+++ b/src/libs/daemon/control_thread.h
@@ -101,7 +101,7 @@
 
   // The transport reports here.
 
-  std::optional<error_kind> onHead(attempt_id Id, backend_head Head) {
+  std::optional<error_kind> onHead(attempt_id Id, const backend_head &Head) {
     Calls.at(Id).Status = Head.Status;
     return std::nullopt;
   }
@@ -285,11 +285,11 @@
 
   template <typename Purpose>
   void call(Purpose For, const endpoint_text &Server, std::string_view Method,
-            std::string_view Target, std::string Body) {
+            std::string_view Target, std::string_view Body) {
     attempt_id Id = NextCall++;
     outgoing_call &Call = Calls[Id];
     Call.Purpose = std::move(For);
-    Call.Body = std::move(Body);
+    Call.Body = Body;
     BytesSent += Call.Body.size();
     // Nothing here may run twice by the library's own resending but reads.
     connection_choice Connection =
--- a/src/libs/experiment/flood_experiment.cpp
+++ b/src/libs/experiment/flood_experiment.cpp
@@ -104,6 +104,7 @@
                                0.15 * CapacityPerSecond,
                                0.05 * CapacityPerSecond};
   std::vector<std::unique_ptr<rank_source>> Sources;
+  Sources.reserve(RankCount);
   for (rank Rank : AllRanks)
     Sources.push_back(
         std::make_unique<rank_source>(Pool, Rank, Usual[rankIndex(Rank)]));
--- a/src/libs/experiment/simulated_pool.h
+++ b/src/libs/experiment/simulated_pool.h
@@ -96,7 +96,7 @@
 private:
   struct answer_route {
     simulated_pool &Pool;
-    void post(answer_message Message) { Pool.onAnswerPart(Message); }
+    void post(const answer_message &Message) { Pool.onAnswerPart(Message); }
   };
   struct notice_route {
     simulated_pool &Pool;
--- a/src/libs/process/answer_times.h
+++ b/src/libs/process/answer_times.h
@@ -15,7 +15,7 @@
 public:
   /// \p Target stands in until enough answers were seen.
   explicit answer_times(milliseconds Target)
-      : Target(Target), Usual(Target / 4), Patience(Target) {}
+      : Usual(Target / 4), Patience(Target) {}
 
   void add(microseconds Time, steady_time Now);
 
@@ -38,7 +38,6 @@
 
   static quantile makeQuantile(double Probability);
 
-  milliseconds Target;
   milliseconds Usual;
   milliseconds Patience;
   steady_time WindowStart;
--- a/src/libs/process/service_scheduler.cpp
+++ b/src/libs/process/service_scheduler.cpp
@@ -93,12 +93,14 @@
 
 std::optional<request_id> service_scheduler::submit(waiting_request Request,
                                                     steady_time Now) {
-  auto Dropped = Queues[rankIndex(Request.Rank)].push(std::move(Request), Now);
+  rank_queue &Queue = Queues[rankIndex(Request.Rank)];
+  auto Dropped = Queue.push(std::move(Request), Now);
   return Dropped ? std::optional(Dropped->Id) : std::nullopt;
 }
 
 void service_scheduler::resubmit(waiting_request Request) {
-  Queues[rankIndex(Request.Rank)].pushFront(std::move(Request));
+  rank_queue &Queue = Queues[rankIndex(Request.Rank)];
+  Queue.pushFront(std::move(Request));
 }
 
 double service_scheduler::guaranteedSlots(rank Rank) const {
@@ -384,6 +386,7 @@
 
 std::vector<server_status> service_scheduler::status() const {
   std::vector<server_status> Rows;
+  Rows.reserve(Servers.size());
   for (const server_slot &Server : Servers)
     Rows.push_back({Server.Address, standing(Server), Server.InUse,
                     Server.Limit, Server.Evidence.suspicion()});
