--- a/src/libs/standin/standin_process.cpp
+++ b/src/libs/standin/standin_process.cpp
@@ -101,7 +101,7 @@
 public:
   standin_thread(poller Poller, standin_mailbox &Inbox,
                  const scenario &Scenario)
-      : Poller(std::move(Poller)), Inbox(Inbox), Scenario(Scenario),
+      : Poller(std::move(Poller)), Inbox(Inbox),
         Log(Scenario.RetentionMilliseconds), Start(steadyNow()) {
     this->Poller.watch(Inbox.descriptor(), true, false);
     Hosts.Revision = 1;
@@ -199,7 +199,7 @@
     Answer.HoldsSlot = Decision.HoldsSlot;
     bool Runs = Decision.HoldsSlot || Kills;
     if (Runs && Frame.Method == "POST")
-      ++Runs_[Answer.RequestId];
+      ++RunCounts[Answer.RequestId];
     Answers.insert_or_assign(Arrival.Ticket.Connection, Answer);
     caller_ticket Ticket = Arrival.Ticket;
     Timers.emplace(steadyNow() + Decision.After,
@@ -349,8 +349,8 @@
     nlohmann::json Counts = nlohmann::json::object();
     if (Ids.is_array())
       for (const nlohmann::json &Id : Ids)
-        if (auto Found = Runs_.find(Id.get<std::string>());
-            Found != Runs_.end())
+        if (auto Found = RunCounts.find(Id.get<std::string>());
+            Found != RunCounts.end())
           Counts[Found->first] = Found->second;
     answer(Arrival.Ticket, 200, Counts.dump());
   }
@@ -402,7 +402,6 @@
 
   poller Poller;
   standin_mailbox &Inbox;
-  const scenario &Scenario;
   log_model Log;
   log_fault LogFault = log_fault::None;
   steady_time Start;
@@ -411,7 +410,7 @@
   bool HostsFrozen = false;
   std::vector<backend_model> Servers;
   answer_map Answers;
-  std::unordered_map<std::string, std::size_t> Runs_;
+  std::unordered_map<std::string, std::size_t> RunCounts;
   std::multimap<steady_time, std::function<void()>> Timers;
   std::vector<std::unique_ptr<door_front>> *Fronts = nullptr;
   door_front *Platform = nullptr;
