--- a/src/libs/load/load_plan.cpp
+++ b/src/libs/load/load_plan.cpp
@@ -52,17 +52,7 @@
 
 result<load_plan> readLoadPlan(std::string_view FileName,
                                std::string_view Text) {
-  json_mistakes Mistakes;
-  nlohmann::json Value = parseJson(Text, Mistakes);
-  load_plan Plan;
-  if (Mistakes.empty()) {
-    checked_object File(Value, "", Mistakes);
-    Plan = readFields(File);
-    File.refuseUnknown();
-  }
-  if (!Mistakes.empty())
-    return fail(error_kind::BadSettings, mistakeLines(FileName, Mistakes));
-  return Plan;
+  return readCheckedFile(FileName, Text, error_kind::BadSettings, readFields);
 }
 
 } // namespace endiverail
--- a/src/libs/platform/checked_json.h
+++ b/src/libs/platform/checked_json.h
@@ -10,6 +10,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace endiverail {
@@ -104,4 +105,23 @@
 std::string mistakeLines(std::string_view File,
                          std::span<const json_mistake> Mistakes);
 
+/// Reads a whole file by \p ReadFields, which takes a checked_object. Fails
+/// with \p Kind; the detail has a line for each mistake, unknown fields among
+/// them.
+template <typename Reader>
+auto readCheckedFile(std::string_view FileName, std::string_view Text,
+                     error_kind Kind, Reader &&ReadFields)
+    -> result<decltype(ReadFields(std::declval<checked_object &>()))> {
+  json_mistakes Mistakes;
+  nlohmann::json Value = parseJson(Text, Mistakes);
+  if (Mistakes.empty()) {
+    checked_object File(Value, "", Mistakes);
+    auto Read = ReadFields(File);
+    File.refuseUnknown();
+    if (Mistakes.empty())
+      return Read;
+  }
+  return fail(Kind, mistakeLines(FileName, Mistakes));
+}
+
 } // namespace endiverail
--- a/src/libs/platform/daemon_settings.cpp
+++ b/src/libs/platform/daemon_settings.cpp
@@ -74,17 +74,7 @@
 
 result<daemon_settings> readDaemonSettings(std::string_view FileName,
                                            std::string_view Text) {
-  json_mistakes Mistakes;
-  nlohmann::json Value = parseJson(Text, Mistakes);
-  daemon_settings Settings;
-  if (Mistakes.empty()) {
-    checked_object File(Value, "", Mistakes);
-    Settings = readFields(File);
-    File.refuseUnknown();
-  }
-  if (!Mistakes.empty())
-    return fail(error_kind::BadSettings, mistakeLines(FileName, Mistakes));
-  return Settings;
+  return readCheckedFile(FileName, Text, error_kind::BadSettings, readFields);
 }
 
 std::pair<std::string, std::uint16_t> splitEndpoint(std::string_view Endpoint) {
--- a/src/libs/standin/scenario.cpp
+++ b/src/libs/standin/scenario.cpp
@@ -92,31 +92,12 @@
 
 result<scenario> readScenario(std::string_view FileName,
                               std::string_view Text) {
-  json_mistakes Mistakes;
-  nlohmann::json Value = parseJson(Text, Mistakes);
-  scenario Scenario;
-  if (Mistakes.empty()) {
-    checked_object File(Value, "", Mistakes);
-    Scenario = readFields(File);
-    File.refuseUnknown();
-  }
-  if (!Mistakes.empty())
-    return fail(error_kind::BadSettings, mistakeLines(FileName, Mistakes));
-  return Scenario;
+  return readCheckedFile(FileName, Text, error_kind::BadSettings, readFields);
 }
 
 result<standin_order> readOrder(std::string_view Text) {
-  json_mistakes Mistakes;
-  nlohmann::json Value = parseJson(Text, Mistakes);
-  standin_order Order;
-  if (Mistakes.empty()) {
-    checked_object Object(Value, "", Mistakes);
-    Order = readOrderFields(Object);
-    Object.refuseUnknown();
-  }
-  if (!Mistakes.empty())
-    return fail(error_kind::BadSettings, mistakeLines("order", Mistakes));
-  return Order;
+  return readCheckedFile("order", Text, error_kind::BadSettings,
+                         readOrderFields);
 }
 
 } // namespace endiverail
