Give tests ports that no outgoing connection can take

Ruled out: a daemon that was not stopped (each case stops its own, and a fixed address is never used twice).

Conclusion: the tests' ports no longer depend on chance.

--- a/tests/auto/daemon/fleet_fixture.h
+++ b/tests/auto/daemon/fleet_fixture.h
@@ -7,6 +7,7 @@
 #include "raw_socket.h"
 #include "standin/answer_content.h"
 #include "standin/standin_process.h"
+#include "test_ports.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
--- a/tests/auto/http/tst_curl_transport.cpp
+++ b/tests/auto/http/tst_curl_transport.cpp
@@ -2,6 +2,7 @@
 #include "http/blocking_client.h"
 #include "http/curl_transport.h"
 #include "raw_socket.h"
+#include "test_ports.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/auto/peer/tst_datagram_socket.cpp
+++ b/tests/auto/peer/tst_datagram_socket.cpp
@@ -1,6 +1,7 @@
 #include "failure_check.h"
 #include "peer/datagram_socket.h"
 #include "raw_socket.h"
+#include "test_ports.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/auto/raw_socket.h
+++ b/tests/auto/raw_socket.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
+#include "loopback_address.h"
+
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -22,14 +22,6 @@
 /// Long enough that only a real fault runs into it.
 inline constexpr int PatienceMilliseconds = 20'000;
 
-inline sockaddr_in loopback(std::uint16_t Port) {
-  sockaddr_in Address{};
-  Address.sin_family = AF_INET;
-  Address.sin_port = htons(Port);
-  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  return Address;
-}
-
 /// A plain TCP connection that sends and reads bytes as they are.
 class raw_connection {
 public:
@@ -178,15 +170,4 @@
   std::vector<std::thread> Connections;
 };
 
-/// A port of loopback that nothing uses just now.
-inline std::uint16_t freePort() {
-  int Descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in Address = loopback(0);
-  socklen_t Size = sizeof(Address);
-  bind(Descriptor, reinterpret_cast<sockaddr *>(&Address), Size);
-  getsockname(Descriptor, reinterpret_cast<sockaddr *>(&Address), &Size);
-  close(Descriptor);
-  return ntohs(Address.sin_port);
-}
-
 } // namespace endiverail::test
