Tell news once, so that gossip does not keep them going for ever

Cause: a proxy took a death for new whenever it was not among those that it was telling just then. Once it had told it 24 times it forgot it, and the next peer that still told it brought it back: two proxies kept each other going. Beside it: news beyond eight at once were never told, and a new host did not learn what is quarantined.

Change: recent_set remembers what was heard, gossip_news tells each piece a fixed number of times, all of them. A joining proxy gets the deaths with the members. Taken out of control_state on the way: record_refresh, standing_reports; out of peer_codec: wire_conversion.

--- a/src/libs/peer/gen/peer_types.cpp
+++ b/src/libs/peer/gen/peer_types.cpp
@@ -1838,6 +1838,10 @@
 void PullReply::__set_members(const std::vector<Member> & val) {
   this->members = val;
 }
+
+void PullReply::__set_deaths(const std::vector<Death> & val) {
+  this->deaths = val;
+}
 std::ostream& operator<<(std::ostream& out, const PullReply& obj)
 {
   obj.printTo(out);
@@ -1954,6 +1958,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->deaths.clear();
+            uint32_t _size86;
+            ::apache::thrift::protocol::TType _etype89;
+            xfer += iprot->readListBegin(_etype89, _size86);
+            this->deaths.resize(_size86);
+            uint32_t _i90;
+            for (_i90 = 0; _i90 < _size86; ++_i90)
+            {
+              xfer += this->deaths[_i90].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.deaths = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1974,10 +1998,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<Acceptance> ::const_iterator _iter86;
-    for (_iter86 = this->records.begin(); _iter86 != this->records.end(); ++_iter86)
+    std::vector<Acceptance> ::const_iterator _iter91;
+    for (_iter91 = this->records.begin(); _iter91 != this->records.end(); ++_iter91)
     {
-      xfer += (*_iter86).write(oprot);
+      xfer += (*_iter91).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1990,10 +2014,10 @@
   xfer += oprot->writeFieldBegin("entryHosts", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entryHosts.size()));
-    std::vector<EntryHost> ::const_iterator _iter87;
-    for (_iter87 = this->entryHosts.begin(); _iter87 != this->entryHosts.end(); ++_iter87)
+    std::vector<EntryHost> ::const_iterator _iter92;
+    for (_iter92 = this->entryHosts.begin(); _iter92 != this->entryHosts.end(); ++_iter92)
     {
-      xfer += (*_iter87).write(oprot);
+      xfer += (*_iter92).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2002,10 +2026,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<Server> ::const_iterator _iter88;
-    for (_iter88 = this->servers.begin(); _iter88 != this->servers.end(); ++_iter88)
+    std::vector<Server> ::const_iterator _iter93;
+    for (_iter93 = this->servers.begin(); _iter93 != this->servers.end(); ++_iter93)
     {
-      xfer += (*_iter88).write(oprot);
+      xfer += (*_iter93).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2014,10 +2038,22 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter89;
-    for (_iter89 = this->members.begin(); _iter89 != this->members.end(); ++_iter89)
+    std::vector<Member> ::const_iterator _iter94;
+    for (_iter94 = this->members.begin(); _iter94 != this->members.end(); ++_iter94)
     {
-      xfer += (*_iter89).write(oprot);
+      xfer += (*_iter94).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("deaths", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deaths.size()));
+    std::vector<Death> ::const_iterator _iter95;
+    for (_iter95 = this->deaths.begin(); _iter95 != this->deaths.end(); ++_iter95)
+    {
+      xfer += (*_iter95).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2035,41 +2071,46 @@
   swap(a.entryHosts, b.entryHosts);
   swap(a.servers, b.servers);
   swap(a.members, b.members);
+  swap(a.deaths, b.deaths);
   swap(a.__isset, b.__isset);
 }
 
-PullReply::PullReply(const PullReply& other90) {
-  records = other90.records;
-  hostListRevision = other90.hostListRevision;
-  entryHosts = other90.entryHosts;
-  servers = other90.servers;
-  members = other90.members;
-  __isset = other90.__isset;
-}
-PullReply::PullReply(PullReply&& other91) noexcept {
-  records = std::move(other91.records);
-  hostListRevision = other91.hostListRevision;
-  entryHosts = std::move(other91.entryHosts);
-  servers = std::move(other91.servers);
-  members = std::move(other91.members);
-  __isset = other91.__isset;
-}
-PullReply& PullReply::operator=(const PullReply& other92) {
-  records = other92.records;
-  hostListRevision = other92.hostListRevision;
-  entryHosts = other92.entryHosts;
-  servers = other92.servers;
-  members = other92.members;
-  __isset = other92.__isset;
+PullReply::PullReply(const PullReply& other96) {
+  records = other96.records;
+  hostListRevision = other96.hostListRevision;
+  entryHosts = other96.entryHosts;
+  servers = other96.servers;
+  members = other96.members;
+  deaths = other96.deaths;
+  __isset = other96.__isset;
+}
+PullReply::PullReply(PullReply&& other97) noexcept {
+  records = std::move(other97.records);
+  hostListRevision = other97.hostListRevision;
+  entryHosts = std::move(other97.entryHosts);
+  servers = std::move(other97.servers);
+  members = std::move(other97.members);
+  deaths = std::move(other97.deaths);
+  __isset = other97.__isset;
+}
+PullReply& PullReply::operator=(const PullReply& other98) {
+  records = other98.records;
+  hostListRevision = other98.hostListRevision;
+  entryHosts = other98.entryHosts;
+  servers = other98.servers;
+  members = other98.members;
+  deaths = other98.deaths;
+  __isset = other98.__isset;
   return *this;
 }
-PullReply& PullReply::operator=(PullReply&& other93) noexcept {
-  records = std::move(other93.records);
-  hostListRevision = other93.hostListRevision;
-  entryHosts = std::move(other93.entryHosts);
-  servers = std::move(other93.servers);
-  members = std::move(other93.members);
-  __isset = other93.__isset;
+PullReply& PullReply::operator=(PullReply&& other99) noexcept {
+  records = std::move(other99.records);
+  hostListRevision = other99.hostListRevision;
+  entryHosts = std::move(other99.entryHosts);
+  servers = std::move(other99.servers);
+  members = std::move(other99.members);
+  deaths = std::move(other99.deaths);
+  __isset = other99.__isset;
   return *this;
 }
 void PullReply::printTo(std::ostream& out) const {
@@ -2080,6 +2121,7 @@
   out << ", " << "entryHosts=" << to_string(entryHosts);
   out << ", " << "servers=" << to_string(servers);
   out << ", " << "members=" << to_string(members);
+  out << ", " << "deaths=" << to_string(deaths);
   out << ")";
 }
 
--- a/src/libs/peer/gen/peer_types.h
+++ b/src/libs/peer/gen/peer_types.h
@@ -694,12 +694,13 @@
 std::ostream& operator<<(std::ostream& out, const Server& obj);
 
 typedef struct _PullReply__isset {
-  _PullReply__isset() : records(false), hostListRevision(false), entryHosts(false), servers(false), members(false) {}
+  _PullReply__isset() : records(false), hostListRevision(false), entryHosts(false), servers(false), members(false), deaths(false) {}
   bool records :1;
   bool hostListRevision :1;
   bool entryHosts :1;
   bool servers :1;
   bool members :1;
+  bool deaths :1;
 } _PullReply__isset;
 
 class PullReply : public virtual ::apache::thrift::TBase {
@@ -719,6 +720,7 @@
   std::vector<EntryHost>  entryHosts;
   std::vector<Server>  servers;
   std::vector<Member>  members;
+  std::vector<Death>  deaths;
 
   _PullReply__isset __isset;
 
@@ -732,6 +734,8 @@
 
   void __set_members(const std::vector<Member> & val);
 
+  void __set_deaths(const std::vector<Death> & val);
+
   bool operator == (const PullReply & rhs) const
   {
     if (!(records == rhs.records))
@@ -744,6 +748,8 @@
       return false;
     if (!(members == rhs.members))
       return false;
+    if (!(deaths == rhs.deaths))
+      return false;
     return true;
   }
   bool operator != (const PullReply &rhs) const {
--- a/src/libs/peer/peer.thrift
+++ b/src/libs/peer/peer.thrift
@@ -80,4 +80,5 @@
   3: list<EntryHost> entryHosts
   4: list<Server> servers
   5: list<Member> members
+  6: list<Death> deaths
 }
--- a/src/libs/peer/peer_codec.cpp
+++ b/src/libs/peer/peer_codec.cpp
@@ -1,15 +1,12 @@
 #include "peer/peer_codec.h"
 
 #include "base/hash.h"
-#include "peer_types.h"
-#include "platform/service_file.h"
+#include "peer/wire_conversion.h"
 
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
-#include <algorithm>
 #include <exception>
-#include <iterator>
 #include <memory>
 
 namespace endiverail {
@@ -65,119 +62,6 @@
   }
 }
 
-std::int64_t toWire(std::uint64_t Value) {
-  return static_cast<std::int64_t>(Value);
-}
-std::uint64_t fromWire(std::int64_t Value) {
-  return static_cast<std::uint64_t>(Value);
-}
-
-template <typename To, typename From, typename Convert>
-std::vector<To> converted(const std::vector<From> &Items, Convert &&Each) {
-  std::vector<To> Result;
-  Result.reserve(Items.size());
-  std::ranges::transform(Items, std::back_inserter(Result), Each);
-  return Result;
-}
-
-wire::Member toWire(const member_update &Update) {
-  wire::Member Member;
-  Member.id = Update.Proxy.Id;
-  Member.dataCentre = Update.Proxy.DataCentre;
-  Member.address = Update.Proxy.Address;
-  Member.incarnation = toWire(Update.Proxy.Incarnation);
-  Member.offered = Update.Proxy.Offered;
-  Member.refutation = toWire(Update.Refutation);
-  Member.state = static_cast<std::int32_t>(Update.State);
-  return Member;
-}
-
-member_update fromWire(const wire::Member &Member) {
-  member_update Update;
-  Update.Proxy = {Member.id, Member.dataCentre, Member.address,
-                  fromWire(Member.incarnation), Member.offered};
-  Update.Refutation = fromWire(Member.refutation);
-  Update.State = static_cast<member_state>(
-      std::clamp(Member.state, 0, static_cast<int>(member_state::Left)));
-  return Update;
-}
-
-wire::ServiceVersion toWire(const service_version &Version) {
-  wire::ServiceVersion Result;
-  Result.serviceName = Version.Service;
-  Result.version = toWire(Version.Version);
-  return Result;
-}
-
-service_version fromWire(const wire::ServiceVersion &Version) {
-  return {Version.serviceName, fromWire(Version.version)};
-}
-
-wire::Death toWire(const server_death &Death) {
-  wire::Death Result;
-  Result.serviceName = Death.Service;
-  Result.fingerprint = toWire(Death.Fingerprint);
-  Result.server = Death.Server;
-  return Result;
-}
-
-wire::Leaving toWire(const server_leaving &Leaving) {
-  wire::Leaving Result;
-  Result.serviceName = Leaving.Service;
-  Result.server = Leaving.Server;
-  return Result;
-}
-
-wire::Acceptance toWire(const acceptance &Record) {
-  wire::Acceptance Result;
-  Result.content = Record.Content;
-  Result.parent = Record.Parent;
-  Result.version = toWire(Record.Version);
-  Result.signer = Record.Signer;
-  Result.signature = Record.Signature;
-  Result.firstOffset = toWire(Record.FirstOffset);
-  return Result;
-}
-
-result<acceptance> fromWire(const wire::Acceptance &Wire) {
-  BOOST_LEAF_AUTO(File, readServiceFile("content", Wire.content));
-  acceptance Record;
-  Record.Definition = std::move(File.Definition);
-  Record.Content = std::move(File.Content);
-  Record.ContentHash = std::move(File.ContentHash);
-  Record.Parent = Wire.parent;
-  Record.Version = fromWire(Wire.version);
-  Record.Signer = Wire.signer;
-  Record.Signature = Wire.signature;
-  Record.FirstOffset = fromWire(Wire.firstOffset);
-  return Record;
-}
-
-wire::EntryHost toWire(const entry_host &Host) {
-  wire::EntryHost Result;
-  Result.id = Host.Id;
-  Result.dataCentre = Host.DataCentre;
-  Result.address = Host.Address;
-  return Result;
-}
-
-wire::Server toWire(const backend_server &Server) {
-  wire::Server Result;
-  Result.address = Server.Address;
-  Result.pool = Server.Pool;
-  Result.dataCentre = Server.DataCentre;
-  Result.leaving = Server.State == server_state::Leaving;
-  return Result;
-}
-
-backend_server fromWire(const wire::Server &Server) {
-  return {Server.address, Server.pool, Server.dataCentre,
-          Server.leaving ? server_state::Leaving : server_state::Live};
-}
-
-constexpr auto ToWire = [](const auto &Item) { return toWire(Item); };
-constexpr auto FromWire = [](const auto &Item) { return fromWire(Item); };
-
 } // namespace
 
 std::string peer_codec::encode(const peer_message &Message) const {
@@ -214,15 +98,8 @@
   Message.Digest = {fromWire(Wire.configurationDigest),
                     fromWire(Wire.hostListRevision)};
   Message.Changes = converted<service_version>(Wire.changes, FromWire);
-  Message.Deaths =
-      converted<server_death>(Wire.deaths, [](const wire::Death &Death) {
-        return server_death{Death.serviceName, fromWire(Death.fingerprint),
-                            Death.server};
-      });
-  Message.Leaving =
-      converted<server_leaving>(Wire.leaving, [](const wire::Leaving &Leaving) {
-        return server_leaving{Leaving.serviceName, Leaving.server};
-      });
+  Message.Deaths = converted<server_death>(Wire.deaths, FromWire);
+  Message.Leaving = converted<server_leaving>(Wire.leaving, FromWire);
   Message.Time = {Wire.wallMilliseconds,
                   static_cast<std::uint32_t>(Wire.counter)};
   return Message;
@@ -252,6 +129,7 @@
   Wire.entryHosts = converted<wire::EntryHost>(Reply.Hosts.EntryHosts, ToWire);
   Wire.servers = converted<wire::Server>(Reply.Hosts.Servers, ToWire);
   Wire.members = converted<wire::Member>(Reply.Members, ToWire);
+  Wire.deaths = converted<wire::Death>(Reply.Deaths, ToWire);
   return pack(FleetSecret, "pull-reply", Wire);
 }
 
@@ -264,12 +142,10 @@
     Reply.Records.push_back(std::move(Accepted));
   }
   Reply.Hosts.Revision = fromWire(Wire.hostListRevision);
-  Reply.Hosts.EntryHosts =
-      converted<entry_host>(Wire.entryHosts, [](const wire::EntryHost &Host) {
-        return entry_host{Host.id, Host.dataCentre, Host.address};
-      });
+  Reply.Hosts.EntryHosts = converted<entry_host>(Wire.entryHosts, FromWire);
   Reply.Hosts.Servers = converted<backend_server>(Wire.servers, FromWire);
   Reply.Members = converted<member_update>(Wire.members, FromWire);
+  Reply.Deaths = converted<server_death>(Wire.deaths, FromWire);
   return Reply;
 }
 
--- /dev/null
+++ b/src/libs/peer/wire_conversion.cpp
@@ -0,0 +1,123 @@
+#include "peer/wire_conversion.h"
+
+#include "platform/service_file.h"
+
+#include <utility>
+
+namespace endiverail {
+
+std::int64_t toWire(std::uint64_t Value) {
+  return static_cast<std::int64_t>(Value);
+}
+std::uint64_t fromWire(std::int64_t Value) {
+  return static_cast<std::uint64_t>(Value);
+}
+
+wire::Member toWire(const member_update &Update) {
+  wire::Member Member;
+  Member.id = Update.Proxy.Id;
+  Member.dataCentre = Update.Proxy.DataCentre;
+  Member.address = Update.Proxy.Address;
+  Member.incarnation = toWire(Update.Proxy.Incarnation);
+  Member.offered = Update.Proxy.Offered;
+  Member.refutation = toWire(Update.Refutation);
+  Member.state = static_cast<std::int32_t>(Update.State);
+  return Member;
+}
+
+member_update fromWire(const wire::Member &Member) {
+  member_update Update;
+  Update.Proxy = {Member.id, Member.dataCentre, Member.address,
+                  fromWire(Member.incarnation), Member.offered};
+  Update.Refutation = fromWire(Member.refutation);
+  Update.State = static_cast<member_state>(
+      std::clamp(Member.state, 0, static_cast<int>(member_state::Left)));
+  return Update;
+}
+
+wire::ServiceVersion toWire(const service_version &Version) {
+  wire::ServiceVersion Result;
+  Result.serviceName = Version.Service;
+  Result.version = toWire(Version.Version);
+  return Result;
+}
+
+service_version fromWire(const wire::ServiceVersion &Version) {
+  return {Version.serviceName, fromWire(Version.version)};
+}
+
+wire::Death toWire(const server_death &Death) {
+  wire::Death Result;
+  Result.serviceName = Death.Service;
+  Result.fingerprint = toWire(Death.Fingerprint);
+  Result.server = Death.Server;
+  return Result;
+}
+
+server_death fromWire(const wire::Death &Death) {
+  return {Death.serviceName, fromWire(Death.fingerprint), Death.server};
+}
+
+wire::Leaving toWire(const server_leaving &Leaving) {
+  wire::Leaving Result;
+  Result.serviceName = Leaving.Service;
+  Result.server = Leaving.Server;
+  return Result;
+}
+
+server_leaving fromWire(const wire::Leaving &Leaving) {
+  return {Leaving.serviceName, Leaving.server};
+}
+
+wire::Acceptance toWire(const acceptance &Record) {
+  wire::Acceptance Result;
+  Result.content = Record.Content;
+  Result.parent = Record.Parent;
+  Result.version = toWire(Record.Version);
+  Result.signer = Record.Signer;
+  Result.signature = Record.Signature;
+  Result.firstOffset = toWire(Record.FirstOffset);
+  return Result;
+}
+
+result<acceptance> fromWire(const wire::Acceptance &Wire) {
+  BOOST_LEAF_AUTO(File, readServiceFile("content", Wire.content));
+  acceptance Record;
+  Record.Definition = std::move(File.Definition);
+  Record.Content = std::move(File.Content);
+  Record.ContentHash = std::move(File.ContentHash);
+  Record.Parent = Wire.parent;
+  Record.Version = fromWire(Wire.version);
+  Record.Signer = Wire.signer;
+  Record.Signature = Wire.signature;
+  Record.FirstOffset = fromWire(Wire.firstOffset);
+  return Record;
+}
+
+wire::EntryHost toWire(const entry_host &Host) {
+  wire::EntryHost Result;
+  Result.id = Host.Id;
+  Result.dataCentre = Host.DataCentre;
+  Result.address = Host.Address;
+  return Result;
+}
+
+entry_host fromWire(const wire::EntryHost &Host) {
+  return {Host.id, Host.dataCentre, Host.address};
+}
+
+wire::Server toWire(const backend_server &Server) {
+  wire::Server Result;
+  Result.address = Server.Address;
+  Result.pool = Server.Pool;
+  Result.dataCentre = Server.DataCentre;
+  Result.leaving = Server.State == server_state::Leaving;
+  return Result;
+}
+
+backend_server fromWire(const wire::Server &Server) {
+  return {Server.address, Server.pool, Server.dataCentre,
+          Server.leaving ? server_state::Leaving : server_state::Live};
+}
+
+} // namespace endiverail
--- /dev/null
+++ b/src/libs/peer/wire_conversion.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "peer_types.h"
+#include "process/control_message.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <iterator>
+#include <ranges>
+#include <vector>
+
+namespace endiverail {
+
+// Between what the control state knows and what Thrift encodes.
+
+std::int64_t toWire(std::uint64_t Value);
+std::uint64_t fromWire(std::int64_t Value);
+wire::Member toWire(const member_update &Update);
+member_update fromWire(const wire::Member &Member);
+wire::ServiceVersion toWire(const service_version &Version);
+service_version fromWire(const wire::ServiceVersion &Version);
+wire::Death toWire(const server_death &Death);
+server_death fromWire(const wire::Death &Death);
+wire::Leaving toWire(const server_leaving &Leaving);
+server_leaving fromWire(const wire::Leaving &Leaving);
+wire::Acceptance toWire(const acceptance &Record);
+/// Fails with the error of a service's file that can't be read.
+result<acceptance> fromWire(const wire::Acceptance &Wire);
+wire::EntryHost toWire(const entry_host &Host);
+entry_host fromWire(const wire::EntryHost &Host);
+wire::Server toWire(const backend_server &Server);
+backend_server fromWire(const wire::Server &Server);
+
+inline constexpr auto ToWire = [](const auto &Item) { return toWire(Item); };
+inline constexpr auto FromWire = [](const auto &Item) {
+  return fromWire(Item);
+};
+
+/// The items of a list, each converted.
+template <typename To, std::ranges::input_range Items, typename Convert>
+std::vector<To> converted(const Items &From, Convert &&Each) {
+  std::vector<To> Result;
+  Result.reserve(std::ranges::size(From));
+  std::ranges::transform(From, std::back_inserter(Result), Each);
+  return Result;
+}
+
+} // namespace endiverail
--- a/src/libs/process/control_message.h
+++ b/src/libs/process/control_message.h
@@ -55,6 +55,8 @@
   /// Revision 0 when the asker's list is as new.
   host_list Hosts;
   std::vector<member_update> Members;
+  /// What a new process has to know of requests that killed.
+  std::vector<server_death> Deaths;
 };
 
 /// One record on the log.
--- a/src/libs/process/control_state.cpp
+++ b/src/libs/process/control_state.cpp
@@ -16,10 +16,8 @@
 constexpr milliseconds RetrySpacing{1'000};
 
 constexpr std::size_t AnnounceTo = 4;
-constexpr std::size_t ChangesPerMessage = 8;
-constexpr std::size_t ChangeCopies = 24;
-constexpr std::size_t NewsCopies = 24;
-constexpr std::size_t MostNews = 8;
+/// With more changes than this under way, gossip alone carries them.
+constexpr std::size_t ChangesToAnnounce = 8;
 constexpr std::size_t MostPulls = 4;
 constexpr milliseconds FullPullSpacing{1'000};
 constexpr std::size_t PeersToSync = 2;
@@ -27,17 +25,8 @@
 constexpr milliseconds JoinPatience{5'000};
 
 constexpr milliseconds RefreshCheck{1'000};
-/// Share of the retention after which a record is appended again, and how much
-/// later each further daemon would do it.
-constexpr double RefreshAfter = 0.5;
-constexpr double RefreshStep = 0.05;
-
-constexpr milliseconds LeavingMemory{60'000};
 constexpr std::size_t LeastServersToSuspectSelf = 4;
-/// Suspicion from which a backend server counts against the proxy itself.
-constexpr double BadFrom = 0.5;
 constexpr milliseconds SelfSuspicionLasts{20'000};
-constexpr milliseconds ReportLasts{3'000};
 
 result<record_fold> foldOf(const control_settings &Settings) {
   return record_fold::create(Settings.CustomerKeys);
@@ -103,8 +92,8 @@
     Ejections.renew(terms(), Now, Out);
     refreshRecords(Now, Out);
     considerSelf(Now);
-    std::erase_if(SaidLeaving,
-                  [&](const auto &Entry) { return Now >= Entry.second; });
+    SaidLeaving.expire(Now);
+    KnownDeaths.expire(Now);
   }
   publishIfChanged(Now, Out);
 }
@@ -160,20 +149,9 @@
   peer_message Message;
   Message.Gossip = Gossip;
   Message.Digest = {Fold.digest(), Hosts.Revision};
-  for (pending_change &Pending :
-       Changes | std::views::take(ChangesPerMessage)) {
-    Message.Changes.push_back(Pending.Change);
-    ++Pending.Sent;
-  }
-  std::erase_if(Changes, [](const pending_change &Pending) {
-    return Pending.Sent >= ChangeCopies;
-  });
-  Message.Deaths = DeathNews;
-  if (!DeathNews.empty() && ++DeathNewsSent >= NewsCopies)
-    DeathNews.clear();
-  Message.Leaving = LeavingNews;
-  if (!LeavingNews.empty() && ++LeavingNewsSent >= NewsCopies)
-    LeavingNews.clear();
+  Message.Changes = Changes.forMessage();
+  Message.Deaths = DeathNews.forMessage();
+  Message.Leaving = LeavingNews.forMessage();
   Message.Time = Events.now();
   return Message;
 }
@@ -268,8 +246,10 @@
   }
   if (Hosts.Revision > Request.HostListRevision)
     Reply.Hosts = Hosts;
-  if (Request.WantMembers)
+  if (Request.WantMembers) {
     Reply.Members = Members.updates();
+    Reply.Deaths = KnownDeaths.items();
+  }
   return Reply;
 }
 
@@ -282,6 +262,8 @@
     applyRecord(Record, Record.FirstOffset, Now, Out);
   Members.learn(Reply.Members, Now);
   takeMemberChanges(Now);
+  for (const server_death &Death : Reply.Deaths)
+    learnDeath(Death, Now, Out);
   if (Reply.Hosts.Revision > Hosts.Revision)
     onHosts(Reply.Hosts, Now, Out);
   publishIfChanged(Now, Out);
@@ -319,13 +301,11 @@
   VersionStale = true;
   Events.note(event_kind::VersionInForce, std::string(Service),
               "version " + std::to_string(Version), "");
-  std::erase_if(Changes, [&](const pending_change &Pending) {
-    return Pending.Change.Service == Service;
-  });
-  Changes.insert(Changes.begin(),
-                 pending_change{{std::string(Service), Version}, 0});
+  Changes.dropIf(
+      [&](const service_version &Change) { return Change.Service == Service; });
+  Changes.add({std::string(Service), Version});
   Wanted.erase(std::string(Service));
-  if (Changes.size() <= ChangesPerMessage)
+  if (Changes.size() <= ChangesToAnnounce)
     announce(Now, Out);
 }
 
@@ -336,9 +316,7 @@
     Events.note(event_kind::StoreBack, "", "log", "");
   LogFailures = 0;
   NextOffset = Page.Next;
-  LogClock = Page.NowMilliseconds;
-  LogClockSeen = Now;
-  LogRetention = Page.RetentionMilliseconds;
+  Refresh.noteClock(Page, Now);
   for (const std::string &Reason : Page.Skipped)
     Events.note(event_kind::RecordSkipped, "", "log", Reason);
   for (const log_entry &Entry : Page.Entries) {
@@ -361,7 +339,7 @@
       acceptance Placed = *Accepted;
       if (!Placed.Refresh)
         Placed.FirstOffset = Entry.Offset;
-      LatestCopy[Placed.Definition.Name] = Entry.LogMilliseconds;
+      Refresh.noteCopy(Placed.Definition.Name, Entry.LogMilliseconds);
       Record = std::move(Placed);
     }
     applyRecord(Record, Entry.Offset, Now, Out);
@@ -398,29 +376,14 @@
       }));
 }
 
-/// Appends accepted records again well before the log drops them. One daemon
-/// is chosen by hash, others step in later; a second copy does no harm.
 void control_state::refreshRecords(steady_time Now, control_actions &Out) {
-  if (!LogCaughtUp || storeAway() || LogRetention <= 0)
+  if (!LogCaughtUp || storeAway())
     return;
-  std::int64_t Clock =
-      LogClock +
-      std::chrono::duration_cast<milliseconds>(Now - LogClockSeen).count();
-  for (const auto &[Name, Accepted] : Fold.inForce()) {
-    auto Copy = LatestCopy.find(Name);
-    // One that came from a peer alone is not on the log any more.
-    std::int64_t Age =
-        Copy == LatestCopy.end() ? LogRetention : Clock - Copy->second;
-    double Due =
-        RefreshAfter + RefreshStep * static_cast<double>(std::min<std::size_t>(
-                                         refreshOrder(Name), 8));
-    if (static_cast<double>(Age) < Due * static_cast<double>(LogRetention))
-      continue;
-    LatestCopy[Name] = Clock;
-    acceptance Record = Accepted.Record;
-    Record.Refresh = true;
+  auto Order = [this](std::string_view Service) {
+    return refreshOrder(Service);
+  };
+  for (acceptance &Record : Refresh.due(Fold, Order, Now))
     Out.emplace_back(append_log{std::move(Record)});
-  }
 }
 
 // Hosts.
@@ -456,40 +419,42 @@
                              control_actions &Out) {
   if (const auto *Wish = std::get_if<ejection_wish>(&Notice))
     wish(*Wish, Now, Out);
-  if (const auto *Report = std::get_if<standing_report>(&Notice)) {
-    Reports.insert_or_assign(Report->Service, *Report);
-    ReportTimes.insert_or_assign(Report->Service, Now);
-  }
-  if (const auto *Leaving = std::get_if<server_leaving>(&Notice)) {
-    bool New =
-        SaidLeaving.insert_or_assign(Leaving->Server, Now + LeavingMemory)
-            .second;
-    if (!New)
-      return;
-    VersionStale = true;
-    Events.note(event_kind::ServerLeaving, Leaving->Service, Leaving->Server,
-                "said so itself");
-    if (LeavingNews.size() < MostNews)
-      LeavingNews.push_back(*Leaving);
-    LeavingNewsSent = 0;
-    announce(Now, Out);
-    publishIfChanged(Now, Out);
-  }
-  if (const auto *Death = std::get_if<server_death>(&Notice)) {
-    bool Known = std::ranges::any_of(DeathNews, [&](const server_death &News) {
-      return News.Fingerprint == Death->Fingerprint &&
-             News.Server == Death->Server;
-    });
-    if (Known)
-      return;
-    Events.note(event_kind::RequestQuarantined, Death->Service, Death->Server,
-                "was running " + std::to_string(Death->Fingerprint));
-    if (DeathNews.size() < MostNews)
-      DeathNews.push_back(*Death);
-    DeathNewsSent = 0;
-    Out.emplace_back(tell_traffic{*Death});
-    announce(Now, Out);
-  }
+  if (const auto *Report = std::get_if<standing_report>(&Notice))
+    Reports.note(*Report, Now);
+  if (const auto *Leaving = std::get_if<server_leaving>(&Notice))
+    onServerLeaving(*Leaving, Now, Out);
+  if (const auto *Death = std::get_if<server_death>(&Notice))
+    onServerDeath(*Death, Now, Out);
+}
+
+void control_state::onServerLeaving(const server_leaving &Leaving,
+                                    steady_time Now, control_actions &Out) {
+  if (!SaidLeaving.note(Leaving.Server, Now))
+    return;
+  VersionStale = true;
+  Events.note(event_kind::ServerLeaving, Leaving.Service, Leaving.Server,
+              "said so itself");
+  LeavingNews.add(Leaving);
+  announce(Now, Out);
+  publishIfChanged(Now, Out);
+}
+
+void control_state::onServerDeath(const server_death &Death, steady_time Now,
+                                  control_actions &Out) {
+  if (!learnDeath(Death, Now, Out))
+    return;
+  DeathNews.add(Death);
+  announce(Now, Out);
+}
+
+bool control_state::learnDeath(const server_death &Death, steady_time Now,
+                               control_actions &Out) {
+  if (!KnownDeaths.note(Death, Now))
+    return false;
+  Events.note(event_kind::RequestQuarantined, Death.Service, Death.Server,
+              "was running " + std::to_string(Death.Fingerprint));
+  Out.emplace_back(tell_traffic{Death});
+  return true;
 }
 
 // Ejections.
@@ -501,11 +466,7 @@
     if (Server.Pool == Definition.Pool && Server.State == server_state::Live &&
         !SaidLeaving.contains(Server.Address))
       ++Live;
-  std::size_t Warming = 0;
-  if (auto Report = Reports.find(Definition.Name); Report != Reports.end())
-    Warming = static_cast<std::size_t>(
-        std::ranges::count(Report->second.Servers, server_standing::Warming,
-                           &server_status::Standing));
+  std::size_t Warming = Reports.warming(Definition.Name);
   std::size_t Healthy = Live > Warming ? Live - Warming : 0;
   return Definition.PoolSize > Healthy ? Definition.PoolSize - Healthy : 0;
 }
@@ -538,22 +499,8 @@
 /// A proxy that finds most of its backend servers failing may be what fails:
 /// it has itself handed out no more, and others try its servers.
 void control_state::considerSelf(steady_time Now) {
-  // Reports of services that are owned no longer must not linger.
-  std::erase_if(ReportTimes, [&](const auto &Entry) {
-    return Now - Entry.second > ReportLasts;
-  });
-  std::erase_if(Reports, [&](const auto &Entry) {
-    return !ReportTimes.contains(Entry.first);
-  });
-  std::size_t All = 0;
-  std::size_t Bad = 0;
-  for (const standing_report &Report : Reports | std::views::values)
-    for (const server_status &Server : Report.Servers) {
-      ++All;
-      bool IsBad = Server.Suspicion >= BadFrom ||
-                   Server.Standing == server_standing::Ejected;
-      Bad += IsBad ? 1 : 0;
-    }
+  Reports.expire(Now);
+  auto [Bad, All] = Reports.failing();
   std::size_t Withheld = 0;
   auto Present = Members.members();
   for (const proxy_member &Member : Present)
--- a/src/libs/process/control_state.h
+++ b/src/libs/process/control_state.h
@@ -2,6 +2,10 @@
 
 #include "process/control_message.h"
 #include "process/ejection_holder.h"
+#include "process/gossip_news.h"
+#include "process/recent_set.h"
+#include "process/record_refresh.h"
+#include "process/standing_reports.h"
 #include "process/swim.h"
 #include "process/time_line.h"
 #include "version/record_fold.h"
@@ -32,6 +36,9 @@
 /// has come in and the time, and returns what to do.
 class control_state {
 public:
+  /// How often a proxy tells its peers each piece of news.
+  static constexpr std::size_t NewsCopies = 24;
+
   static result<control_state> create(const control_settings &Settings,
                                       time_line &Events);
 
@@ -64,9 +71,7 @@
   bool ready() const;
   bool storeAway() const { return LogFailures >= FailuresToReport; }
   std::uint64_t logPosition() const { return NextOffset; }
-  const std::map<std::string, standing_report, std::less<>> &reports() const {
-    return Reports;
-  }
+  const standing_reports &reports() const { return Reports; }
 
 private:
   control_state(const control_settings &Settings, record_fold Fold,
@@ -74,10 +79,12 @@
 
   static constexpr std::size_t FailuresToReport = 3;
 
-  struct pending_change {
-    service_version Change;
-    std::size_t Sent = 0;
-  };
+  static constexpr std::size_t NewsPerMessage = 8;
+  /// How far the host list may lag behind a backend server's own word.
+  static constexpr milliseconds LeavingMemory{60'000};
+  /// As long as a request stays in quarantine.
+  static constexpr std::chrono::minutes DeathMemory{30};
+  static constexpr std::size_t MostRemembered = 4096;
 
   void applyRecord(const configuration_record &Record, std::uint64_t Offset,
                    steady_time Now, control_actions &Out);
@@ -95,6 +102,13 @@
   void readSources(steady_time Now, control_actions &Out);
   void joinByPeers(steady_time Now, control_actions &Out);
   void refreshRecords(steady_time Now, control_actions &Out);
+  void onServerLeaving(const server_leaving &Leaving, steady_time Now,
+                       control_actions &Out);
+  void onServerDeath(const server_death &Death, steady_time Now,
+                     control_actions &Out);
+  /// Takes a death without telling it on. Returns whether it was new.
+  bool learnDeath(const server_death &Death, steady_time Now,
+                  control_actions &Out);
   void considerSelf(steady_time Now);
   void wish(const ejection_wish &Wish, steady_time Now, control_actions &Out);
   ejection_terms termsOf(std::string_view Service,
@@ -117,7 +131,7 @@
   std::mt19937_64 Random;
 
   host_list Hosts;
-  std::map<endpoint_text, steady_time, std::less<>> SaidLeaving;
+  recent_set<endpoint_text> SaidLeaving{LeavingMemory, MostRemembered};
 
   std::uint64_t NextOffset = 0;
   bool LogCaughtUp = false;
@@ -126,11 +140,7 @@
   steady_time NextLogRead;
   bool HostsReadOut = false;
   steady_time NextHostsRead;
-  std::int64_t LogClock = 0;
-  std::int64_t LogRetention = 0;
-  steady_time LogClockSeen;
-  /// When the log took the latest copy of a service's acceptance.
-  std::map<std::string, std::int64_t, std::less<>> LatestCopy;
+  record_refresh Refresh;
   steady_time NextRefresh;
 
   std::set<endpoint_text, std::less<>> PullsOut;
@@ -139,17 +149,15 @@
   steady_time NextFullPull;
   std::optional<steady_time> FirstTick;
   bool JoinPatienceOver = false;
-  std::vector<pending_change> Changes;
-  std::vector<server_death> DeathNews;
-  std::size_t DeathNewsSent = 0;
-  std::vector<server_leaving> LeavingNews;
-  std::size_t LeavingNewsSent = 0;
+  gossip_news<service_version> Changes{NewsCopies, NewsPerMessage};
+  recent_set<server_death> KnownDeaths{DeathMemory, MostRemembered};
+  gossip_news<server_death> DeathNews{NewsCopies, NewsPerMessage};
+  gossip_news<server_leaving> LeavingNews{NewsCopies, NewsPerMessage};
 
   ejection_holder Ejections;
   fleet_version_ref Published;
 
-  std::map<std::string, standing_report, std::less<>> Reports;
-  std::map<std::string, steady_time, std::less<>> ReportTimes;
+  standing_reports Reports;
   steady_time OfferAgain;
   bool SuspectsSelf = false;
   bool Draining = false;
--- a/src/libs/process/traffic_message.h
+++ b/src/libs/process/traffic_message.h
@@ -41,6 +41,8 @@
   std::string Service;
   request_fingerprint Fingerprint = 0;
   endpoint_text Server;
+
+  auto operator<=>(const server_death &) const = default;
 };
 /// The thread ends once its requests are answered.
 struct finish_traffic {};
@@ -60,6 +62,8 @@
 struct server_leaving {
   std::string Service;
   endpoint_text Server;
+
+  auto operator<=>(const server_leaving &) const = default;
 };
 /// How the backend servers that this process hands out stand, for people.
 struct standing_report {
--- a/tests/auto/daemon/tst_control_state.cpp
+++ b/tests/auto/daemon/tst_control_state.cpp
@@ -4,6 +4,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <set>
+
 using namespace endiverail;
 using namespace endiverail::test;
 using namespace std::chrono_literals;
@@ -49,6 +52,22 @@
     }
   }
 
+  /// A peer that tells the same news in each of its datagrams.
+  peer_message fromPeer() const {
+    peer_message Message;
+    Message.Gossip.SenderId = "q";
+    Message.Gossip.SenderAddress = "q:1";
+    Message.Gossip.Updates = {{{"q", "dc", "q:1", 1, true}, 0, {}}};
+    Message.Digest = {State.records().digest(), Hosts.Revision};
+    return Message;
+  }
+
+  std::size_t events(event_kind Kind) const {
+    auto All = Events.since({});
+    return static_cast<std::size_t>(
+        std::ranges::count(All, Kind, &time_line_event::Kind));
+  }
+
   template <typename Action> std::vector<Action> take() {
     std::vector<Action> Found;
     for (const control_action &Each : Out)
@@ -211,3 +230,69 @@
   CHECK(Versions.back().Version->Draining);
   CHECK_FALSE(Versions.back().Version->View.findProxy("p")->Offered);
 }
+
+TEST_CASE_METHOD(control_fixture, "news that come round again are not news") {
+  // A fleet tells news for as long as any of its members takes them for new.
+  peer_message Message = fromPeer();
+  SECTION("the death of a backend server") {
+    Message.Deaths = {{"s", 7, "a"}};
+    std::size_t Told = 0;
+    for (int Count = 0; Count < 300; ++Count) {
+      tick(100ms);
+      State.onDatagram(Message, Now, Out);
+      for (const send_datagram &Sent : take<send_datagram>())
+        Told += Sent.Message.Deaths.size();
+    }
+    CHECK(events(event_kind::RequestQuarantined) == 1);
+    CHECK(Told > 0);
+    CHECK(Told <= control_state::NewsCopies);
+  }
+  SECTION("a backend server that leaves") {
+    Message.Leaving = {{"s", "a"}};
+    std::size_t Told = 0;
+    for (int Count = 0; Count < 300; ++Count) {
+      tick(100ms);
+      State.onDatagram(Message, Now, Out);
+      for (const send_datagram &Sent : take<send_datagram>())
+        Told += Sent.Message.Leaving.size();
+    }
+    CHECK(events(event_kind::ServerLeaving) == 1);
+    CHECK(Told > 0);
+    CHECK(Told <= control_state::NewsCopies);
+  }
+}
+
+TEST_CASE_METHOD(control_fixture, "more news at once than a datagram takes are "
+                                  "all told") {
+  peer_message Message = fromPeer();
+  for (request_fingerprint Work = 0; Work < 40; ++Work)
+    State.onNotice(server_death{"s", Work, "a"}, Now, Out);
+  std::set<request_fingerprint> Told;
+  for (int Count = 0; Count < 300; ++Count) {
+    tick(100ms);
+    State.onDatagram(Message, Now, Out);
+    for (const send_datagram &Sent : take<send_datagram>())
+      for (const server_death &Death : Sent.Message.Deaths)
+        Told.insert(Death.Fingerprint);
+  }
+  CHECK(Told.size() == 40);
+}
+
+TEST_CASE_METHOD(control_fixture,
+                 "a new proxy learns of requests that killed") {
+  server_death Death{"s", 7, "a"};
+  State.onNotice(Death, Now, Out);
+  pull_request Request;
+  Request.WantMembers = true;
+  pull_reply Reply = State.answerPull(Request);
+  REQUIRE(Reply.Deaths == std::vector{Death});
+
+  control_fixture New;
+  New.Out.clear();
+  New.State.onPullReply("q:1", Reply, New.Now, New.Out);
+  bool Told = false;
+  for (const tell_traffic &Tell : New.take<tell_traffic>())
+    Told |= std::holds_alternative<server_death>(Tell.Message) &&
+            std::get<server_death>(Tell.Message) == Death;
+  CHECK(Told);
+}
--- a/tests/auto/peer/peer_samples.h
+++ b/tests/auto/peer/peer_samples.h
@@ -35,6 +35,7 @@
   Reply.Hosts = {5,
                  {{"p", "dc", "127.0.0.1:1"}},
                  {{"127.0.0.1:2", "s", "dc", server_state::Leaving}}};
+  Reply.Deaths = {{"s", 8, "y"}};
   Reply.Members = {{{"c", "dc", "127.0.0.1:3", 9, true}, 4, {}}};
   return Reply;
 }
--- a/tests/auto/peer/tst_peer_codec.cpp
+++ b/tests/auto/peer/tst_peer_codec.cpp
@@ -40,6 +40,7 @@
   CHECK(Reply.Records[0].FirstOffset == 4);
   CHECK(Reply.Hosts.Servers == sampleReply().Hosts.Servers);
   CHECK(Reply.Members == sampleReply().Members);
+  CHECK(Reply.Deaths == sampleReply().Deaths);
 }
 
 TEST_CASE("a stranger's messages are refused") {
