--- a/src/libs/request/caller_request.h
+++ b/src/libs/request/caller_request.h
@@ -57,6 +57,8 @@
   std::string Key;
   /// True when a peer forwarded it; it is never forwarded again.
   bool Forwarded = false;
+  /// The backend server that a peer wants tried with this request, if any.
+  std::string TryServer;
   steady_time Arrived;
   steady_time Deadline;
 
--- a/src/libs/standin/backend_model.cpp
+++ b/src/libs/standin/backend_model.cpp
@@ -15,24 +15,33 @@
   ColdUntil = DownUntil + Settings.ColdTime;
 }
 
-backend_decision backend_model::onRequest(bool Kills, bool IsHealthProbe,
+bool backend_model::isHit(const backend_request &Request) {
+  if (Current.Fault == backend_fault::None)
+    return false;
+  if (!Current.Proxy.empty() &&
+      !Request.Attempt.starts_with(Current.Proxy + "."))
+    return false;
+  std::uniform_real_distribution<double> Share(0, 1);
+  return Share(Random) < Current.Share;
+}
+
+backend_decision backend_model::onRequest(const backend_request &Request,
                                           steady_time Now) {
   if (isDown(Now))
     return {backend_verdict::Break, milliseconds(0), false};
   // Gray failures: probes are answered whatever real work meets.
-  if (IsHealthProbe)
+  if (Request.IsHealthProbe)
     return {backend_verdict::Answer, milliseconds(0), false};
   if (InUse >= Settings.Slots)
     return {backend_verdict::Shed, milliseconds(0), false};
   ++Started;
-  if (Kills) {
+  if (Request.Kills) {
     restart(Now);
     return {backend_verdict::Break, milliseconds(0), false};
   }
   ++InUse;
-  std::uniform_real_distribution<double> Share(0, 1);
   std::uniform_real_distribution<double> Spread(0.7, 1.3);
-  bool Hit = Current != backend_fault::None && Share(Random) < FaultShare;
+  bool Hit = isHit(Request);
   backend_decision Decision;
   Decision.HoldsSlot = true;
   Decision.After = std::chrono::duration_cast<milliseconds>(
@@ -40,11 +49,12 @@
       (Now < ColdUntil ? ColdFactor : 1));
   if (!Hit)
     return Decision;
-  switch (Current) {
+  switch (Current.Fault) {
   case backend_fault::None:
     break;
   case backend_fault::Hang:
-    Decision.Verdict = backend_verdict::Silence;
+    Decision.Verdict = Current.Proxy.empty() ? backend_verdict::Silence
+                                             : backend_verdict::Lose;
     break;
   case backend_fault::Error:
     Decision.Verdict = backend_verdict::AnswerError;
--- a/src/libs/standin/scenario.cpp
+++ b/src/libs/standin/scenario.cpp
@@ -34,11 +34,12 @@
     Order.Pool = Object.optionalText("pool", "");
     if (Order.Address.empty() == Order.Pool.empty())
       Object.mistake("address", "expected either an address or a pool");
-    Order.Fault =
+    Order.Fault.Fault =
         static_cast<backend_fault>(Object.requiredWord("fault", BackendWords));
-    Order.Share = static_cast<double>(
-                      Object.optionalNumber("share_percent", 100, {0, 100})) /
-                  100;
+    Order.Fault.Proxy = Object.optionalText("proxy", "");
+    Order.Fault.Share = static_cast<double>(Object.optionalNumber(
+                            "share_percent", 100, {0, 100})) /
+                        100;
     return Order;
   }
   case 2:
--- a/src/libs/standin/scenario.h
+++ b/src/libs/standin/scenario.h
@@ -20,8 +20,7 @@
   /// One backend server, or all of a pool when Address is empty.
   std::string Address;
   std::string Pool;
-  backend_fault Fault = backend_fault::None;
-  double Share = 1;
+  backend_fault_order Fault;
 };
 struct leaving_order {
   std::string Address;
--- a/src/libs/standin/standin_process.cpp
+++ b/src/libs/standin/standin_process.cpp
@@ -185,7 +185,9 @@
     const request_frame &Frame = Arrival.Request.Frame;
     bool Probe = Frame.Target == "/health";
     bool Kills = !findHeader(Frame.Fields, "X-Kill").empty();
-    backend_decision Decision = Server.onRequest(Kills, Probe, steadyNow());
+    backend_decision Decision = Server.onRequest(
+        {Kills, Probe, findHeader(Frame.Fields, "Endiverail-Attempt")},
+        steadyNow());
     if (Kills && Decision.Verdict == backend_verdict::Break)
       breakAll(Arrival.Door);
 
@@ -216,6 +218,8 @@
     backend_model &Server = Servers[Answer.Door];
     if (Answer.Verdict == backend_verdict::Silence)
       return;
+    if (Answer.Verdict == backend_verdict::Lose)
+      return endAnswer(Found);
     if (Answer.Verdict == backend_verdict::Break ||
         Server.isDown(steadyNow())) {
       front(Answer.Door).post(answer_break{Ticket});
@@ -381,7 +385,7 @@
     for (backend_model &Server : Servers)
       if (Server.settings().Address == Order.Address ||
           Server.settings().Pool == Order.Pool)
-        Server.setFault(Order.Fault, Order.Share);
+        Server.setFault(Order.Fault);
   }
 
   void follow(const leaving_order &Order) {
--- a/src/libs/version/fleet_version.h
+++ b/src/libs/version/fleet_version.h
@@ -2,6 +2,7 @@
 
 #include "version/configuration.h"
 #include "version/fleet_view.h"
+#include "version/key_heirs.h"
 #include "version/ownership.h"
 
 #include <cstdint>
@@ -23,6 +24,8 @@
   std::uint64_t SelfIncarnation = 0;
   configuration Configuration;
   fleet_view View;
+  /// Who holds the keys of proxies that have ended gracefully.
+  key_heirs KeyHeirs;
   /// Owners by service name.
   std::map<std::string, service_owners, std::less<>> Owners;
 
--- a/src/libs/version/fleet_view.h
+++ b/src/libs/version/fleet_view.h
@@ -27,6 +27,14 @@
   bool operator==(const proxy_member &) const = default;
 };
 
+/// A proxy does not reach a backend server well that others find healthy.
+struct path_fault {
+  std::string ProxyId;
+  endpoint_text Server;
+
+  auto operator<=>(const path_fault &) const = default;
+};
+
 enum class server_state { Live, Leaving };
 
 /// A backend server as the host list tells of it.
@@ -46,6 +54,15 @@
   std::vector<proxy_member> Proxies;
   /// Sorted by pool, then address.
   std::vector<backend_server> Servers;
+  /// Sorted.
+  std::vector<path_fault> PathFaults;
+
+  /// Whether a proxy is to be kept away from a backend server.
+  bool hasPathFault(std::string_view ProxyId, std::string_view Server) const {
+    return std::ranges::any_of(PathFaults, [&](const path_fault &Fault) {
+      return Fault.ProxyId == ProxyId && Fault.Server == Server;
+    });
+  }
 
   /// The backend servers of one pool.
   std::span<const backend_server> pool(std::string_view Name) const {
--- a/src/libs/version/ownership.cpp
+++ b/src/libs/version/ownership.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <map>
 #include <ranges>
+#include <tuple>
 
 namespace endiverail {
 namespace {
@@ -76,17 +77,22 @@
 
   // Bounded loads: no owner gets more than its even part, rounded up.
   const std::size_t Most = (Servers.size() + Owners.size() - 1) / Owners.size();
-  for (const backend_server *Server : Servers) {
-    auto Open = Owners | std::views::filter([&](const service_owner &Owner) {
-                  return Owner.Servers.size() < Most;
-                });
-    auto Best =
-        std::ranges::max_element(Open, {}, [&](const service_owner &Owner) {
-          return stableHash(Server->Address, Owner.ProxyId);
-        });
-    Best->Servers.push_back(*Server);
-  }
+  for (const backend_server *Server : Servers)
+    ownerFor(*Server, Owners, Most).Servers.push_back(*Server);
   return Owners;
 }
 
+/// The owner with room that hashing prefers. One that does not reach the
+/// backend server comes only when no other is there, full or not.
+service_owner &owner_chooser::ownerFor(const backend_server &Server,
+                                       service_owners &Owners,
+                                       std::size_t Most) const {
+  auto Preference = [&](const service_owner &Owner) {
+    return std::tuple(!View.hasPathFault(Owner.ProxyId, Server.Address),
+                      Owner.Servers.size() < Most,
+                      stableHash(Server.Address, Owner.ProxyId));
+  };
+  return *std::ranges::max_element(Owners, {}, Preference);
+}
+
 } // namespace endiverail
--- a/src/libs/version/ownership.h
+++ b/src/libs/version/ownership.h
@@ -42,6 +42,8 @@
   };
   using data_centre = std::vector<candidate>;
 
+  service_owner &ownerFor(const backend_server &Server, service_owners &Owners,
+                          std::size_t Most) const;
   std::vector<const proxy_member *> spread(std::uint64_t ServiceHash,
                                            std::size_t Wanted) const;
 
--- a/src/tools/endiverail-load/main.cpp
+++ b/src/tools/endiverail-load/main.cpp
@@ -1,5 +1,6 @@
 #include "experiment/experiments.h"
 #include "load/deployment.h"
+#include "load/floor_watch.h"
 #include "load/load_run.h"
 #include "program/program.h"
 
@@ -20,7 +21,7 @@
 DEFINE_double(server_hours, 100, "experiment false-ejections: length");
 DEFINE_string(plot, "", "experiment: also write a bar chart (SVG)");
 DEFINE_uint64(plot_column, 0, "experiment: which column to plot");
-DEFINE_uint64(seconds, 8, "deployment: length of its plan");
+DEFINE_uint64(seconds, 8, "length of a deployment's plan, or of a watch");
 
 namespace {
 
@@ -33,6 +34,11 @@
     "  experiment NAME       prints a measurement: detection, "
     "false-ejections,\n"
     "                        flood or capacity\n"
+    "  watch PLAN            watches the plan's daemons for --seconds and "
+    "prints how\n"
+    "                        near ejections came to each floor; exit code 1 "
+    "when\n"
+    "                        they went below\n"
     "  deployment NAME DIR   writes all files to run a deployment on "
     "loopback;\n"
     "                        NAME is zbytky or vezilica";
@@ -45,6 +51,15 @@
   return Report.clean() ? exit_code::Success : exit_code::Failure;
 }
 
+result<exit_code> watchPlan(const std::string &FileName) {
+  BOOST_LEAF_AUTO(Text, readFile(FileName));
+  BOOST_LEAF_AUTO(Plan, readLoadPlan(FileName, Text));
+  floor_watch Watch =
+      watchFloor(Plan.Daemons, std::chrono::seconds(FLAGS_seconds));
+  std::cout << Watch.table();
+  return Watch.clean() ? exit_code::Success : exit_code::Failure;
+}
+
 result<exit_code> writeDeployment(const std::string &Name,
                                   const std::filesystem::path &Folder) {
   deployment_options Options{FLAGS_daemons,
@@ -83,6 +98,8 @@
     return runExperiment(Words[1]);
   if (Words.size() == 2 && Words[0] == "run")
     return runPlan(Words[1]);
+  if (Words.size() == 2 && Words[0] == "watch")
+    return watchPlan(Words[1]);
   if (Words.size() == 3 && Words[0] == "deployment")
     return writeDeployment(Words[1], Words[2]);
   std::cerr << Usage << '\n';
--- a/tests/auto/daemon/tst_callers.cpp
+++ b/tests/auto/daemon/tst_callers.cpp
@@ -153,3 +153,31 @@
   CHECK(Whole == 12);
   CHECK(eventually([&] { return status(1)["members"].size() == 2; }));
 }
+
+TEST_CASE_METHOD(fleet_fixture, "a graceful end hands the keys over") {
+  makeReady();
+  auto [Prefix, Issuer] = keyPrefix();
+  auto Send = [&, Prefix = Prefix](std::size_t Index, const char *Number) {
+    return raw(Index,
+               request("POST", "/shop/orders", Number, Prefix + "~" + Number));
+  };
+  std::size_t Second = (Issuer + 1) % DaemonCount;
+  std::size_t Third = (Issuer + 2) % DaemonCount;
+  CHECK(says(Send(Issuer, "before"), "200", "done"));
+
+  Daemons[Issuer]->drain();
+  Daemons[Issuer].reset();
+  CHECK(says(Send(Second, "before"), "200", "done"));
+  CHECK(says(Send(Third, "before"), "200", "done"));
+  CHECK(says(Send(Second, "between"), "200", "done"));
+  CHECK(says(Send(Third, "between"), "200", "done"));
+
+  // What was inherited is handed on.
+  Daemons[Second]->drain();
+  Daemons[Second].reset();
+  for (const char *Number : {"before", "between", "after"}) {
+    INFO(Number);
+    CHECK(says(Send(Third, Number), "200", "done"));
+    CHECK(runs(Number) == 1);
+  }
+}
--- a/tests/auto/peer/tst_peer_codec.cpp
+++ b/tests/auto/peer/tst_peer_codec.cpp
@@ -41,6 +41,8 @@
   CHECK(Reply.Hosts.Servers == sampleReply().Hosts.Servers);
   CHECK(Reply.Members == sampleReply().Members);
   CHECK(Reply.Deaths == sampleReply().Deaths);
+  CHECK(Reply.PathFaults == sampleReply().PathFaults);
+  CHECK(Reply.Heirs == sampleReply().Heirs);
 }
 
 TEST_CASE("a stranger's messages are refused") {
--- a/tests/auto/platform/tst_daemon_settings.cpp
+++ b/tests/auto/platform/tst_daemon_settings.cpp
@@ -44,6 +44,7 @@
       {"traffic_threads", 0},
       {"traffic_threads", 65},
       {"key_life_ms", 1.5},
+      {"key_life_ms", 39'999},
       {"seeds", {"nonsense"}},
       {"drain_timeout", 5},
   };
--- a/tests/auto/process/fake_transport.h
+++ b/tests/auto/process/fake_transport.h
@@ -113,6 +113,10 @@
 struct hand_clock {
   const steady_time *Time = nullptr;
   steady_time now() const { return *Time; }
+  wall_time wall() const {
+    return wall_time(
+        std::chrono::duration_cast<milliseconds>(Time->time_since_epoch()));
+  }
 };
 
 } // namespace endiverail::test
