--- a/src/libs/experiment/detection_experiment.cpp
+++ b/src/libs/experiment/detection_experiment.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <ranges>
 
 namespace endiverail {
 namespace {
@@ -156,7 +157,8 @@
 
 } // namespace
 
-experiment_table detectionExperiment(std::uint64_t Seed, std::size_t Runs) {
+experiment_table detectionExperiment(std::uint64_t Seed, std::size_t Runs,
+                                     std::string_view Only) {
   using enum simulated_fault;
   const detection_case Cases[]{
       {"hang, pool 6, 20/s a server", 6, 20, Hang, 0},
@@ -176,7 +178,10 @@
       {"p50 ms", "p99 ms", "in 2 s %", "in 30 s %", "harm p99 ms",
        "late answers"},
       {}};
-  std::ranges::transform(Cases, std::back_inserter(Table.Rows),
+  auto Wanted = Cases | std::views::filter([&](const detection_case &Case) {
+                  return Case.Name.find(Only) != std::string::npos;
+                });
+  std::ranges::transform(Wanted, std::back_inserter(Table.Rows),
                          [&](const detection_case &Case) {
                            return measureDetection(Case, Seed, Runs);
                          });
--- a/src/libs/experiment/experiments.h
+++ b/src/libs/experiment/experiments.h
@@ -3,12 +3,15 @@
 #include "experiment/experiment_table.h"
 
 #include <cstdint>
+#include <string_view>
 
 namespace endiverail {
 
 /// How long it takes until a failing backend server harms nobody any more and
-/// until it is to be ejected, by fault, pool and rate. \p Runs runs a case.
-experiment_table detectionExperiment(std::uint64_t Seed, std::size_t Runs);
+/// until it is to be ejected, by fault, pool and rate. \p Runs runs a case;
+/// only cases whose names contain \p Only.
+experiment_table detectionExperiment(std::uint64_t Seed, std::size_t Runs,
+                                     std::string_view Only);
 
 /// How many healthy backend servers are ejected by mistake under noise.
 /// \p ServerHours is simulated for each case.
--- a/src/libs/peer/gen/peer_types.cpp
+++ b/src/libs/peer/gen/peer_types.cpp
@@ -2290,6 +2290,297 @@
 }
 
 
+HostsChange::~HostsChange() noexcept {
+}
+
+
+void HostsChange::__set_fromRevision(const int64_t val) {
+  this->fromRevision = val;
+}
+
+void HostsChange::__set_toRevision(const int64_t val) {
+  this->toRevision = val;
+}
+
+void HostsChange::__set_entryHosts(const std::vector<EntryHost> & val) {
+  this->entryHosts = val;
+}
+
+void HostsChange::__set_servers(const std::vector<Server> & val) {
+  this->servers = val;
+}
+
+void HostsChange::__set_goneEntryHosts(const std::vector<std::string> & val) {
+  this->goneEntryHosts = val;
+}
+
+void HostsChange::__set_goneServers(const std::vector<std::string> & val) {
+  this->goneServers = val;
+}
+std::ostream& operator<<(std::ostream& out, const HostsChange& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t HostsChange::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fromRevision);
+          this->__isset.fromRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->toRevision);
+          this->__isset.toRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entryHosts.clear();
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->entryHosts.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
+            {
+              xfer += this->entryHosts[_i94].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.entryHosts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->servers.clear();
+            uint32_t _size95;
+            ::apache::thrift::protocol::TType _etype98;
+            xfer += iprot->readListBegin(_etype98, _size95);
+            this->servers.resize(_size95);
+            uint32_t _i99;
+            for (_i99 = 0; _i99 < _size95; ++_i99)
+            {
+              xfer += this->servers[_i99].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->goneEntryHosts.clear();
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            this->goneEntryHosts.resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
+            {
+              xfer += iprot->readString(this->goneEntryHosts[_i104]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.goneEntryHosts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->goneServers.clear();
+            uint32_t _size105;
+            ::apache::thrift::protocol::TType _etype108;
+            xfer += iprot->readListBegin(_etype108, _size105);
+            this->goneServers.resize(_size105);
+            uint32_t _i109;
+            for (_i109 = 0; _i109 < _size105; ++_i109)
+            {
+              xfer += iprot->readString(this->goneServers[_i109]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.goneServers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t HostsChange::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HostsChange");
+
+  xfer += oprot->writeFieldBegin("fromRevision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->fromRevision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("toRevision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->toRevision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entryHosts", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entryHosts.size()));
+    std::vector<EntryHost> ::const_iterator _iter110;
+    for (_iter110 = this->entryHosts.begin(); _iter110 != this->entryHosts.end(); ++_iter110)
+    {
+      xfer += (*_iter110).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
+    std::vector<Server> ::const_iterator _iter111;
+    for (_iter111 = this->servers.begin(); _iter111 != this->servers.end(); ++_iter111)
+    {
+      xfer += (*_iter111).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("goneEntryHosts", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->goneEntryHosts.size()));
+    std::vector<std::string> ::const_iterator _iter112;
+    for (_iter112 = this->goneEntryHosts.begin(); _iter112 != this->goneEntryHosts.end(); ++_iter112)
+    {
+      xfer += oprot->writeString((*_iter112));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("goneServers", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->goneServers.size()));
+    std::vector<std::string> ::const_iterator _iter113;
+    for (_iter113 = this->goneServers.begin(); _iter113 != this->goneServers.end(); ++_iter113)
+    {
+      xfer += oprot->writeString((*_iter113));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(HostsChange &a, HostsChange &b) {
+  using ::std::swap;
+  swap(a.fromRevision, b.fromRevision);
+  swap(a.toRevision, b.toRevision);
+  swap(a.entryHosts, b.entryHosts);
+  swap(a.servers, b.servers);
+  swap(a.goneEntryHosts, b.goneEntryHosts);
+  swap(a.goneServers, b.goneServers);
+  swap(a.__isset, b.__isset);
+}
+
+HostsChange::HostsChange(const HostsChange& other114) {
+  fromRevision = other114.fromRevision;
+  toRevision = other114.toRevision;
+  entryHosts = other114.entryHosts;
+  servers = other114.servers;
+  goneEntryHosts = other114.goneEntryHosts;
+  goneServers = other114.goneServers;
+  __isset = other114.__isset;
+}
+HostsChange::HostsChange(HostsChange&& other115) noexcept {
+  fromRevision = other115.fromRevision;
+  toRevision = other115.toRevision;
+  entryHosts = std::move(other115.entryHosts);
+  servers = std::move(other115.servers);
+  goneEntryHosts = std::move(other115.goneEntryHosts);
+  goneServers = std::move(other115.goneServers);
+  __isset = other115.__isset;
+}
+HostsChange& HostsChange::operator=(const HostsChange& other116) {
+  fromRevision = other116.fromRevision;
+  toRevision = other116.toRevision;
+  entryHosts = other116.entryHosts;
+  servers = other116.servers;
+  goneEntryHosts = other116.goneEntryHosts;
+  goneServers = other116.goneServers;
+  __isset = other116.__isset;
+  return *this;
+}
+HostsChange& HostsChange::operator=(HostsChange&& other117) noexcept {
+  fromRevision = other117.fromRevision;
+  toRevision = other117.toRevision;
+  entryHosts = std::move(other117.entryHosts);
+  servers = std::move(other117.servers);
+  goneEntryHosts = std::move(other117.goneEntryHosts);
+  goneServers = std::move(other117.goneServers);
+  __isset = other117.__isset;
+  return *this;
+}
+void HostsChange::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HostsChange(";
+  out << "fromRevision=" << to_string(fromRevision);
+  out << ", " << "toRevision=" << to_string(toRevision);
+  out << ", " << "entryHosts=" << to_string(entryHosts);
+  out << ", " << "servers=" << to_string(servers);
+  out << ", " << "goneEntryHosts=" << to_string(goneEntryHosts);
+  out << ", " << "goneServers=" << to_string(goneServers);
+  out << ")";
+}
+
+
 PullReply::~PullReply() noexcept {
 }
 
@@ -2325,6 +2616,11 @@
 void PullReply::__set_pathFaults(const std::vector<PathFault> & val) {
   this->pathFaults = val;
 }
+
+void PullReply::__set_hostsChange(const HostsChange& val) {
+  this->hostsChange = val;
+__isset.hostsChange = true;
+}
 std::ostream& operator<<(std::ostream& out, const PullReply& obj)
 {
   obj.printTo(out);
@@ -2357,14 +2653,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size90;
-            ::apache::thrift::protocol::TType _etype93;
-            xfer += iprot->readListBegin(_etype93, _size90);
-            this->records.resize(_size90);
-            uint32_t _i94;
-            for (_i94 = 0; _i94 < _size90; ++_i94)
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _etype121;
+            xfer += iprot->readListBegin(_etype121, _size118);
+            this->records.resize(_size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
             {
-              xfer += this->records[_i94].read(iprot);
+              xfer += this->records[_i122].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2385,14 +2681,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entryHosts.clear();
-            uint32_t _size95;
-            ::apache::thrift::protocol::TType _etype98;
-            xfer += iprot->readListBegin(_etype98, _size95);
-            this->entryHosts.resize(_size95);
-            uint32_t _i99;
-            for (_i99 = 0; _i99 < _size95; ++_i99)
+            uint32_t _size123;
+            ::apache::thrift::protocol::TType _etype126;
+            xfer += iprot->readListBegin(_etype126, _size123);
+            this->entryHosts.resize(_size123);
+            uint32_t _i127;
+            for (_i127 = 0; _i127 < _size123; ++_i127)
             {
-              xfer += this->entryHosts[_i99].read(iprot);
+              xfer += this->entryHosts[_i127].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2405,14 +2701,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size100;
-            ::apache::thrift::protocol::TType _etype103;
-            xfer += iprot->readListBegin(_etype103, _size100);
-            this->servers.resize(_size100);
-            uint32_t _i104;
-            for (_i104 = 0; _i104 < _size100; ++_i104)
+            uint32_t _size128;
+            ::apache::thrift::protocol::TType _etype131;
+            xfer += iprot->readListBegin(_etype131, _size128);
+            this->servers.resize(_size128);
+            uint32_t _i132;
+            for (_i132 = 0; _i132 < _size128; ++_i132)
             {
-              xfer += this->servers[_i104].read(iprot);
+              xfer += this->servers[_i132].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2425,14 +2721,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size105;
-            ::apache::thrift::protocol::TType _etype108;
-            xfer += iprot->readListBegin(_etype108, _size105);
-            this->members.resize(_size105);
-            uint32_t _i109;
-            for (_i109 = 0; _i109 < _size105; ++_i109)
+            uint32_t _size133;
+            ::apache::thrift::protocol::TType _etype136;
+            xfer += iprot->readListBegin(_etype136, _size133);
+            this->members.resize(_size133);
+            uint32_t _i137;
+            for (_i137 = 0; _i137 < _size133; ++_i137)
             {
-              xfer += this->members[_i109].read(iprot);
+              xfer += this->members[_i137].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2445,14 +2741,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->deaths.clear();
-            uint32_t _size110;
-            ::apache::thrift::protocol::TType _etype113;
-            xfer += iprot->readListBegin(_etype113, _size110);
-            this->deaths.resize(_size110);
-            uint32_t _i114;
-            for (_i114 = 0; _i114 < _size110; ++_i114)
+            uint32_t _size138;
+            ::apache::thrift::protocol::TType _etype141;
+            xfer += iprot->readListBegin(_etype141, _size138);
+            this->deaths.resize(_size138);
+            uint32_t _i142;
+            for (_i142 = 0; _i142 < _size138; ++_i142)
             {
-              xfer += this->deaths[_i114].read(iprot);
+              xfer += this->deaths[_i142].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2465,14 +2761,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heirs.clear();
-            uint32_t _size115;
-            ::apache::thrift::protocol::TType _etype118;
-            xfer += iprot->readListBegin(_etype118, _size115);
-            this->heirs.resize(_size115);
-            uint32_t _i119;
-            for (_i119 = 0; _i119 < _size115; ++_i119)
+            uint32_t _size143;
+            ::apache::thrift::protocol::TType _etype146;
+            xfer += iprot->readListBegin(_etype146, _size143);
+            this->heirs.resize(_size143);
+            uint32_t _i147;
+            for (_i147 = 0; _i147 < _size143; ++_i147)
             {
-              xfer += this->heirs[_i119].read(iprot);
+              xfer += this->heirs[_i147].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2485,14 +2781,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->pathFaults.clear();
-            uint32_t _size120;
-            ::apache::thrift::protocol::TType _etype123;
-            xfer += iprot->readListBegin(_etype123, _size120);
-            this->pathFaults.resize(_size120);
-            uint32_t _i124;
-            for (_i124 = 0; _i124 < _size120; ++_i124)
+            uint32_t _size148;
+            ::apache::thrift::protocol::TType _etype151;
+            xfer += iprot->readListBegin(_etype151, _size148);
+            this->pathFaults.resize(_size148);
+            uint32_t _i152;
+            for (_i152 = 0; _i152 < _size148; ++_i152)
             {
-              xfer += this->pathFaults[_i124].read(iprot);
+              xfer += this->pathFaults[_i152].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2501,6 +2797,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->hostsChange.read(iprot);
+          this->__isset.hostsChange = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2521,10 +2825,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<Acceptance> ::const_iterator _iter125;
-    for (_iter125 = this->records.begin(); _iter125 != this->records.end(); ++_iter125)
+    std::vector<Acceptance> ::const_iterator _iter153;
+    for (_iter153 = this->records.begin(); _iter153 != this->records.end(); ++_iter153)
     {
-      xfer += (*_iter125).write(oprot);
+      xfer += (*_iter153).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2537,10 +2841,10 @@
   xfer += oprot->writeFieldBegin("entryHosts", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entryHosts.size()));
-    std::vector<EntryHost> ::const_iterator _iter126;
-    for (_iter126 = this->entryHosts.begin(); _iter126 != this->entryHosts.end(); ++_iter126)
+    std::vector<EntryHost> ::const_iterator _iter154;
+    for (_iter154 = this->entryHosts.begin(); _iter154 != this->entryHosts.end(); ++_iter154)
     {
-      xfer += (*_iter126).write(oprot);
+      xfer += (*_iter154).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2549,10 +2853,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<Server> ::const_iterator _iter127;
-    for (_iter127 = this->servers.begin(); _iter127 != this->servers.end(); ++_iter127)
+    std::vector<Server> ::const_iterator _iter155;
+    for (_iter155 = this->servers.begin(); _iter155 != this->servers.end(); ++_iter155)
     {
-      xfer += (*_iter127).write(oprot);
+      xfer += (*_iter155).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2561,10 +2865,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter128;
-    for (_iter128 = this->members.begin(); _iter128 != this->members.end(); ++_iter128)
+    std::vector<Member> ::const_iterator _iter156;
+    for (_iter156 = this->members.begin(); _iter156 != this->members.end(); ++_iter156)
     {
-      xfer += (*_iter128).write(oprot);
+      xfer += (*_iter156).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2573,10 +2877,10 @@
   xfer += oprot->writeFieldBegin("deaths", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deaths.size()));
-    std::vector<Death> ::const_iterator _iter129;
-    for (_iter129 = this->deaths.begin(); _iter129 != this->deaths.end(); ++_iter129)
+    std::vector<Death> ::const_iterator _iter157;
+    for (_iter157 = this->deaths.begin(); _iter157 != this->deaths.end(); ++_iter157)
     {
-      xfer += (*_iter129).write(oprot);
+      xfer += (*_iter157).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2585,10 +2889,10 @@
   xfer += oprot->writeFieldBegin("heirs", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->heirs.size()));
-    std::vector<KeyHeir> ::const_iterator _iter130;
-    for (_iter130 = this->heirs.begin(); _iter130 != this->heirs.end(); ++_iter130)
+    std::vector<KeyHeir> ::const_iterator _iter158;
+    for (_iter158 = this->heirs.begin(); _iter158 != this->heirs.end(); ++_iter158)
     {
-      xfer += (*_iter130).write(oprot);
+      xfer += (*_iter158).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2597,15 +2901,20 @@
   xfer += oprot->writeFieldBegin("pathFaults", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->pathFaults.size()));
-    std::vector<PathFault> ::const_iterator _iter131;
-    for (_iter131 = this->pathFaults.begin(); _iter131 != this->pathFaults.end(); ++_iter131)
+    std::vector<PathFault> ::const_iterator _iter159;
+    for (_iter159 = this->pathFaults.begin(); _iter159 != this->pathFaults.end(); ++_iter159)
     {
-      xfer += (*_iter131).write(oprot);
+      xfer += (*_iter159).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.hostsChange) {
+    xfer += oprot->writeFieldBegin("hostsChange", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->hostsChange.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2621,53 +2930,58 @@
   swap(a.deaths, b.deaths);
   swap(a.heirs, b.heirs);
   swap(a.pathFaults, b.pathFaults);
+  swap(a.hostsChange, b.hostsChange);
   swap(a.__isset, b.__isset);
 }
 
-PullReply::PullReply(const PullReply& other132) {
-  records = other132.records;
-  hostListRevision = other132.hostListRevision;
-  entryHosts = other132.entryHosts;
-  servers = other132.servers;
-  members = other132.members;
-  deaths = other132.deaths;
-  heirs = other132.heirs;
-  pathFaults = other132.pathFaults;
-  __isset = other132.__isset;
-}
-PullReply::PullReply(PullReply&& other133) noexcept {
-  records = std::move(other133.records);
-  hostListRevision = other133.hostListRevision;
-  entryHosts = std::move(other133.entryHosts);
-  servers = std::move(other133.servers);
-  members = std::move(other133.members);
-  deaths = std::move(other133.deaths);
-  heirs = std::move(other133.heirs);
-  pathFaults = std::move(other133.pathFaults);
-  __isset = other133.__isset;
-}
-PullReply& PullReply::operator=(const PullReply& other134) {
-  records = other134.records;
-  hostListRevision = other134.hostListRevision;
-  entryHosts = other134.entryHosts;
-  servers = other134.servers;
-  members = other134.members;
-  deaths = other134.deaths;
-  heirs = other134.heirs;
-  pathFaults = other134.pathFaults;
-  __isset = other134.__isset;
+PullReply::PullReply(const PullReply& other160) {
+  records = other160.records;
+  hostListRevision = other160.hostListRevision;
+  entryHosts = other160.entryHosts;
+  servers = other160.servers;
+  members = other160.members;
+  deaths = other160.deaths;
+  heirs = other160.heirs;
+  pathFaults = other160.pathFaults;
+  hostsChange = other160.hostsChange;
+  __isset = other160.__isset;
+}
+PullReply::PullReply(PullReply&& other161) noexcept {
+  records = std::move(other161.records);
+  hostListRevision = other161.hostListRevision;
+  entryHosts = std::move(other161.entryHosts);
+  servers = std::move(other161.servers);
+  members = std::move(other161.members);
+  deaths = std::move(other161.deaths);
+  heirs = std::move(other161.heirs);
+  pathFaults = std::move(other161.pathFaults);
+  hostsChange = std::move(other161.hostsChange);
+  __isset = other161.__isset;
+}
+PullReply& PullReply::operator=(const PullReply& other162) {
+  records = other162.records;
+  hostListRevision = other162.hostListRevision;
+  entryHosts = other162.entryHosts;
+  servers = other162.servers;
+  members = other162.members;
+  deaths = other162.deaths;
+  heirs = other162.heirs;
+  pathFaults = other162.pathFaults;
+  hostsChange = other162.hostsChange;
+  __isset = other162.__isset;
   return *this;
 }
-PullReply& PullReply::operator=(PullReply&& other135) noexcept {
-  records = std::move(other135.records);
-  hostListRevision = other135.hostListRevision;
-  entryHosts = std::move(other135.entryHosts);
-  servers = std::move(other135.servers);
-  members = std::move(other135.members);
-  deaths = std::move(other135.deaths);
-  heirs = std::move(other135.heirs);
-  pathFaults = std::move(other135.pathFaults);
-  __isset = other135.__isset;
+PullReply& PullReply::operator=(PullReply&& other163) noexcept {
+  records = std::move(other163.records);
+  hostListRevision = other163.hostListRevision;
+  entryHosts = std::move(other163.entryHosts);
+  servers = std::move(other163.servers);
+  members = std::move(other163.members);
+  deaths = std::move(other163.deaths);
+  heirs = std::move(other163.heirs);
+  pathFaults = std::move(other163.pathFaults);
+  hostsChange = std::move(other163.hostsChange);
+  __isset = other163.__isset;
   return *this;
 }
 void PullReply::printTo(std::ostream& out) const {
@@ -2681,6 +2995,7 @@
   out << ", " << "deaths=" << to_string(deaths);
   out << ", " << "heirs=" << to_string(heirs);
   out << ", " << "pathFaults=" << to_string(pathFaults);
+  out << ", " << "hostsChange="; (__isset.hostsChange ? (out << to_string(hostsChange)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2777,26 +3092,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Header::Header(const Header& other136) {
-  name = other136.name;
-  value = other136.value;
-  __isset = other136.__isset;
+Header::Header(const Header& other164) {
+  name = other164.name;
+  value = other164.value;
+  __isset = other164.__isset;
 }
-Header::Header(Header&& other137) noexcept {
-  name = std::move(other137.name);
-  value = std::move(other137.value);
-  __isset = other137.__isset;
+Header::Header(Header&& other165) noexcept {
+  name = std::move(other165.name);
+  value = std::move(other165.value);
+  __isset = other165.__isset;
 }
-Header& Header::operator=(const Header& other138) {
-  name = other138.name;
-  value = other138.value;
-  __isset = other138.__isset;
+Header& Header::operator=(const Header& other166) {
+  name = other166.name;
+  value = other166.value;
+  __isset = other166.__isset;
   return *this;
 }
-Header& Header::operator=(Header&& other139) noexcept {
-  name = std::move(other139.name);
-  value = std::move(other139.value);
-  __isset = other139.__isset;
+Header& Header::operator=(Header&& other167) noexcept {
+  name = std::move(other167.name);
+  value = std::move(other167.value);
+  __isset = other167.__isset;
   return *this;
 }
 void Header::printTo(std::ostream& out) const {
@@ -2899,14 +3214,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size140;
-            ::apache::thrift::protocol::TType _etype143;
-            xfer += iprot->readListBegin(_etype143, _size140);
-            this->headers.resize(_size140);
-            uint32_t _i144;
-            for (_i144 = 0; _i144 < _size140; ++_i144)
+            uint32_t _size168;
+            ::apache::thrift::protocol::TType _etype171;
+            xfer += iprot->readListBegin(_etype171, _size168);
+            this->headers.resize(_size168);
+            uint32_t _i172;
+            for (_i172 = 0; _i172 < _size168; ++_i172)
             {
-              xfer += this->headers[_i144].read(iprot);
+              xfer += this->headers[_i172].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2959,10 +3274,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter145;
-    for (_iter145 = this->headers.begin(); _iter145 != this->headers.end(); ++_iter145)
+    std::vector<Header> ::const_iterator _iter173;
+    for (_iter173 = this->headers.begin(); _iter173 != this->headers.end(); ++_iter173)
     {
-      xfer += (*_iter145).write(oprot);
+      xfer += (*_iter173).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2988,42 +3303,42 @@
   swap(a.__isset, b.__isset);
 }
 
-RememberedKey::RememberedKey(const RememberedKey& other146) {
-  name = other146.name;
-  issuer = other146.issuer;
-  status = other146.status;
-  outcome = other146.outcome;
-  headers = other146.headers;
-  body = other146.body;
-  __isset = other146.__isset;
-}
-RememberedKey::RememberedKey(RememberedKey&& other147) noexcept {
-  name = std::move(other147.name);
-  issuer = std::move(other147.issuer);
-  status = other147.status;
-  outcome = other147.outcome;
-  headers = std::move(other147.headers);
-  body = std::move(other147.body);
-  __isset = other147.__isset;
-}
-RememberedKey& RememberedKey::operator=(const RememberedKey& other148) {
-  name = other148.name;
-  issuer = other148.issuer;
-  status = other148.status;
-  outcome = other148.outcome;
-  headers = other148.headers;
-  body = other148.body;
-  __isset = other148.__isset;
+RememberedKey::RememberedKey(const RememberedKey& other174) {
+  name = other174.name;
+  issuer = other174.issuer;
+  status = other174.status;
+  outcome = other174.outcome;
+  headers = other174.headers;
+  body = other174.body;
+  __isset = other174.__isset;
+}
+RememberedKey::RememberedKey(RememberedKey&& other175) noexcept {
+  name = std::move(other175.name);
+  issuer = std::move(other175.issuer);
+  status = other175.status;
+  outcome = other175.outcome;
+  headers = std::move(other175.headers);
+  body = std::move(other175.body);
+  __isset = other175.__isset;
+}
+RememberedKey& RememberedKey::operator=(const RememberedKey& other176) {
+  name = other176.name;
+  issuer = other176.issuer;
+  status = other176.status;
+  outcome = other176.outcome;
+  headers = other176.headers;
+  body = other176.body;
+  __isset = other176.__isset;
   return *this;
 }
-RememberedKey& RememberedKey::operator=(RememberedKey&& other149) noexcept {
-  name = std::move(other149.name);
-  issuer = std::move(other149.issuer);
-  status = other149.status;
-  outcome = other149.outcome;
-  headers = std::move(other149.headers);
-  body = std::move(other149.body);
-  __isset = other149.__isset;
+RememberedKey& RememberedKey::operator=(RememberedKey&& other177) noexcept {
+  name = std::move(other177.name);
+  issuer = std::move(other177.issuer);
+  status = other177.status;
+  outcome = other177.outcome;
+  headers = std::move(other177.headers);
+  body = std::move(other177.body);
+  __isset = other177.__isset;
   return *this;
 }
 void RememberedKey::printTo(std::ostream& out) const {
@@ -3114,14 +3429,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rights.clear();
-            uint32_t _size150;
-            ::apache::thrift::protocol::TType _etype153;
-            xfer += iprot->readListBegin(_etype153, _size150);
-            this->rights.resize(_size150);
-            uint32_t _i154;
-            for (_i154 = 0; _i154 < _size150; ++_i154)
+            uint32_t _size178;
+            ::apache::thrift::protocol::TType _etype181;
+            xfer += iprot->readListBegin(_etype181, _size178);
+            this->rights.resize(_size178);
+            uint32_t _i182;
+            for (_i182 = 0; _i182 < _size178; ++_i182)
             {
-              xfer += this->rights[_i154].read(iprot);
+              xfer += this->rights[_i182].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3150,14 +3465,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keys.clear();
-            uint32_t _size155;
-            ::apache::thrift::protocol::TType _etype158;
-            xfer += iprot->readListBegin(_etype158, _size155);
-            this->keys.resize(_size155);
-            uint32_t _i159;
-            for (_i159 = 0; _i159 < _size155; ++_i159)
+            uint32_t _size183;
+            ::apache::thrift::protocol::TType _etype186;
+            xfer += iprot->readListBegin(_etype186, _size183);
+            this->keys.resize(_size183);
+            uint32_t _i187;
+            for (_i187 = 0; _i187 < _size183; ++_i187)
             {
-              xfer += this->keys[_i159].read(iprot);
+              xfer += this->keys[_i187].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3194,10 +3509,10 @@
   xfer += oprot->writeFieldBegin("rights", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rights.size()));
-    std::vector<KeyHeir> ::const_iterator _iter160;
-    for (_iter160 = this->rights.begin(); _iter160 != this->rights.end(); ++_iter160)
+    std::vector<KeyHeir> ::const_iterator _iter188;
+    for (_iter188 = this->rights.begin(); _iter188 != this->rights.end(); ++_iter188)
     {
-      xfer += (*_iter160).write(oprot);
+      xfer += (*_iter188).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3214,10 +3529,10 @@
   xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keys.size()));
-    std::vector<RememberedKey> ::const_iterator _iter161;
-    for (_iter161 = this->keys.begin(); _iter161 != this->keys.end(); ++_iter161)
+    std::vector<RememberedKey> ::const_iterator _iter189;
+    for (_iter189 = this->keys.begin(); _iter189 != this->keys.end(); ++_iter189)
     {
-      xfer += (*_iter161).write(oprot);
+      xfer += (*_iter189).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3239,42 +3554,42 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyHandOver::KeyHandOver(const KeyHandOver& other162) {
-  giver = other162.giver;
-  heir = other162.heir;
-  rights = other162.rights;
-  part = other162.part;
-  parts = other162.parts;
-  keys = other162.keys;
-  __isset = other162.__isset;
-}
-KeyHandOver::KeyHandOver(KeyHandOver&& other163) noexcept {
-  giver = std::move(other163.giver);
-  heir = std::move(other163.heir);
-  rights = std::move(other163.rights);
-  part = other163.part;
-  parts = other163.parts;
-  keys = std::move(other163.keys);
-  __isset = other163.__isset;
-}
-KeyHandOver& KeyHandOver::operator=(const KeyHandOver& other164) {
-  giver = other164.giver;
-  heir = other164.heir;
-  rights = other164.rights;
-  part = other164.part;
-  parts = other164.parts;
-  keys = other164.keys;
-  __isset = other164.__isset;
+KeyHandOver::KeyHandOver(const KeyHandOver& other190) {
+  giver = other190.giver;
+  heir = other190.heir;
+  rights = other190.rights;
+  part = other190.part;
+  parts = other190.parts;
+  keys = other190.keys;
+  __isset = other190.__isset;
+}
+KeyHandOver::KeyHandOver(KeyHandOver&& other191) noexcept {
+  giver = std::move(other191.giver);
+  heir = std::move(other191.heir);
+  rights = std::move(other191.rights);
+  part = other191.part;
+  parts = other191.parts;
+  keys = std::move(other191.keys);
+  __isset = other191.__isset;
+}
+KeyHandOver& KeyHandOver::operator=(const KeyHandOver& other192) {
+  giver = other192.giver;
+  heir = other192.heir;
+  rights = other192.rights;
+  part = other192.part;
+  parts = other192.parts;
+  keys = other192.keys;
+  __isset = other192.__isset;
   return *this;
 }
-KeyHandOver& KeyHandOver::operator=(KeyHandOver&& other165) noexcept {
-  giver = std::move(other165.giver);
-  heir = std::move(other165.heir);
-  rights = std::move(other165.rights);
-  part = other165.part;
-  parts = other165.parts;
-  keys = std::move(other165.keys);
-  __isset = other165.__isset;
+KeyHandOver& KeyHandOver::operator=(KeyHandOver&& other193) noexcept {
+  giver = std::move(other193.giver);
+  heir = std::move(other193.heir);
+  rights = std::move(other193.rights);
+  part = other193.part;
+  parts = other193.parts;
+  keys = std::move(other193.keys);
+  __isset = other193.__isset;
   return *this;
 }
 void KeyHandOver::printTo(std::ostream& out) const {
--- a/src/libs/peer/gen/peer_types.h
+++ b/src/libs/peer/gen/peer_types.h
@@ -45,6 +45,8 @@
 
 class Server;
 
+class HostsChange;
+
 class PullReply;
 
 class Header;
@@ -878,8 +880,84 @@
 
 std::ostream& operator<<(std::ostream& out, const Server& obj);
 
+typedef struct _HostsChange__isset {
+  _HostsChange__isset() : fromRevision(false), toRevision(false), entryHosts(false), servers(false), goneEntryHosts(false), goneServers(false) {}
+  bool fromRevision :1;
+  bool toRevision :1;
+  bool entryHosts :1;
+  bool servers :1;
+  bool goneEntryHosts :1;
+  bool goneServers :1;
+} _HostsChange__isset;
+
+class HostsChange : public virtual ::apache::thrift::TBase {
+ public:
+
+  HostsChange(const HostsChange&);
+  HostsChange(HostsChange&&) noexcept;
+  HostsChange& operator=(const HostsChange&);
+  HostsChange& operator=(HostsChange&&) noexcept;
+  HostsChange() noexcept
+              : fromRevision(0),
+                toRevision(0) {
+  }
+
+  virtual ~HostsChange() noexcept;
+  int64_t fromRevision;
+  int64_t toRevision;
+  std::vector<EntryHost>  entryHosts;
+  std::vector<Server>  servers;
+  std::vector<std::string>  goneEntryHosts;
+  std::vector<std::string>  goneServers;
+
+  _HostsChange__isset __isset;
+
+  void __set_fromRevision(const int64_t val);
+
+  void __set_toRevision(const int64_t val);
+
+  void __set_entryHosts(const std::vector<EntryHost> & val);
+
+  void __set_servers(const std::vector<Server> & val);
+
+  void __set_goneEntryHosts(const std::vector<std::string> & val);
+
+  void __set_goneServers(const std::vector<std::string> & val);
+
+  bool operator == (const HostsChange & rhs) const
+  {
+    if (!(fromRevision == rhs.fromRevision))
+      return false;
+    if (!(toRevision == rhs.toRevision))
+      return false;
+    if (!(entryHosts == rhs.entryHosts))
+      return false;
+    if (!(servers == rhs.servers))
+      return false;
+    if (!(goneEntryHosts == rhs.goneEntryHosts))
+      return false;
+    if (!(goneServers == rhs.goneServers))
+      return false;
+    return true;
+  }
+  bool operator != (const HostsChange &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const HostsChange & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(HostsChange &a, HostsChange &b);
+
+std::ostream& operator<<(std::ostream& out, const HostsChange& obj);
+
 typedef struct _PullReply__isset {
-  _PullReply__isset() : records(false), hostListRevision(false), entryHosts(false), servers(false), members(false), deaths(false), heirs(false), pathFaults(false) {}
+  _PullReply__isset() : records(false), hostListRevision(false), entryHosts(false), servers(false), members(false), deaths(false), heirs(false), pathFaults(false), hostsChange(false) {}
   bool records :1;
   bool hostListRevision :1;
   bool entryHosts :1;
@@ -888,6 +966,7 @@
   bool deaths :1;
   bool heirs :1;
   bool pathFaults :1;
+  bool hostsChange :1;
 } _PullReply__isset;
 
 class PullReply : public virtual ::apache::thrift::TBase {
@@ -910,6 +989,7 @@
   std::vector<Death>  deaths;
   std::vector<KeyHeir>  heirs;
   std::vector<PathFault>  pathFaults;
+  HostsChange hostsChange;
 
   _PullReply__isset __isset;
 
@@ -929,6 +1009,8 @@
 
   void __set_pathFaults(const std::vector<PathFault> & val);
 
+  void __set_hostsChange(const HostsChange& val);
+
   bool operator == (const PullReply & rhs) const
   {
     if (!(records == rhs.records))
@@ -947,6 +1029,10 @@
       return false;
     if (!(pathFaults == rhs.pathFaults))
       return false;
+    if (__isset.hostsChange != rhs.__isset.hostsChange)
+      return false;
+    else if (__isset.hostsChange && !(hostsChange == rhs.hostsChange))
+      return false;
     return true;
   }
   bool operator != (const PullReply &rhs) const {
--- a/src/libs/peer/peer.thrift
+++ b/src/libs/peer/peer.thrift
@@ -92,6 +92,15 @@
   4: bool leaving
 }
 
+struct HostsChange {
+  1: i64 fromRevision
+  2: i64 toRevision
+  3: list<EntryHost> entryHosts
+  4: list<Server> servers
+  5: list<string> goneEntryHosts
+  6: list<string> goneServers
+}
+
 struct PullReply {
   1: list<Acceptance> records
   2: i64 hostListRevision
@@ -101,6 +110,7 @@
   6: list<Death> deaths
   7: list<KeyHeir> heirs
   8: list<PathFault> pathFaults
+  9: optional HostsChange hostsChange
 }
 
 struct Header {
--- a/src/libs/peer/peer_codec.cpp
+++ b/src/libs/peer/peer_codec.cpp
@@ -136,6 +136,8 @@
   Wire.deaths = converted<wire::Death>(Reply.Deaths, ToWire);
   Wire.heirs = converted<wire::KeyHeir>(Reply.Heirs, ToWire);
   Wire.pathFaults = converted<wire::PathFault>(Reply.PathFaults, ToWire);
+  if (Reply.HostsChange)
+    Wire.__set_hostsChange(toWire(*Reply.HostsChange));
   return pack(FleetSecret, "pull-reply", Wire);
 }
 
@@ -150,6 +152,8 @@
   Reply.Hosts.Revision = fromWire(Wire.hostListRevision);
   Reply.Hosts.EntryHosts = converted<entry_host>(Wire.entryHosts, FromWire);
   Reply.Hosts.Servers = converted<backend_server>(Wire.servers, FromWire);
+  if (Wire.__isset.hostsChange)
+    Reply.HostsChange = fromWire(Wire.hostsChange);
   Reply.Members = converted<member_update>(Wire.members, FromWire);
   Reply.Deaths = converted<server_death>(Wire.deaths, FromWire);
   Reply.Heirs = converted<key_heir>(Wire.heirs, FromWire);
--- a/src/libs/peer/wire_conversion.cpp
+++ b/src/libs/peer/wire_conversion.cpp
@@ -120,6 +120,26 @@
           Server.leaving ? server_state::Leaving : server_state::Live};
 }
 
+wire::HostsChange toWire(const host_list_change &Change) {
+  wire::HostsChange Result;
+  Result.fromRevision = toWire(Change.From);
+  Result.toRevision = toWire(Change.To);
+  Result.entryHosts = converted<wire::EntryHost>(Change.EntryHosts, ToWire);
+  Result.servers = converted<wire::Server>(Change.Servers, ToWire);
+  Result.goneEntryHosts = Change.GoneEntryHosts;
+  Result.goneServers = Change.GoneServers;
+  return Result;
+}
+
+host_list_change fromWire(const wire::HostsChange &Change) {
+  return {fromWire(Change.fromRevision),
+          fromWire(Change.toRevision),
+          converted<entry_host>(Change.entryHosts, FromWire),
+          converted<backend_server>(Change.servers, FromWire),
+          Change.goneEntryHosts,
+          Change.goneServers};
+}
+
 wire::Incarnation toWire(const proxy_incarnation &Incarnation) {
   wire::Incarnation Result;
   Result.proxyId = Incarnation.ProxyId;
--- a/src/libs/peer/wire_conversion.h
+++ b/src/libs/peer/wire_conversion.h
@@ -30,6 +30,8 @@
 entry_host fromWire(const wire::EntryHost &Host);
 wire::Server toWire(const backend_server &Server);
 backend_server fromWire(const wire::Server &Server);
+wire::HostsChange toWire(const host_list_change &Change);
+host_list_change fromWire(const wire::HostsChange &Change);
 wire::Incarnation toWire(const proxy_incarnation &Incarnation);
 proxy_incarnation fromWire(const wire::Incarnation &Incarnation);
 wire::KeyHeir toWire(const key_heir &Heir);
--- a/src/libs/process/control_message.h
+++ b/src/libs/process/control_message.h
@@ -5,10 +5,11 @@
 #include "process/time_line.h"
 #include "process/traffic_message.h"
 #include "version/ejection_claim.h"
-#include "version/host_list.h"
+#include "version/host_list_change.h"
 #include "version/record.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -55,8 +56,10 @@
 
 struct pull_reply {
   std::vector<acceptance> Records;
-  /// Revision 0 when the asker's list is as new.
+  /// The whole list; revision 0 when the asker's is as new or HostsChange tells
+  /// what it lacks.
   host_list Hosts;
+  std::optional<host_list_change> HostsChange;
   std::vector<member_update> Members;
   /// What a new process has to know of requests that killed.
   std::vector<server_death> Deaths;
--- a/src/libs/process/control_state.cpp
+++ b/src/libs/process/control_state.cpp
@@ -3,6 +3,8 @@
 #include "base/hash.h"
 
 #include <algorithm>
+#include <functional>
+#include <numeric>
 #include <ranges>
 
 namespace endiverail {
@@ -28,6 +30,23 @@
 constexpr std::size_t LeastServersToSuspectSelf = 4;
 constexpr milliseconds SelfSuspicionLasts{20'000};
 
+std::size_t slotsOf(const standing_report &Report) {
+  return std::transform_reduce(Report.Servers.begin(), Report.Servers.end(),
+                               std::size_t{0}, std::plus{},
+                               [](const server_status &Server) {
+                                 return static_cast<std::size_t>(Server.Limit);
+                               });
+}
+
+/// How many backend servers of a service this proxy owns.
+std::size_t ownedServers(const fleet_version &Version,
+                         std::string_view Service) {
+  const service_owners &Owners = Version.ownersOf(Service);
+  auto Self =
+      std::ranges::find(Owners, Version.SelfId, &service_owner::ProxyId);
+  return Self == Owners.end() ? 0 : Self->Servers.size();
+}
+
 result<record_fold> foldOf(const control_settings &Settings) {
   return record_fold::create(Settings.CustomerKeys);
 }
@@ -95,7 +114,9 @@
     SaidLeaving.expire(Now);
     KnownDeaths.expire(Now);
     KnownHeirs.expire(Now);
-    VersionStale |= KnownPathFaults.expire(Now);
+    VersionStale |= !KnownPathFaults.expire(Now).empty();
+    for (const std::string &Service : Floods.expire(Now))
+      Events.note(event_kind::FloodEnded, Service, "", "");
   }
   publishIfChanged(Now, Out);
 }
@@ -252,8 +273,11 @@
     if (Asked)
       Reply.Records.push_back(Accepted.Record);
   }
-  if (Hosts.Revision > Request.HostListRevision)
-    Reply.Hosts = Hosts;
+  if (Hosts.Revision > Request.HostListRevision) {
+    Reply.HostsChange = HostsHistory.since(Request.HostListRevision, Hosts);
+    if (!Reply.HostsChange)
+      Reply.Hosts = Hosts;
+  }
   if (Request.WantMembers) {
     Reply.Members = Members.updates();
     Reply.Deaths = KnownDeaths.items();
@@ -280,6 +304,8 @@
     VersionStale |= KnownPathFaults.note(Fault, Now);
   if (Reply.Hosts.Revision > Hosts.Revision)
     onHosts(Reply.Hosts, Now, Out);
+  else if (Reply.HostsChange && Reply.HostsChange->From == Hosts.Revision)
+    onHosts(applyChange(Hosts, *Reply.HostsChange), Now, Out);
   publishIfChanged(Now, Out);
 }
 
@@ -416,6 +442,7 @@
         std::ranges::find(Hosts.Servers, Server) == Hosts.Servers.end())
       Events.note(event_kind::ServerLeaving, Server.Pool, Server.Address,
                   "host list");
+  HostsHistory.note(Hosts, NewHosts);
   Hosts = NewHosts;
   VersionStale = true;
   announce(Now, Out);
@@ -434,7 +461,7 @@
   if (const auto *Wish = std::get_if<ejection_wish>(&Notice))
     wish(*Wish, Now, Out);
   if (const auto *Report = std::get_if<standing_report>(&Notice))
-    Reports.note(*Report, Now);
+    onReport(*Report, Now);
   if (const auto *Leaving = std::get_if<server_leaving>(&Notice))
     onServerLeaving(*Leaving, Now, Out);
   if (const auto *Death = std::get_if<server_death>(&Notice))
@@ -443,6 +470,15 @@
     onPathFault({Settings.Self.Id, Fault->Server}, Fault->Service, Now, Out);
 }
 
+void control_state::onReport(const standing_report &Report, steady_time Now) {
+  Reports.note(Report, Now);
+  std::size_t Slots = slotsOf(Report);
+  if (Report.Waiting > Slots && Floods.note(Report.Service, Now))
+    Events.note(event_kind::FloodStarted, Report.Service, "",
+                std::to_string(Report.Waiting) + " requests wait for " +
+                    std::to_string(Slots) + " slots");
+}
+
 /// The backend server passes to an owner that reaches it.
 void control_state::onPathFault(const path_fault &Fault,
                                 std::string_view Service, steady_time Now,
@@ -664,6 +700,7 @@
   for (const accepted_service_ref &Service : Version->Configuration.services())
     Version->Owners.emplace(Service->Definition.Name,
                             Chooser.choose(Service->Definition));
+  noteOwnership(*Version);
   // Readiness may come without any other change.
   VersionStale = !Version->Ready;
   Published = Version;
@@ -672,6 +709,17 @@
   Out.emplace_back(publish_version{std::move(Version)});
 }
 
+void control_state::noteOwnership(const fleet_version &Next) {
+  for (const auto &[Service, Owners] : Next.Owners) {
+    std::size_t Before = Published ? ownedServers(*Published, Service) : 0;
+    std::size_t Now = ownedServers(Next, Service);
+    if (Now != Before)
+      Events.note(event_kind::OwnershipChanged, Service, Settings.Self.Id,
+                  "owns " + std::to_string(Now) + " backend servers, " +
+                      std::to_string(Before) + " before");
+  }
+}
+
 // The end.
 
 void control_state::drain(steady_time Now, control_actions &Out) {
--- a/src/libs/process/control_state.h
+++ b/src/libs/process/control_state.h
@@ -100,6 +100,8 @@
   /// How long a proxy is kept away from a backend server that it does not
   /// reach.
   static constexpr milliseconds PathFaultMemory{30'000};
+  /// A flood is over when so long no more requests wait than there are slots.
+  static constexpr milliseconds FloodEnds{5'000};
   static constexpr std::size_t MostRemembered = 4096;
 
   void applyRecord(const configuration_record &Record, std::uint64_t Offset,
@@ -117,6 +119,8 @@
   pull_request fullPull() const;
   void readSources(steady_time Now, control_actions &Out);
   void joinByPeers(steady_time Now, control_actions &Out);
+  void onReport(const standing_report &Report, steady_time Now);
+  void noteOwnership(const fleet_version &Next);
   void onPathFault(const path_fault &Fault, std::string_view Service,
                    steady_time Now, control_actions &Out);
   void onKeyHeir(const key_heir &Heir, steady_time Now, control_actions &Out);
@@ -158,6 +162,7 @@
   std::mt19937_64 Random;
 
   host_list Hosts;
+  host_list_history HostsHistory;
   recent_set<endpoint_text> SaidLeaving{LeavingMemory, MostRemembered};
 
   std::uint64_t NextOffset = 0;
@@ -192,6 +197,8 @@
   fleet_version_ref Published;
 
   standing_reports Reports;
+  /// Services for which more requests wait than there are slots.
+  recent_set<std::string> Floods{FloodEnds, MostRemembered};
   steady_time OfferAgain;
   bool SuspectsSelf = false;
   bool Draining = false;
--- a/src/libs/process/recent_set.h
+++ b/src/libs/process/recent_set.h
@@ -31,12 +31,16 @@
     return LastHeard.contains(Wanted);
   }
 
-  /// Forgets what was not heard of for long enough. Returns whether there was
-  /// any.
-  bool expire(steady_time Now) {
-    return std::erase_if(LastHeard, [&](const auto &Entry) {
-             return Now - Entry.second >= Memory;
-           }) != 0;
+  /// Forgets what was not heard of for long enough, and returns it.
+  std::vector<Item> expire(steady_time Now) {
+    std::vector<Item> Forgotten;
+    std::erase_if(LastHeard, [&](const auto &Entry) {
+      if (Now - Entry.second < Memory)
+        return false;
+      Forgotten.push_back(Entry.first);
+      return true;
+    });
+    return Forgotten;
   }
 
   std::vector<Item> items() const {
--- a/src/libs/process/service_scheduler.cpp
+++ b/src/libs/process/service_scheduler.cpp
@@ -14,6 +14,7 @@
 constexpr double LimitCut = 0.7;
 constexpr double LeastLimit = 1;
 constexpr std::size_t GoodTrialsToReturn = 3;
+constexpr milliseconds SuspectedTrialPause{25};
 constexpr milliseconds FirstTrialPause{500};
 constexpr milliseconds LongestTrialPause{30'000};
 /// After this long without an ejection a flapping history is forgotten.
@@ -231,7 +232,7 @@
   waiting_request Request = Queue.pop(Now);
   if (Server->Ejected || Server->Evidence.suspected())
     Server->NextTrial = Now + (Server->Ejected ? trialPause(Server->Ejections)
-                                               : milliseconds(100));
+                                               : SuspectedTrialPause);
   ++Server->InUse;
   ++InUseByRank[rankIndex(*Rank)];
   return slot_assignment{Request.Id, Server->Address};
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -6,6 +6,7 @@
 #include "connection/answer_message.h"
 #include "connection/backend_attempt.h"
 #include "process/active_request.h"
+#include "process/answer_writer.h"
 #include "process/attempt_fields.h"
 #include "process/death_watch.h"
 #include "process/event_loop.h"
@@ -13,8 +14,10 @@
 #include "process/key_registry.h"
 #include "process/mailbox.h"
 #include "process/metrics.h"
+#include "process/request_timers.h"
 #include "process/service_state.h"
 #include "process/traffic_message.h"
+#include "version/peer_choice.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -47,7 +50,7 @@
                  traffic_settings Settings, Sink &To, Link &Control,
                  process_metrics &Metrics, Time Clock = {})
       : Poller(std::move(Poller)), Inbox(std::move(Event)),
-        Settings(std::move(Settings)), To(To), Control(Control),
+        Settings(std::move(Settings)), Answers(To, Metrics), Control(Control),
         Metrics(Metrics), Clock(std::move(Clock)),
         Transport(this->Poller, *this), Keys(this->Settings.Keys) {
     this->Poller.watch(Inbox.descriptor(), true, false);
@@ -91,8 +94,7 @@
       if (At && (!Next || *At < *Next))
         Next = At;
     };
-    if (!Timers.empty())
-      Consider(Timers.begin()->first);
+    Consider(Timers.nextDue());
     Consider(Deaths.nextWake());
     if (!Requests.empty())
       Consider(NextReport);
@@ -133,7 +135,7 @@
     }
     Active->Buffered.append(Piece);
     if (Active->HeadPosted || Active->Buffered.size() > MostBuffered)
-      passOn(*Active);
+      Answers.passOn(*Active);
     return true;
   }
 
@@ -169,13 +171,6 @@
   /// While others are asked of a backend server it gets no trials.
   static constexpr milliseconds InquiryPause{500};
 
-  enum class timer_kind { Deadline, Slow, NoHead, HolderRetry };
-  struct timer {
-    request_id Request = 0;
-    attempt_id Attempt = 0;
-    timer_kind Kind = timer_kind::Deadline;
-  };
-
   // Messages.
 
   void take(run_request &Run, steady_time Now) {
@@ -183,7 +178,7 @@
     active_request &Active = Requests[Id];
     Active.Request = std::move(Run.Request);
     ByTicket[Active.Request.Ticket.Connection] = Id;
-    Timers.emplace(Active.Request.Deadline, timer{Id, 0, timer_kind::Deadline});
+    Timers.add(Active.Request.Deadline, {Id, 0, timer_kind::Deadline});
     orAnswerError(Active, Now, [&] { return admit(Active, Now); });
   }
 
@@ -329,8 +324,8 @@
         Now + HolderRetry >= Active.Request.Deadline)
       return false;
     ++Active.HolderRetries;
-    Timers.emplace(Now + HolderRetry,
-                   timer{Active.Request.Id, 0, timer_kind::HolderRetry});
+    Timers.add(Now + HolderRetry,
+               {Active.Request.Id, 0, timer_kind::HolderRetry});
     return true;
   }
 
@@ -349,7 +344,8 @@
         std::ranges::find(Owners, Version->SelfId, &service_owner::ProxyId);
     bool Owns = Self != Owners.end() && !Self->Servers.empty();
     if (!Owns && !Active.Request.Forwarded)
-      if (const service_owner *Owner = chooseOwner(Owners, Active)) {
+      if (const service_owner *Owner =
+              chooseOwner(*Version, Name, Active.Failed, Active.Request.Id)) {
         Metrics.onForward(Name);
         startAttempt(Active, toPeer(Owner->Address), Now);
         return {};
@@ -377,22 +373,6 @@
     return {};
   }
 
-  const service_owner *chooseOwner(const service_owners &Owners,
-                                   const active_request &Active) {
-    auto Untried = Owners | std::views::filter([&](const service_owner &Owner) {
-                     return !Owner.Servers.empty() &&
-                            Owner.ProxyId != Version->SelfId &&
-                            std::ranges::find(Active.Failed, Owner.Address) ==
-                                Active.Failed.end();
-                   });
-    // Any spread will do; the request's identity gives one without a state.
-    auto Best =
-        std::ranges::max_element(Untried, {}, [&](const service_owner &Owner) {
-          return stableHash(Owner.ProxyId, std::to_string(Active.Request.Id));
-        });
-    return Best == Untried.end() ? nullptr : &*Best;
-  }
-
   waiting_request waiting(const active_request &Active, service_state &State) {
     const caller_request &Request = Active.Request;
     return {Request.Id,
@@ -456,7 +436,7 @@
     if (TrialWake && *TrialWake <= At)
       return;
     TrialWake = At;
-    Timers.emplace(At, timer{});
+    Timers.add(At, {0, 0, timer_kind::Trial});
   }
 
   void startWaiting(const running_attempt &Attempt, steady_time Now) {
@@ -473,7 +453,8 @@
     auto Server = State.Opinions.due(Now);
     if (!Server)
       return;
-    const proxy_member *Observer = chooseObserver(*Server);
+    const proxy_member *Observer =
+        chooseObserver(*Version, *Server, NextAttempt);
     if (!Observer)
       return State.Opinions.nobodyToAsk(*Server);
     auto Request = State.Scheduler.takeForTrial(Now);
@@ -485,23 +466,6 @@
                  {Observer->Address, attempt_route::Peer, *Server}, Now);
   }
 
-  /// Another proxy that reaches the backend server, elsewhere rather than in
-  /// this data centre.
-  const proxy_member *chooseObserver(std::string_view Server) {
-    auto Others = Version->View.Proxies |
-                  std::views::filter([&](const proxy_member &Proxy) {
-                    return Proxy.Offered && Proxy.Id != Version->SelfId &&
-                           !Version->View.hasPathFault(Proxy.Id, Server);
-                  });
-    const proxy_member *Self = Version->View.findProxy(Version->SelfId);
-    auto Best =
-        std::ranges::max_element(Others, {}, [&](const proxy_member &Proxy) {
-          return std::pair(!Self || Proxy.DataCentre != Self->DataCentre,
-                           stableHash(Proxy.Id, std::to_string(NextAttempt)));
-        });
-    return Best == Others.end() ? nullptr : &*Best;
-  }
-
   static attempt_target toPeer(const endpoint_text &Address) {
     return {Address, attempt_route::Peer, ""};
   }
@@ -529,12 +493,11 @@
       Deaths.onStart(Target.Server, Id);
     }
     if (Target.Route == attempt_route::Slot) {
-      Timers.emplace(Now + stateOf(Active).times(*Request.Kind).patience(),
-                     timer{Request.Id, Id, timer_kind::Slow});
+      Timers.add(Now + stateOf(Active).times(*Request.Kind).patience(),
+                 {Request.Id, Id, timer_kind::Slow});
       // An attempt that may be repeated leaves time for another one.
       if (Active.repeatable() && Active.Attempts < MaxAttempts)
-        Timers.emplace(Now + Left / 2,
-                       timer{Request.Id, Id, timer_kind::NoHead});
+        Timers.add(Now + Left / 2, {Request.Id, Id, timer_kind::NoHead});
     }
     Transport.start({Id, Target.Server, Request.Method, Request.Target, Headers,
                      Request.Body, connectionFor(Active.repeatable()), Left});
@@ -678,16 +641,6 @@
 
   // Answers.
 
-  void passOn(active_request &Active) {
-    if (!std::exchange(Active.HeadPosted, true))
-      To.post(answer_begin{
-          Active.Request.Ticket,
-          callerHead(*Active.Attempt->Head, Active.Attempt->fromPeer())});
-    Active.Unwritten += Active.Buffered.size();
-    To.post(answer_piece{Active.Request.Ticket,
-                         std::exchange(Active.Buffered, {})});
-  }
-
   void complete(active_request &Active, const running_attempt &Attempt,
                 steady_time Now) {
     answer_head Head = callerHead(*Attempt.Head, Attempt.fromPeer());
@@ -701,10 +654,7 @@
     }
     if (Active.HoldsKey)
       rememberTooLarge(Active, Now);
-    if (!Active.Buffered.empty())
-      To.post(answer_piece{Active.Request.Ticket, std::move(Active.Buffered)});
-    To.post(answer_end{Active.Request.Ticket});
-    count(Active, Head.Outcome, Error, Now);
+    Answers.finish(Active, Head.Outcome, Error, Now);
     drop(Active);
   }
 
@@ -758,12 +708,10 @@
   }
 
   void breakAnswer(active_request &Active, steady_time Now) {
-    To.post(answer_break{Active.Request.Ticket});
     if (Active.HoldsKey)
       rememberOutcome(Active, errorHead(error_kind::BackendCut),
                       "the answer was cut\n", Now);
-    count(Active, outcome::Unknown, errorAnswer(error_kind::BackendCut).Name,
-          Now);
+    Answers.breakOff(Active, Now);
     drop(Active);
   }
 
@@ -806,26 +754,10 @@
 
   void answerWhole(active_request &Active, answer_head Head, std::string Body,
                    std::string_view Error, steady_time Now) {
-    outcome Outcome = Head.Outcome;
-    if (Active.Request.Method == "HEAD") {
-      // The length tells of a body that is not sent.
-      To.post(answer_begin{Active.Request.Ticket, std::move(Head)});
-      To.post(answer_end{Active.Request.Ticket});
-    } else {
-      postWhole(To, Active.Request.Ticket, std::move(Head), std::move(Body));
-    }
-    count(Active, Outcome, Error, Now);
+    Answers.whole(Active, std::move(Head), std::move(Body), Error, Now);
     drop(Active);
   }
 
-  void count(const active_request &Active, outcome Outcome,
-             std::string_view Error, steady_time Now) {
-    Metrics.onAnswer(
-        Active.Request.Service->Definition.Name, Active.Request.Kind->Rank,
-        Outcome, Error,
-        std::chrono::duration_cast<microseconds>(Now - Active.Request.Arrived));
-  }
-
   void drop(active_request &Active) {
     auto Ticket = ByTicket.find(Active.Request.Ticket.Connection);
     if (Ticket != ByTicket.end() && Ticket->second == Active.Request.Id)
@@ -836,14 +768,12 @@
   // Time.
 
   void runTimers(steady_time Now) {
-    while (!Timers.empty() && Timers.begin()->first <= Now) {
-      timer Due = Timers.begin()->second;
-      Timers.erase(Timers.begin());
-      auto Found = Requests.find(Due.Request);
-      if (Found != Requests.end())
-        onTimer(Found->second, Due, Now);
-      else if (Due.Request == 0)
+    while (auto Due = Timers.takeDue(Now)) {
+      auto Found = Requests.find(Due->Request);
+      if (Due->Kind == timer_kind::Trial)
         onTrialDue(Now);
+      else if (Found != Requests.end())
+        onTimer(Found->second, *Due, Now);
     }
   }
 
@@ -853,7 +783,8 @@
       startNext(Name, Now);
   }
 
-  void onTimer(active_request &Active, const timer &Due, steady_time Now) {
+  void onTimer(active_request &Active, const request_timer &Due,
+               steady_time Now) {
     bool Running = Active.Attempt.has_value();
     if (Due.Kind == timer_kind::HolderRetry)
       return orAnswerError(Active, Now, [&] { return admit(Active, Now); });
@@ -878,8 +809,8 @@
     State.Scheduler.observe(Attempt.Target.Server, attempt_signal::Slow, Now);
     reportEvidence(Active, Now);
     ++Attempt.SlowReports;
-    Timers.emplace(Now + State.times(*Active.Request.Kind).patience(),
-                   timer{Active.Request.Id, Attempt.Id, timer_kind::Slow});
+    Timers.add(Now + State.times(*Active.Request.Kind).patience(),
+               {Active.Request.Id, Attempt.Id, timer_kind::Slow});
   }
 
   void giveUpAttempt(active_request &Active, steady_time Now) {
@@ -930,7 +861,7 @@
   poller Poller;
   mailbox<traffic_message> Inbox;
   traffic_settings Settings;
-  Sink &To;
+  answer_writer<Sink> Answers;
   Link &Control;
   process_metrics &Metrics;
   Time Clock;
@@ -943,7 +874,7 @@
   /// A connection has one request in progress at most.
   std::unordered_map<std::uint64_t, request_id> ByTicket;
   std::map<endpoint_text, std::string, std::less<>> ServiceOfServer;
-  std::multimap<steady_time, timer> Timers;
+  request_timers Timers;
   key_registry Keys;
   quarantine Quarantine;
   death_watch Deaths;
--- a/src/tools/endiverail-load/main.cpp
+++ b/src/tools/endiverail-load/main.cpp
@@ -18,6 +18,8 @@
 DEFINE_uint64(rate, 300, "deployment: requests a second of its plan");
 DEFINE_uint64(seed, 1, "experiment: seed of the random numbers");
 DEFINE_uint64(runs, 100, "experiment detection: runs of each case");
+DEFINE_string(only, "",
+              "experiment detection: only cases with this in their names");
 DEFINE_double(server_hours, 100, "experiment false-ejections: length");
 DEFINE_string(plot, "", "experiment: also write a bar chart (SVG)");
 DEFINE_uint64(plot_column, 0, "experiment: which column to plot");
@@ -77,7 +79,7 @@
 result<exit_code> runExperiment(const std::string &Name) {
   experiment_table Table;
   if (Name == "detection")
-    Table = detectionExperiment(FLAGS_seed, FLAGS_runs);
+    Table = detectionExperiment(FLAGS_seed, FLAGS_runs, FLAGS_only);
   else if (Name == "false-ejections")
     Table = falseEjectionExperiment(FLAGS_seed, FLAGS_server_hours);
   else if (Name == "flood")
--- a/tests/auto/daemon/tst_control_state.cpp
+++ b/tests/auto/daemon/tst_control_state.cpp
@@ -389,3 +389,39 @@
   CHECK(OwnerOf("a") != "");
   CHECK(State.answerPull({{}, false, 0, true}).PathFaults.empty());
 }
+
+TEST_CASE_METHOD(control_fixture, "floods and ownership are on the time line") {
+  CHECK(events(event_kind::OwnershipChanged) == 1);
+  standing_report Report{"s", 12, {{"a", {}, 6, 6, 0}, {"b", {}, 6, 6, 0}}};
+  State.onNotice(Report, Now, Out);
+  CHECK(events(event_kind::FloodStarted) == 0);
+  Report.Waiting = 13;
+  for (int Count = 0; Count < 3; ++Count) {
+    tick(1s);
+    State.onNotice(Report, Now, Out);
+  }
+  CHECK(events(event_kind::FloodStarted) == 1);
+  CHECK(events(event_kind::FloodEnded) == 0);
+  tick(7s);
+  CHECK(events(event_kind::FloodEnded) == 1);
+}
+
+TEST_CASE_METHOD(control_fixture, "a peer gets what its host list lacks") {
+  host_list Before = Hosts;
+  Hosts.Revision = 2;
+  Hosts.Servers[3].State = server_state::Leaving;
+  State.onHosts(Hosts, Now, Out);
+  pull_reply Reply = State.answerPull({{}, true, Before.Revision, false});
+  CHECK(Reply.Hosts.Servers.empty());
+  REQUIRE(Reply.HostsChange);
+  CHECK(Reply.HostsChange->Servers.size() == 1);
+
+  control_fixture Peer;
+  Peer.State.onPullReply("p:1", Reply, Peer.Now, Peer.Out);
+  CHECK(Peer.State.hosts().Revision == 2);
+  CHECK(Peer.State.hosts().Servers == Hosts.Servers);
+  // One that has moved on meanwhile, or has none, is not confused.
+  Peer.State.onPullReply("p:1", Reply, Peer.Now, Peer.Out);
+  CHECK(Peer.State.hosts().Servers == Hosts.Servers);
+  CHECK(State.answerPull({{}, false, 0, true}).Hosts.Servers == Hosts.Servers);
+}
--- a/tests/auto/peer/peer_samples.h
+++ b/tests/auto/peer/peer_samples.h
@@ -36,6 +36,8 @@
                  {{"p", "dc", "127.0.0.1:1"}},
                  {{"127.0.0.1:2", "s", "dc", server_state::Leaving}}};
   Reply.Deaths = {{"s", 8, "y"}};
+  Reply.HostsChange = host_list_change{
+      3, 4, {{"c", "dc", "c:1"}}, {{"x", "p", "dc", {}}}, {"d"}, {"y"}};
   Reply.PathFaults = {{"b", "x"}};
   Reply.Heirs = {{{"b", 2}, {"c", 9}, 3}};
   Reply.Members = {{{"c", "dc", "127.0.0.1:3", 9, true}, 4, {}}};
--- a/tests/auto/peer/tst_peer_codec.cpp
+++ b/tests/auto/peer/tst_peer_codec.cpp
@@ -41,6 +41,7 @@
   CHECK(Reply.Hosts.Servers == sampleReply().Hosts.Servers);
   CHECK(Reply.Members == sampleReply().Members);
   CHECK(Reply.Deaths == sampleReply().Deaths);
+  CHECK(Reply.HostsChange == sampleReply().HostsChange);
   CHECK(Reply.PathFaults == sampleReply().PathFaults);
   CHECK(Reply.Heirs == sampleReply().Heirs);
 }
--- a/tests/auto/process/tst_server_evidence.cpp
+++ b/tests/auto/process/tst_server_evidence.cpp
@@ -73,3 +73,14 @@
                      0.4, steady_time{1h} + 50ms * Count);
   CHECK_FALSE(Evidence.condemned());
 }
+
+TEST_CASE("where most of the pool fails, none of its servers is blamed") {
+  for (double Baseline : {0.55, 0.7, 0.9}) {
+    INFO(Baseline);
+    server_evidence Evidence;
+    for (int Count = 0; Count < 1'000; ++Count)
+      Evidence.observe(attempt_signal::Failed, Baseline,
+                       steady_time(1h) + Count * 100ms);
+    CHECK_FALSE(Evidence.suspected());
+  }
+}
--- a/tests/auto/process/tst_traffic_thread.cpp
+++ b/tests/auto/process/tst_traffic_thread.cpp
@@ -204,6 +204,16 @@
   }
 }
 
+TEST_CASE_METHOD(traffic_fixture,
+                 "a retry that never starts does not undo what may have run") {
+  auto Caller = send("GET", "/s/1");
+  publish("self", 0);
+  transport().fail(onlyAttempt(*this).Id, error_kind::BackendCut);
+  pass(2'500ms);
+  CHECK(attempts().empty());
+  CHECK(outcomeOf(Caller) == outcome::Unknown);
+}
+
 TEST_CASE_METHOD(traffic_fixture, "a key is not run again after its life") {
   send("POST", "/s/1", key());
   transport().answer(onlyAttempt(*this).Id, 200, "held");
