Take the news of the fleet out of the control state

Change: fleet_news holds what proxies tell each other in passing; fleet_version::ownServers answers for all. A test of the daemons went over a temporary's rows: the address sanitizer said so (heap-use-after-free in the test, not in the product); mended. The capacity experiment has host lists.

Conclusion: no behaviour changed here.

--- a/src/libs/experiment/capacity_experiment.cpp
+++ b/src/libs/experiment/capacity_experiment.cpp
@@ -176,6 +176,63 @@
            static_cast<double>(Bytes) / Seconds / 1024}};
 }
 
+host_list hostsOf(std::size_t Servers) {
+  host_list Hosts;
+  Hosts.Revision = 1;
+  for (std::size_t Index = 0; Index < Servers; ++Index)
+    Hosts.Servers.push_back({"10." + std::to_string(Index / 62'500) + "." +
+                                 std::to_string(Index / 250 % 250) + "." +
+                                 std::to_string(Index % 250) + ":8000",
+                             "pool-" + std::to_string(100 + Index / 15),
+                             "data-centre-" + std::to_string(Index % 14),
+                             server_state::Live});
+  std::ranges::sort(Hosts.Servers, {}, [](const backend_server &Server) {
+    return std::pair(Server.Pool, Server.Address);
+  });
+  return Hosts;
+}
+
+/// KiB of a reply to a pull on the wire, which is decoded as well.
+double wireKiB(const pull_reply &Reply) {
+  peer_codec Codec("a secret of the fleet");
+  std::string Packed = Codec.encode(Reply);
+  static_cast<void>(Codec.decodeReply(Packed));
+  return static_cast<double>(Packed.size()) / 1024;
+}
+
+experiment_table::row wholeHostsRow(std::size_t Servers) {
+  host_list Hosts;
+  cost Kept = costOf([&] { Hosts = hostsOf(Servers); });
+  pull_reply Reply;
+  Reply.Hosts = Hosts;
+  double Sent = 0;
+  cost Carried = costOf([&] { Sent = wireKiB(Reply); });
+  auto Count = static_cast<double>(Servers);
+  return {"whole host list of " + std::to_string(Servers) + " servers, sent",
+          {Carried.Milliseconds, Kept.KiB, 1e3 * Carried.Milliseconds / Count,
+           Sent}};
+}
+
+experiment_table::row changedHostsRow(std::size_t Servers) {
+  host_list Old = hostsOf(Servers);
+  host_list New = Old;
+  ++New.Revision;
+  New.Servers[Servers / 2].State = server_state::Leaving;
+  host_list_history History;
+  History.note({}, Old);
+  double Sent = 0;
+  cost Carried = costOf([&] {
+    History.note(Old, New);
+    pull_reply Reply;
+    Reply.HostsChange = History.since(Old.Revision, New);
+    Sent = wireKiB(Reply);
+    Old = applyChange(std::move(Old), *Reply.HostsChange);
+  });
+  return {
+      "one change among " + std::to_string(Servers) + " servers, sent",
+      {Carried.Milliseconds, Carried.KiB, 1e3 * Carried.Milliseconds, Sent}};
+}
+
 experiment_table::row organisationRow(std::size_t Organisations) {
   rank_queue Queue(Organisations + 1);
   cost Queued = costOf([&] {
@@ -197,7 +254,8 @@
 experiment_table capacityExperiment() {
   experiment_table Table{
       "Control state in one process. Last two columns: us and KiB per service, "
-      "proxy or organisation; for gossip core % and KiB/s",
+      "proxy or organisation; for gossip core % and KiB/s; for host lists us "
+      "and KiB on the wire",
       {"cpu ms", "heap KiB", "each us", "each KiB"},
       {}};
   for (std::size_t Services : {93, 310, 930})
@@ -206,6 +264,10 @@
     Table.Rows.push_back(ownersRow(Proxies, 930));
   for (std::size_t Members : {44, 400, 1'600})
     Table.Rows.push_back(gossipRow(Members));
+  for (std::size_t Servers : {1'400, 14'000}) {
+    Table.Rows.push_back(wholeHostsRow(Servers));
+    Table.Rows.push_back(changedHostsRow(Servers));
+  }
   for (std::size_t Organisations : {100, 400})
     Table.Rows.push_back(organisationRow(Organisations));
   return Table;
--- a/src/libs/experiment/simulated_pool.cpp
+++ b/src/libs/experiment/simulated_pool.cpp
@@ -24,8 +24,8 @@
   Service = Accepted;
   Traffic = std::make_unique<traffic>(
       sure(poller::create()), sure(event_descriptor::create()),
-      traffic_settings{"simulated", 1, milliseconds(1), Seed}, Answers, Notices,
-      Metrics, simulated_clock{&Now});
+      traffic_settings{"simulated", {1, milliseconds(1)}, Seed}, Answers,
+      Notices, Metrics, simulated_clock{&Now});
   Traffic->transport().Start = [this](const attempt_request &Request) {
     startAttempt(Request);
   };
--- a/src/libs/process/control_state.cpp
+++ b/src/libs/process/control_state.cpp
@@ -38,15 +38,6 @@
                                });
 }
 
-/// How many backend servers of a service this proxy owns.
-std::size_t ownedServers(const fleet_version &Version,
-                         std::string_view Service) {
-  const service_owners &Owners = Version.ownersOf(Service);
-  auto Self =
-      std::ranges::find(Owners, Version.SelfId, &service_owner::ProxyId);
-  return Self == Owners.end() ? 0 : Self->Servers.size();
-}
-
 result<record_fold> foldOf(const control_settings &Settings) {
   return record_fold::create(Settings.CustomerKeys);
 }
@@ -63,7 +54,7 @@
                              time_line &Events)
     : Settings(Settings), Fold(std::move(Fold)),
       Members(Settings.Self, Settings.Swim, Settings.Seed), Events(Events),
-      Random(Settings.Seed), KnownHeirs(Settings.KeyMemory, MostRemembered),
+      Random(Settings.Seed), News(Settings.KeyMemory),
       Ejections(Settings.Self.Id + "." +
                     std::to_string(Settings.Self.Incarnation),
                 Events) {
@@ -111,10 +102,7 @@
     Ejections.renew(terms(), Now, Out);
     refreshRecords(Now, Out);
     considerSelf(Now);
-    SaidLeaving.expire(Now);
-    KnownDeaths.expire(Now);
-    KnownHeirs.expire(Now);
-    VersionStale |= !KnownPathFaults.expire(Now).empty();
+    VersionStale |= News.expire(Now);
     for (const std::string &Service : Floods.expire(Now))
       Events.note(event_kind::FloodEnded, Service, "", "");
   }
@@ -172,11 +160,7 @@
   peer_message Message;
   Message.Gossip = Gossip;
   Message.Digest = {Fold.digest(), Hosts.Revision};
-  Message.Changes = Changes.forMessage();
-  Message.Deaths = DeathNews.forMessage();
-  Message.Leaving = LeavingNews.forMessage();
-  Message.Heirs = HeirNews.forMessage();
-  Message.PathFaults = PathFaultNews.forMessage();
+  News.addTo(Message);
   Message.Time = Events.now();
   return Message;
 }
@@ -280,9 +264,7 @@
   }
   if (Request.WantMembers) {
     Reply.Members = Members.updates();
-    Reply.Deaths = KnownDeaths.items();
-    Reply.Heirs = KnownHeirs.items();
-    Reply.PathFaults = KnownPathFaults.items();
+    News.addTo(Reply);
   }
   return Reply;
 }
@@ -297,11 +279,12 @@
   Members.learn(Reply.Members, Now);
   takeMemberChanges(Now);
   for (const server_death &Death : Reply.Deaths)
-    learnDeath(Death, Now, Out);
+    if (News.Deaths.learn(Death, Now))
+      noteDeath(Death, Out);
   for (const key_heir &Heir : Reply.Heirs)
-    learnHeir(Heir, Now);
+    VersionStale |= News.Heirs.learn(Heir, Now);
   for (const path_fault &Fault : Reply.PathFaults)
-    VersionStale |= KnownPathFaults.note(Fault, Now);
+    VersionStale |= News.PathFaults.learn(Fault, Now);
   if (Reply.Hosts.Revision > Hosts.Revision)
     onHosts(Reply.Hosts, Now, Out);
   else if (Reply.HostsChange && Reply.HostsChange->From == Hosts.Revision)
@@ -341,11 +324,9 @@
   VersionStale = true;
   Events.note(event_kind::VersionInForce, std::string(Service),
               "version " + std::to_string(Version), "");
-  Changes.dropIf(
-      [&](const service_version &Change) { return Change.Service == Service; });
-  Changes.add({std::string(Service), Version});
+  News.tellVersion({std::string(Service), Version});
   Wanted.erase(std::string(Service));
-  if (Changes.size() <= ChangesToAnnounce)
+  if (News.versionsTold() <= ChangesToAnnounce)
     announce(Now, Out);
 }
 
@@ -483,62 +464,50 @@
 void control_state::onPathFault(const path_fault &Fault,
                                 std::string_view Service, steady_time Now,
                                 control_actions &Out) {
-  if (!KnownPathFaults.note(Fault, Now))
+  if (!News.PathFaults.tell(Fault, Now))
     return;
   VersionStale = true;
   Events.note(event_kind::PathFault, std::string(Service), Fault.Server,
               Fault.ProxyId + " does not reach it; others do");
-  PathFaultNews.add(Fault);
   announce(Now, Out);
   publishIfChanged(Now, Out);
 }
 
 void control_state::onServerLeaving(const server_leaving &Leaving,
                                     steady_time Now, control_actions &Out) {
-  if (!SaidLeaving.note(Leaving.Server, Now))
+  if (!News.Leaving.tell(Leaving, Now))
     return;
   VersionStale = true;
   Events.note(event_kind::ServerLeaving, Leaving.Service, Leaving.Server,
               "said so itself");
-  LeavingNews.add(Leaving);
   announce(Now, Out);
   publishIfChanged(Now, Out);
 }
 
 void control_state::onServerDeath(const server_death &Death, steady_time Now,
                                   control_actions &Out) {
-  if (!learnDeath(Death, Now, Out))
+  if (!News.Deaths.tell(Death, Now))
     return;
-  DeathNews.add(Death);
+  noteDeath(Death, Out);
   announce(Now, Out);
 }
 
-bool control_state::learnDeath(const server_death &Death, steady_time Now,
-                               control_actions &Out) {
-  if (!KnownDeaths.note(Death, Now))
-    return false;
+void control_state::noteDeath(const server_death &Death, control_actions &Out) {
   Events.note(event_kind::RequestQuarantined, Death.Service, Death.Server,
               "was running " + std::to_string(Death.Fingerprint));
   Out.emplace_back(tell_traffic{Death});
-  return true;
 }
 
 // Keys of proxies that end.
 
 void control_state::onKeyHeir(const key_heir &Heir, steady_time Now,
                               control_actions &Out) {
-  if (!learnHeir(Heir, Now))
+  if (!News.Heirs.tell(Heir, Now))
     return;
-  HeirNews.add(Heir);
+  VersionStale = true;
   announce(Now, Out);
 }
 
-bool control_state::learnHeir(const key_heir &Heir, steady_time Now) {
-  bool New = KnownHeirs.note(Heir, Now);
-  VersionStale |= New;
-  return New;
-}
-
 result<void> control_state::onKeyHandOver(const key_hand_over &Part,
                                           steady_time Now,
                                           control_actions &Out) {
@@ -564,18 +533,9 @@
   return {};
 }
 
-std::vector<key_heir> control_state::heldRights() const {
-  std::vector<key_heir> Rights{{self(), {}, 1}};
-  key_heirs Heirs = key_heirs::build(KnownHeirs.items());
-  for (const key_heir &Known : KnownHeirs.items())
-    if (Known.Heir == self() && *Heirs.find(Known.Issuer) == Known)
-      Rights.push_back({Known.Issuer, {}, Known.Generation + 1});
-  return Rights;
-}
-
 void control_state::handOver(std::vector<remembered_key> Keys,
                              control_actions &Out) {
-  Giver.start(self(), heldRights(), std::move(Keys));
+  Giver.start(self(), News.rightsOf(self()), std::move(Keys));
   offerKeys(Out);
 }
 
@@ -610,10 +570,11 @@
 
 std::size_t
 control_state::unavailableServers(const service_definition &Definition) const {
+  auto Leaving = News.leavingServers();
   std::size_t Live = 0;
   for (const backend_server &Server : Hosts.Servers)
     if (Server.Pool == Definition.Pool && Server.State == server_state::Live &&
-        !SaidLeaving.contains(Server.Address))
+        !Leaving.contains(Server.Address))
       ++Live;
   std::size_t Warming = Reports.warming(Definition.Name);
   std::size_t Healthy = Live > Warming ? Live - Warming : 0;
@@ -637,11 +598,9 @@
     return Terms;
   Terms.Definition = &Known->second.Record.Definition;
   Terms.Unavailable = unavailableServers(*Terms.Definition);
-  for (const service_owner &Owner : Published->ownersOf(Service))
-    if (Owner.ProxyId == Settings.Self.Id)
-      Terms.Owned =
-          std::ranges::find(Owner.Servers, Server, &backend_server::Address) !=
-          Owner.Servers.end();
+  auto Owned = Published->ownServers(Service);
+  Terms.Owned =
+      std::ranges::find(Owned, Server, &backend_server::Address) != Owned.end();
   return Terms;
 }
 
@@ -651,7 +610,7 @@
   Reports.expire(Now);
   auto [Bad, All] = Reports.failing();
   // Those that were passed to others are not among the reports any more.
-  std::vector<path_fault> Faults = KnownPathFaults.items();
+  std::vector<path_fault> Faults = News.PathFaults.known();
   auto Unreached = static_cast<std::size_t>(
       std::ranges::count(Faults, Settings.Self.Id, &path_fault::ProxyId));
   Bad += Unreached;
@@ -689,12 +648,13 @@
   Version->SelfId = Settings.Self.Id;
   Version->SelfIncarnation = Settings.Self.Incarnation;
   Version->Configuration = Fold.configurationInForce();
-  Version->KeyHeirs = key_heirs::build(KnownHeirs.items());
+  Version->KeyHeirs = key_heirs::build(News.Heirs.known());
   Version->View.Proxies = Members.members();
   Version->View.Servers = Hosts.Servers;
-  Version->View.PathFaults = KnownPathFaults.items();
+  Version->View.PathFaults = News.PathFaults.known();
+  auto Leaving = News.leavingServers();
   for (backend_server &Server : Version->View.Servers)
-    if (SaidLeaving.contains(Server.Address))
+    if (Leaving.contains(Server.Address))
       Server.State = server_state::Leaving;
   owner_chooser Chooser(Version->View);
   for (const accepted_service_ref &Service : Version->Configuration.services())
@@ -711,8 +671,8 @@
 
 void control_state::noteOwnership(const fleet_version &Next) {
   for (const auto &[Service, Owners] : Next.Owners) {
-    std::size_t Before = Published ? ownedServers(*Published, Service) : 0;
-    std::size_t Now = ownedServers(Next, Service);
+    std::size_t Before = Published ? Published->ownServers(Service).size() : 0;
+    std::size_t Now = Next.ownServers(Service).size();
     if (Now != Before)
       Events.note(event_kind::OwnershipChanged, Service, Settings.Self.Id,
                   "owns " + std::to_string(Now) + " backend servers, " +
--- a/src/libs/process/control_state.h
+++ b/src/libs/process/control_state.h
@@ -2,7 +2,7 @@
 
 #include "process/control_message.h"
 #include "process/ejection_holder.h"
-#include "process/gossip_news.h"
+#include "process/fleet_news.h"
 #include "process/recent_set.h"
 #include "process/record_refresh.h"
 #include "process/standing_reports.h"
@@ -38,9 +38,6 @@
 /// has come in and the time, and returns what to do.
 class control_state {
 public:
-  /// How often a proxy tells its peers each piece of news.
-  static constexpr std::size_t NewsCopies = 24;
-
   static result<control_state> create(const control_settings &Settings,
                                       time_line &Events);
 
@@ -92,17 +89,9 @@
 
   static constexpr std::size_t FailuresToReport = 3;
 
-  static constexpr std::size_t NewsPerMessage = 8;
-  /// How far the host list may lag behind a backend server's own word.
-  static constexpr milliseconds LeavingMemory{60'000};
-  /// As long as a request stays in quarantine.
-  static constexpr std::chrono::minutes DeathMemory{30};
-  /// How long a proxy is kept away from a backend server that it does not
-  /// reach.
-  static constexpr milliseconds PathFaultMemory{30'000};
   /// A flood is over when so long no more requests wait than there are slots.
   static constexpr milliseconds FloodEnds{5'000};
-  static constexpr std::size_t MostRemembered = 4096;
+  static constexpr std::size_t MostFloods = 4096;
 
   void applyRecord(const configuration_record &Record, std::uint64_t Offset,
                    steady_time Now, control_actions &Out);
@@ -124,10 +113,6 @@
   void onPathFault(const path_fault &Fault, std::string_view Service,
                    steady_time Now, control_actions &Out);
   void onKeyHeir(const key_heir &Heir, steady_time Now, control_actions &Out);
-  /// Takes who holds keys without telling it on. Returns whether it was new.
-  bool learnHeir(const key_heir &Heir, steady_time Now);
-  /// The issuers whose keys this process holds.
-  std::vector<key_heir> heldRights() const;
   void offerKeys(control_actions &Out);
   proxy_incarnation self() const {
     return {Settings.Self.Id, Settings.Self.Incarnation};
@@ -137,9 +122,7 @@
                        control_actions &Out);
   void onServerDeath(const server_death &Death, steady_time Now,
                      control_actions &Out);
-  /// Takes a death without telling it on. Returns whether it was new.
-  bool learnDeath(const server_death &Death, steady_time Now,
-                  control_actions &Out);
+  void noteDeath(const server_death &Death, control_actions &Out);
   void considerSelf(steady_time Now);
   void wish(const ejection_wish &Wish, steady_time Now, control_actions &Out);
   ejection_terms termsOf(std::string_view Service,
@@ -163,7 +146,6 @@
 
   host_list Hosts;
   host_list_history HostsHistory;
-  recent_set<endpoint_text> SaidLeaving{LeavingMemory, MostRemembered};
 
   std::uint64_t NextOffset = 0;
   bool LogCaughtUp = false;
@@ -181,14 +163,8 @@
   steady_time NextFullPull;
   std::optional<steady_time> FirstTick;
   bool JoinPatienceOver = false;
-  gossip_news<service_version> Changes{NewsCopies, NewsPerMessage};
-  recent_set<server_death> KnownDeaths{DeathMemory, MostRemembered};
-  gossip_news<server_death> DeathNews{NewsCopies, NewsPerMessage};
-  gossip_news<server_leaving> LeavingNews{NewsCopies, NewsPerMessage};
-  recent_set<path_fault> KnownPathFaults{PathFaultMemory, MostRemembered};
-  gossip_news<path_fault> PathFaultNews{NewsCopies, NewsPerMessage};
-  recent_set<key_heir> KnownHeirs;
-  gossip_news<key_heir> HeirNews{NewsCopies, NewsPerMessage};
+
+  fleet_news News;
   key_giver Giver;
   key_receiver Receiver;
   bool HandOverEnded = false;
@@ -198,7 +174,7 @@
 
   standing_reports Reports;
   /// Services for which more requests wait than there are slots.
-  recent_set<std::string> Floods{FloodEnds, MostRemembered};
+  recent_set<std::string> Floods{FloodEnds, MostFloods};
   steady_time OfferAgain;
   bool SuspectsSelf = false;
   bool Draining = false;
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -339,10 +339,7 @@
     if (!Active.Request.TryServer.empty())
       return tryForPeer(Active, Now);
     std::string Name = Active.Request.Service->Definition.Name;
-    const service_owners &Owners = Version->ownersOf(Name);
-    auto Self =
-        std::ranges::find(Owners, Version->SelfId, &service_owner::ProxyId);
-    bool Owns = Self != Owners.end() && !Self->Servers.empty();
+    bool Owns = !Version->ownServers(Name).empty();
     if (!Owns && !Active.Request.Forwarded)
       if (const service_owner *Owner =
               chooseOwner(*Version, Name, Active.Failed, Active.Request.Id)) {
@@ -402,14 +399,11 @@
     accepted_service_ref Service = Version->Configuration.find(Name);
     if (!Service)
       return;
-    const service_owners &Owners = Version->ownersOf(Name);
-    auto Self =
-        std::ranges::find(Owners, Version->SelfId, &service_owner::ProxyId);
-    bool Owns = Self != Owners.end() && !Self->Servers.empty();
     // A proxy that owns none still runs what an owner in its view would: the
     // views of two proxies may differ for a while.
-    auto Servers = Owns ? std::span<const backend_server>(Self->Servers)
-                        : Version->View.pool(Service->Definition.Pool);
+    auto Servers = Version->ownServers(Name);
+    if (Servers.empty())
+      Servers = Version->View.pool(Service->Definition.Pool);
     State.Scheduler.configure(Service->Definition, Servers, Now);
   }
 
--- a/src/libs/version/fleet_version.h
+++ b/src/libs/version/fleet_version.h
@@ -5,10 +5,13 @@
 #include "version/key_heirs.h"
 #include "version/ownership.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
+#include <string_view>
 
 namespace endiverail {
 
@@ -35,6 +38,15 @@
     auto Found = Owners.find(Service);
     return Found == Owners.end() ? None : Found->second;
   }
+
+  /// The backend servers of \p Service that this process owns.
+  std::span<const backend_server> ownServers(std::string_view Service) const {
+    const service_owners &All = ownersOf(Service);
+    auto Self = std::ranges::find(All, SelfId, &service_owner::ProxyId);
+    if (Self == All.end())
+      return {};
+    return Self->Servers;
+  }
 };
 
 using fleet_version_ref = std::shared_ptr<const fleet_version>;
--- a/tests/auto/daemon/tst_failures.cpp
+++ b/tests/auto/daemon/tst_failures.cpp
@@ -152,7 +152,8 @@
     std::size_t Number = 0;
     bool PassedOn = eventually([&] {
       bool Owns = false;
-      for (const auto &Entry : status(Deaf)["servers"])
+      const nlohmann::json Status = status(Deaf);
+      for (const auto &Entry : Status.value("servers", nlohmann::json()))
         Owns |= Entry["server"] == Server && Entry["standing"] != "leaving";
       for (int Count = 0; Count < 10; ++Count)
         raw(Deaf, request("GET", "/shop/items/1?bytes=10",
