--- a/src/libs/process/control_state.cpp
+++ b/src/libs/process/control_state.cpp
@@ -670,8 +670,13 @@
 }
 
 void control_state::noteOwnership(const fleet_version &Next) {
+  // Until it is ready a proxy hands nothing out, whatever its view.
+  if (!Next.Ready)
+    return;
   for (const auto &[Service, Owners] : Next.Owners) {
-    std::size_t Before = Published ? Published->ownServers(Service).size() : 0;
+    std::size_t Before = Published && Published->Ready
+                             ? Published->ownServers(Service).size()
+                             : 0;
     std::size_t Now = Next.ownServers(Service).size();
     if (Now != Before)
       Events.note(event_kind::OwnershipChanged, Service, Settings.Self.Id,
