--- /dev/null
+++ b/src/libs/process/work_report.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "base/time.h"
+#include "process/server_evidence.h"
+#include "version/fleet_view.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace endiverail {
+
+/// What one proxy's work with a backend server shows since its last report.
+struct server_work {
+  endpoint_text Server;
+  /// Slots that the proxy uses now.
+  std::uint32_t InUse = 0;
+  std::uint32_t Good = 0;
+  std::uint32_t Failed = 0;
+  std::uint32_t Slow = 0;
+
+  bool operator==(const server_work &) const = default;
+};
+
+/// A proxy's work with the backend servers of one service.
+struct work_report {
+  std::string Service;
+  std::vector<server_work> Servers;
+
+  bool operator==(const work_report &) const = default;
+};
+
+/// Collects what a service's report will tell.
+class work_collector {
+public:
+  /// A busy service tells of its work once in this time; a failure is told at
+  /// once. The slots in use of 44 proxies are then at most one usual answer's
+  /// tenth old.
+  static constexpr milliseconds Period{40};
+  /// Slots that stay in use are told again, for whoever missed a datagram.
+  static constexpr milliseconds Refresh{500};
+
+  void noteUse(std::string_view Server, std::uint32_t InUse) {
+    find(Server).InUse = InUse;
+    Changed = true;
+  }
+
+  /// A shed request is no sign of health; its server's slots tell enough.
+  void noteSignal(std::string_view Server, attempt_signal Signal) {
+    server_work &Work = find(Server);
+    Work.Good += Signal == attempt_signal::Good ? 1 : 0;
+    Work.Failed += Signal == attempt_signal::Failed ? 1 : 0;
+    Work.Slow += Signal == attempt_signal::Slow ? 1 : 0;
+    Changed = true;
+    Urgent = Urgent || Signal == attempt_signal::Failed;
+  }
+
+  /// Whether a report is due.
+  bool due(steady_time Now) const {
+    return Urgent || (Changed && Now >= LastTaken + Period) ||
+           (!Works.empty() && Now >= LastTaken + Refresh);
+  }
+
+  /// When a report will be due without further signals.
+  steady_time nextDue() const {
+    return LastTaken + (Changed ? Period : Refresh);
+  }
+
+  bool empty() const { return Works.empty(); }
+
+  /// Takes the report. Servers in use stay in the next one.
+  std::vector<server_work> take(steady_time Now) {
+    std::vector<server_work> Taken = Works;
+    std::erase_if(Works, [](const server_work &W) { return W.InUse == 0; });
+    std::ranges::for_each(
+        Works, [](server_work &W) { W.Good = W.Failed = W.Slow = 0; });
+    LastTaken = Now;
+    Changed = Urgent = false;
+    return Taken;
+  }
+
+private:
+  server_work &find(std::string_view Server) {
+    auto Found = std::ranges::find(Works, Server, &server_work::Server);
+    if (Found != Works.end())
+      return *Found;
+    return Works.emplace_back(server_work{std::string(Server), 0, 0, 0, 0});
+  }
+
+  std::vector<server_work> Works;
+  steady_time LastTaken;
+  bool Changed = false;
+  bool Urgent = false;
+};
+
+/// Slots that other proxies use, as they have told.
+class slots_elsewhere {
+public:
+  /// What a proxy has not told again for this long is over: it may be lost.
+  static constexpr milliseconds Memory = 3 * work_collector::Refresh;
+
+  void note(std::string_view Proxy, const server_work &Work, steady_time Now) {
+    auto &Uses = Servers.try_emplace(Work.Server).first->second;
+    auto Found = std::ranges::find(Uses, Proxy, &use::Proxy);
+    if (Found == Uses.end())
+      Found = Uses.insert(Uses.end(), use{std::string(Proxy), 0, Now});
+    Found->InUse = Work.InUse;
+    Found->Told = Now;
+  }
+
+  std::size_t used(std::string_view Server, steady_time Now) {
+    auto Found = Servers.find(Server);
+    if (Found == Servers.end())
+      return 0;
+    std::erase_if(Found->second, [&](const use &Use) {
+      return Use.InUse == 0 || Now > Use.Told + Memory;
+    });
+    std::size_t Sum = 0;
+    for (const use &Use : Found->second)
+      Sum += Use.InUse;
+    return Sum;
+  }
+
+private:
+  struct use {
+    std::string Proxy;
+    std::uint32_t InUse = 0;
+    steady_time Told;
+  };
+  std::map<endpoint_text, std::vector<use>, std::less<>> Servers;
+};
+
+} // namespace endiverail
--- a/src/libs/request/attempt_policy.h
+++ b/src/libs/request/attempt_policy.h
@@ -22,6 +22,8 @@
   bool Idempotent = false;
   /// Attempts made, the failed one included.
   std::size_t Attempts = 0;
+  /// Attempts that the request's kind of work allows.
+  std::size_t MostAttempts = 3;
   /// Attempts whose connection broke while the request ran, the failed one
   /// included: it may be what kills the backend servers.
   std::size_t Cuts = 0;
@@ -42,7 +44,6 @@
   BreakConnection,
 };
 
-inline constexpr std::size_t MaxAttempts = 3;
 inline constexpr std::size_t MaxCuts = 2;
 
 /// Decides what follows a failed attempt. A request that is not idempotent is
--- a/src/libs/request/caller_request.h
+++ b/src/libs/request/caller_request.h
@@ -3,6 +3,7 @@
 #include "base/error_kind.h"
 #include "base/time.h"
 #include "version/configuration.h"
+#include "version/route_table.h"
 
 #include <cstdint>
 #include <memory>
@@ -51,7 +52,9 @@
 
   /// The service's definition stays alive as long as the request.
   accepted_service_ref Service;
-  /// Points into Service.
+  /// Set when a route led to the service; stays alive as long as the request.
+  route_table_ref Routes;
+  /// Points into Service, or into Routes where that is set.
   const work_kind *Kind = nullptr;
   std::string Organisation;
   std::string Key;
--- a/src/libs/standin/standin_process.cpp
+++ b/src/libs/standin/standin_process.cpp
@@ -2,9 +2,9 @@
 
 #include "base/text.h"
 #include "http/front_end.h"
-#include "platform/daemon_settings.h"
-#include "platform/host_list_codec.h"
-#include "platform/log_codec.h"
+#include "files/daemon_settings.h"
+#include "files/host_list_codec.h"
+#include "files/log_codec.h"
 #include "process/event_loop.h"
 #include "standin/answer_content.h"
 
--- a/src/libs/version/fleet_version.h
+++ b/src/libs/version/fleet_version.h
@@ -4,6 +4,7 @@
 #include "version/fleet_view.h"
 #include "version/key_heirs.h"
 #include "version/ownership.h"
+#include "version/route_table.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -26,6 +27,8 @@
   std::string SelfId;
   std::uint64_t SelfIncarnation = 0;
   configuration Configuration;
+  /// Set where requests are told apart by host and path prefix.
+  route_table_ref Routes;
   fleet_view View;
   /// Who holds the keys of proxies that have ended gracefully.
   key_heirs KeyHeirs;
--- a/src/libs/version/fleet_view.h
+++ b/src/libs/version/fleet_view.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/time.h"
+
 #include <algorithm>
 #include <cstdint>
 #include <span>
@@ -23,6 +25,12 @@
   std::uint64_t Incarnation = 0;
   /// False once it drains or suspects itself.
   bool Offered = true;
+  /// Where callers connect; empty when that is Address.
+  endpoint_text CallerAddress{};
+
+  const endpoint_text &callerAddress() const {
+    return CallerAddress.empty() ? Address : CallerAddress;
+  }
 
   bool operator==(const proxy_member &) const = default;
 };
@@ -44,6 +52,16 @@
   std::string Pool;
   std::string DataCentre;
   server_state State = server_state::Live;
+  /// Tells apart what runs at an address one after the other; empty where the
+  /// source of the list does not know.
+  std::string Instance{};
+  /// When its present life began, in milliseconds since the Unix epoch; 0 where
+  /// that is not known. An instance may start again under its name.
+  std::int64_t Started = 0;
+  /// Requests that it runs at once; 0 for what the service's definition says.
+  std::size_t Slots = 0;
+  /// Until when it is slow after its start.
+  steady_time ColdUntil{};
 
   bool operator==(const backend_server &) const = default;
 };
--- a/src/libs/version/service_definition.h
+++ b/src/libs/version/service_definition.h
@@ -24,6 +24,8 @@
   milliseconds Timeout{5000};
   /// Holds a slot for long, so it never borrows slots of a more urgent rank.
   bool Bulk = false;
+  /// Backend servers that one request may be sent to, one after the other.
+  std::size_t MostAttempts = 3;
 };
 
 /// What an operator's file says of one service.
--- a/tests/auto/daemon/tst_configuration.cpp
+++ b/tests/auto/daemon/tst_configuration.cpp
@@ -1,7 +1,7 @@
 #include "fleet_fixture.h"
 
-#include "platform/log_codec.h"
-#include "platform/record_codec.h"
+#include "files/log_codec.h"
+#include "files/record_codec.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/auto/platform/tst_daemon_settings.cpp
+++ b/tests/auto/files/tst_daemon_settings.cpp
@@ -1,5 +1,5 @@
 #include "failure_check.h"
-#include "platform/daemon_settings.h"
+#include "files/daemon_settings.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
--- a/tests/auto/platform/tst_host_list_codec.cpp
+++ b/tests/auto/files/tst_host_list_codec.cpp
@@ -1,5 +1,5 @@
 #include "failure_check.h"
-#include "platform/host_list_codec.h"
+#include "files/host_list_codec.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/auto/platform/tst_log_codec.cpp
+++ b/tests/auto/files/tst_log_codec.cpp
@@ -1,6 +1,6 @@
 #include "failure_check.h"
-#include "platform/log_codec.h"
-#include "platform/record_codec.h"
+#include "files/log_codec.h"
+#include "files/record_codec.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
--- a/tests/auto/platform/tst_record_codec.cpp
+++ b/tests/auto/files/tst_record_codec.cpp
@@ -1,6 +1,6 @@
 #include "failure_check.h"
-#include "platform/record_codec.h"
-#include "platform/service_file.h"
+#include "files/record_codec.h"
+#include "files/service_file.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/auto/platform/tst_service_file.cpp
+++ b/tests/auto/files/tst_service_file.cpp
@@ -1,5 +1,5 @@
 #include "failure_check.h"
-#include "platform/service_file.h"
+#include "files/service_file.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/auto/peer/peer_samples.h
+++ b/tests/auto/peer/peer_samples.h
@@ -2,7 +2,7 @@
 
 #include "failure_check.h"
 #include "peer/peer_codec.h"
-#include "platform/service_file.h"
+#include "files/service_file.h"
 
 namespace endiverail::test {
 
