--- a/src/libs/daemon/store_control_thread.h
+++ b/src/libs/daemon/store_control_thread.h
@@ -148,9 +148,9 @@
     perform(Actions);
   }
 
-  void take(const control_notice &Notice, steady_time Now,
+  void take(const control_notice &Notice, steady_time,
             store_control_actions &Actions) {
-    State.onNotice(Notice, Now, Actions);
+    State.onNotice(Notice, Actions);
   }
 
   void take(const begin_store_drain &, steady_time Now,
@@ -222,6 +222,21 @@
                      false});
   }
 
+  void act(const abandon_store_calls &Abandon) {
+    auto ReadsTopic = [&](const outgoing_call &Call) {
+      const auto *List = std::get_if<list_newest>(&Call.Made);
+      const auto *Read = std::get_if<read_records>(&Call.Made);
+      return (List && List->Topic == Abandon.Topic) ||
+             (Read && Read->Topic == Abandon.Topic);
+    };
+    std::erase_if(Calls, [&](const auto &Entry) {
+      if (!ReadsTopic(Entry.second))
+        return false;
+      Transport.cancel(Entry.first);
+      return true;
+    });
+  }
+
   // What the store has answered.
 
   void finish(const put_record &, const outgoing_call &Call,
@@ -261,7 +276,7 @@
         [&](const failure &Failure) {
           spdlog::warn("store: a read of topic {} failed: {}",
                        static_cast<int>(Topic), Failure.Detail);
-          State.onCallFailed(Topic, Now);
+          State.onCallFailed(Topic, Now, Actions);
         });
   }
 
--- a/src/libs/daemon/store_daemon.h
+++ b/src/libs/daemon/store_daemon.h
@@ -260,6 +260,7 @@
     Traffics.FleetSecret = Settings.FleetSecret;
     Traffics.Seed = randomSeed();
     Traffics.DataCentre = Settings.DataCentre;
+    Traffics.Retries = Settings.Retries;
     Traffics.MostBufferedBytes = Settings.MostBufferedBytes;
     Traffic.add(std::make_unique<traffic_of_store>(
         std::move(Poller), std::move(Event), std::move(Traffics),
--- a/src/libs/files/checked_json.cpp
+++ b/src/libs/files/checked_json.cpp
@@ -87,6 +87,19 @@
   return Found ? number(Name, *Found, Default, Range) : Default;
 }
 
+double checked_object::requiredReal(std::string_view Name, double Least,
+                                    double Most) {
+  const nlohmann::json *Field = find(Name);
+  if (Field && Field->is_number()) {
+    auto Number = Field->get<double>();
+    if (Number >= Least && Number <= Most)
+      return Number;
+  }
+  mistake(Name, "expected a number from " + std::to_string(Least) + " to " +
+                    std::to_string(Most));
+  return Least;
+}
+
 bool checked_object::requiredFlag(std::string_view Name) {
   const nlohmann::json *Found = find(Name);
   if (Found && Found->is_boolean())
--- a/src/libs/files/checked_json.h
+++ b/src/libs/files/checked_json.h
@@ -44,6 +44,8 @@
   std::uint64_t requiredNumber(std::string_view Name, number_range Range);
   std::uint64_t optionalNumber(std::string_view Name, std::uint64_t Default,
                                number_range Range);
+  /// A number that may have a fraction, between \p Least and \p Most.
+  double requiredReal(std::string_view Name, double Least, double Most);
   bool requiredFlag(std::string_view Name);
   bool optionalFlag(std::string_view Name, bool Default);
   /// One of a closed list of words; its index.
--- a/src/libs/files/store_daemon_settings.cpp
+++ b/src/libs/files/store_daemon_settings.cpp
@@ -2,12 +2,35 @@
 
 #include "files/settings_fields.h"
 
+#include <algorithm>
+
 namespace endiverail {
 namespace {
 
 constexpr std::size_t KiB = 1024;
 constexpr std::size_t MiB = 1024 * KiB;
 
+/// The operator bounds retries of the whole fleet in a window: a share of the
+/// requests and a number beside. Each entry takes its part of the number, and
+/// saves so little that all of them together stay within the bound.
+retry_terms readRetryTerms(checked_object &Budget) {
+  /// Entries of the users' deployments: four in each of three to five data
+  /// centres. Daemons beyond them serve stray callers only.
+  constexpr double MostEntries = 20;
+  /// Left for daemons whose view of the fleet differs.
+  constexpr double Margin = 0.8;
+  double Share = Budget.requiredReal("share_of_requests", 0, 10);
+  double Extra = Budget.requiredReal("extra", 0, 1e6);
+  double Window = Budget.requiredReal("window_s", 0.001, 3'600);
+  retry_terms Terms;
+  Terms.Initial = 1;
+  Terms.Most = std::max(1.0, Margin * Extra / MostEntries / 2);
+  Terms.PerSuccess = 0;
+  Terms.PerRequest = Margin * Share;
+  Terms.PerSecond = Margin * Extra / MostEntries / 2 / Window;
+  return Terms;
+}
+
 store_daemon_settings readFields(checked_object &File) {
   store_daemon_settings Settings;
   Settings.Id = File.requiredText("id");
@@ -31,6 +54,9 @@
                                                  {64 * KiB, 1024 * MiB});
   Settings.MostBufferedBytes = File.optionalNumber(
       "max_buffered_bytes", 1 * MiB, {4 * KiB, 16 * MiB});
+  File.object("retries", [&](checked_object &Budget) {
+    Settings.Retries = readRetryTerms(Budget);
+  });
   Settings.AddressLifetime =
       readTime(File, "address_lifetime_ms", 1'000, {100, 600'000});
   Settings.DrainTime = readTime(File, "drain_time_ms", 5'300, {0, 600'000});
--- a/src/libs/files/store_daemon_settings.h
+++ b/src/libs/files/store_daemon_settings.h
@@ -2,6 +2,7 @@
 
 #include "base/error_kind.h"
 #include "base/time.h"
+#include "process/retry_budget.h"
 #include "version/fleet_view.h"
 
 #include <string>
@@ -34,6 +35,8 @@
   std::size_t BodyMemoryBytes = 0;
   /// Answers up to this size are held back until they are whole.
   std::size_t MostBufferedBytes = 0;
+  /// What this process may spend of the retries that the operator allows.
+  retry_terms Retries;
   milliseconds AddressLifetime{0};
   /// From the request to end to the end at the latest.
   milliseconds DrainTime{0};
--- a/src/libs/http/curl_exchange.cpp
+++ b/src/libs/http/curl_exchange.cpp
@@ -11,7 +11,9 @@
 
 constexpr std::size_t MostHeadBytes = std::size_t{64} * 1024;
 constexpr long ReceiveBufferBytes = 64L * 1024;
-constexpr long ConnectTimeoutMilliseconds = 1'000;
+/// Hosts of a region are a few milliseconds apart; a server that is silent for
+/// longer is tried again elsewhere while the caller still waits.
+constexpr long ConnectTimeoutMilliseconds = 300;
 
 std::string headerLine(const header_field &Field) {
   // The library leaves a field without a value out, unless it ends like this.
--- a/src/libs/peer/gen/peer_types.cpp
+++ b/src/libs/peer/gen/peer_types.cpp
@@ -1251,6 +1251,14 @@
 void WorkReport::__set_servers(const std::vector<ServerWork> & val) {
   this->servers = val;
 }
+
+void WorkReport::__set_served(const int32_t val) {
+  this->served = val;
+}
+
+void WorkReport::__set_unserved(const int32_t val) {
+  this->unserved = val;
+}
 std::ostream& operator<<(std::ostream& out, const WorkReport& obj)
 {
   obj.printTo(out);
@@ -1307,6 +1315,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->served);
+          this->__isset.served = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->unserved);
+          this->__isset.unserved = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1340,6 +1364,14 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("served", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->served);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unserved", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->unserved);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1349,28 +1381,38 @@
   using ::std::swap;
   swap(a.serviceName, b.serviceName);
   swap(a.servers, b.servers);
+  swap(a.served, b.served);
+  swap(a.unserved, b.unserved);
   swap(a.__isset, b.__isset);
 }
 
 WorkReport::WorkReport(const WorkReport& other38) {
   serviceName = other38.serviceName;
   servers = other38.servers;
+  served = other38.served;
+  unserved = other38.unserved;
   __isset = other38.__isset;
 }
 WorkReport::WorkReport(WorkReport&& other39) noexcept {
   serviceName = std::move(other39.serviceName);
   servers = std::move(other39.servers);
+  served = other39.served;
+  unserved = other39.unserved;
   __isset = other39.__isset;
 }
 WorkReport& WorkReport::operator=(const WorkReport& other40) {
   serviceName = other40.serviceName;
   servers = other40.servers;
+  served = other40.served;
+  unserved = other40.unserved;
   __isset = other40.__isset;
   return *this;
 }
 WorkReport& WorkReport::operator=(WorkReport&& other41) noexcept {
   serviceName = std::move(other41.serviceName);
   servers = std::move(other41.servers);
+  served = other41.served;
+  unserved = other41.unserved;
   __isset = other41.__isset;
   return *this;
 }
@@ -1379,6 +1421,307 @@
   out << "WorkReport(";
   out << "serviceName=" << to_string(serviceName);
   out << ", " << "servers=" << to_string(servers);
+  out << ", " << "served=" << to_string(served);
+  out << ", " << "unserved=" << to_string(unserved);
+  out << ")";
+}
+
+
+ServerStatement::~ServerStatement() noexcept {
+}
+
+
+void ServerStatement::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void ServerStatement::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void ServerStatement::__set_pool(const std::string& val) {
+  this->pool = val;
+}
+
+void ServerStatement::__set_dataCentre(const std::string& val) {
+  this->dataCentre = val;
+}
+
+void ServerStatement::__set_leaving(const bool val) {
+  this->leaving = val;
+}
+
+void ServerStatement::__set_started(const int64_t val) {
+  this->started = val;
+}
+
+void ServerStatement::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void ServerStatement::__set_slots(const int32_t val) {
+  this->slots = val;
+}
+
+void ServerStatement::__set_coldMilliseconds(const int32_t val) {
+  this->coldMilliseconds = val;
+}
+
+void ServerStatement::__set_removed(const bool val) {
+  this->removed = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServerStatement& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServerStatement::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->pool);
+          this->__isset.pool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->dataCentre);
+          this->__isset.dataCentre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->started);
+          this->__isset.started = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slots);
+          this->__isset.slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->coldMilliseconds);
+          this->__isset.coldMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->removed);
+          this->__isset.removed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ServerStatement::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServerStatement");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->pool);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dataCentre", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->dataCentre);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("started", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->started);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("coldMilliseconds", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->coldMilliseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->removed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServerStatement &a, ServerStatement &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.address, b.address);
+  swap(a.pool, b.pool);
+  swap(a.dataCentre, b.dataCentre);
+  swap(a.leaving, b.leaving);
+  swap(a.started, b.started);
+  swap(a.sequence, b.sequence);
+  swap(a.slots, b.slots);
+  swap(a.coldMilliseconds, b.coldMilliseconds);
+  swap(a.removed, b.removed);
+  swap(a.__isset, b.__isset);
+}
+
+ServerStatement::ServerStatement(const ServerStatement& other42) {
+  id = other42.id;
+  address = other42.address;
+  pool = other42.pool;
+  dataCentre = other42.dataCentre;
+  leaving = other42.leaving;
+  started = other42.started;
+  sequence = other42.sequence;
+  slots = other42.slots;
+  coldMilliseconds = other42.coldMilliseconds;
+  removed = other42.removed;
+  __isset = other42.__isset;
+}
+ServerStatement::ServerStatement(ServerStatement&& other43) noexcept {
+  id = std::move(other43.id);
+  address = std::move(other43.address);
+  pool = std::move(other43.pool);
+  dataCentre = std::move(other43.dataCentre);
+  leaving = other43.leaving;
+  started = other43.started;
+  sequence = other43.sequence;
+  slots = other43.slots;
+  coldMilliseconds = other43.coldMilliseconds;
+  removed = other43.removed;
+  __isset = other43.__isset;
+}
+ServerStatement& ServerStatement::operator=(const ServerStatement& other44) {
+  id = other44.id;
+  address = other44.address;
+  pool = other44.pool;
+  dataCentre = other44.dataCentre;
+  leaving = other44.leaving;
+  started = other44.started;
+  sequence = other44.sequence;
+  slots = other44.slots;
+  coldMilliseconds = other44.coldMilliseconds;
+  removed = other44.removed;
+  __isset = other44.__isset;
+  return *this;
+}
+ServerStatement& ServerStatement::operator=(ServerStatement&& other45) noexcept {
+  id = std::move(other45.id);
+  address = std::move(other45.address);
+  pool = std::move(other45.pool);
+  dataCentre = std::move(other45.dataCentre);
+  leaving = other45.leaving;
+  started = other45.started;
+  sequence = other45.sequence;
+  slots = other45.slots;
+  coldMilliseconds = other45.coldMilliseconds;
+  removed = other45.removed;
+  __isset = other45.__isset;
+  return *this;
+}
+void ServerStatement::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServerStatement(";
+  out << "id=" << to_string(id);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "pool=" << to_string(pool);
+  out << ", " << "dataCentre=" << to_string(dataCentre);
+  out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "started=" << to_string(started);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "slots=" << to_string(slots);
+  out << ", " << "coldMilliseconds=" << to_string(coldMilliseconds);
+  out << ", " << "removed=" << to_string(removed);
   out << ")";
 }
 
@@ -1454,6 +1797,18 @@
 void Datagram::__set_work(const std::vector<WorkReport> & val) {
   this->work = val;
 }
+
+void Datagram::__set_statements(const std::vector<ServerStatement> & val) {
+  this->statements = val;
+}
+
+void Datagram::__set_readsStore(const bool val) {
+  this->readsStore = val;
+}
+
+void Datagram::__set_serversDigest(const int64_t val) {
+  this->serversDigest = val;
+}
 std::ostream& operator<<(std::ostream& out, const Datagram& obj)
 {
   obj.printTo(out);
@@ -1534,14 +1889,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->updates.clear();
-            uint32_t _size42;
-            ::apache::thrift::protocol::TType _etype45;
-            xfer += iprot->readListBegin(_etype45, _size42);
-            this->updates.resize(_size42);
-            uint32_t _i46;
-            for (_i46 = 0; _i46 < _size42; ++_i46)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->updates.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += this->updates[_i46].read(iprot);
+              xfer += this->updates[_i50].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1570,14 +1925,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size47;
-            ::apache::thrift::protocol::TType _etype50;
-            xfer += iprot->readListBegin(_etype50, _size47);
-            this->changes.resize(_size47);
-            uint32_t _i51;
-            for (_i51 = 0; _i51 < _size47; ++_i51)
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _etype54;
+            xfer += iprot->readListBegin(_etype54, _size51);
+            this->changes.resize(_size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
             {
-              xfer += this->changes[_i51].read(iprot);
+              xfer += this->changes[_i55].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1590,14 +1945,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->deaths.clear();
-            uint32_t _size52;
-            ::apache::thrift::protocol::TType _etype55;
-            xfer += iprot->readListBegin(_etype55, _size52);
-            this->deaths.resize(_size52);
-            uint32_t _i56;
-            for (_i56 = 0; _i56 < _size52; ++_i56)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->deaths.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              xfer += this->deaths[_i56].read(iprot);
+              xfer += this->deaths[_i60].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1610,14 +1965,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size57;
-            ::apache::thrift::protocol::TType _etype60;
-            xfer += iprot->readListBegin(_etype60, _size57);
-            this->leaving.resize(_size57);
-            uint32_t _i61;
-            for (_i61 = 0; _i61 < _size57; ++_i61)
+            uint32_t _size61;
+            ::apache::thrift::protocol::TType _etype64;
+            xfer += iprot->readListBegin(_etype64, _size61);
+            this->leaving.resize(_size61);
+            uint32_t _i65;
+            for (_i65 = 0; _i65 < _size61; ++_i65)
             {
-              xfer += this->leaving[_i61].read(iprot);
+              xfer += this->leaving[_i65].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1646,14 +2001,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heirs.clear();
-            uint32_t _size62;
-            ::apache::thrift::protocol::TType _etype65;
-            xfer += iprot->readListBegin(_etype65, _size62);
-            this->heirs.resize(_size62);
-            uint32_t _i66;
-            for (_i66 = 0; _i66 < _size62; ++_i66)
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->heirs.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
             {
-              xfer += this->heirs[_i66].read(iprot);
+              xfer += this->heirs[_i70].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1666,14 +2021,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->pathFaults.clear();
-            uint32_t _size67;
-            ::apache::thrift::protocol::TType _etype70;
-            xfer += iprot->readListBegin(_etype70, _size67);
-            this->pathFaults.resize(_size67);
-            uint32_t _i71;
-            for (_i71 = 0; _i71 < _size67; ++_i71)
+            uint32_t _size71;
+            ::apache::thrift::protocol::TType _etype74;
+            xfer += iprot->readListBegin(_etype74, _size71);
+            this->pathFaults.resize(_size71);
+            uint32_t _i75;
+            for (_i75 = 0; _i75 < _size71; ++_i75)
             {
-              xfer += this->pathFaults[_i71].read(iprot);
+              xfer += this->pathFaults[_i75].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1686,14 +2041,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->work.clear();
-            uint32_t _size72;
-            ::apache::thrift::protocol::TType _etype75;
-            xfer += iprot->readListBegin(_etype75, _size72);
-            this->work.resize(_size72);
-            uint32_t _i76;
-            for (_i76 = 0; _i76 < _size72; ++_i76)
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->work.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
             {
-              xfer += this->work[_i76].read(iprot);
+              xfer += this->work[_i80].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1702,6 +2057,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->statements.clear();
+            uint32_t _size81;
+            ::apache::thrift::protocol::TType _etype84;
+            xfer += iprot->readListBegin(_etype84, _size81);
+            this->statements.resize(_size81);
+            uint32_t _i85;
+            for (_i85 = 0; _i85 < _size81; ++_i85)
+            {
+              xfer += this->statements[_i85].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.statements = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->readsStore);
+          this->__isset.readsStore = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->serversDigest);
+          this->__isset.serversDigest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1746,10 +2137,10 @@
   xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
-    std::vector<Member> ::const_iterator _iter77;
-    for (_iter77 = this->updates.begin(); _iter77 != this->updates.end(); ++_iter77)
+    std::vector<Member> ::const_iterator _iter86;
+    for (_iter86 = this->updates.begin(); _iter86 != this->updates.end(); ++_iter86)
     {
-      xfer += (*_iter77).write(oprot);
+      xfer += (*_iter86).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1766,10 +2157,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<ServiceVersion> ::const_iterator _iter78;
-    for (_iter78 = this->changes.begin(); _iter78 != this->changes.end(); ++_iter78)
+    std::vector<ServiceVersion> ::const_iterator _iter87;
+    for (_iter87 = this->changes.begin(); _iter87 != this->changes.end(); ++_iter87)
     {
-      xfer += (*_iter78).write(oprot);
+      xfer += (*_iter87).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1778,10 +2169,10 @@
   xfer += oprot->writeFieldBegin("deaths", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deaths.size()));
-    std::vector<Death> ::const_iterator _iter79;
-    for (_iter79 = this->deaths.begin(); _iter79 != this->deaths.end(); ++_iter79)
+    std::vector<Death> ::const_iterator _iter88;
+    for (_iter88 = this->deaths.begin(); _iter88 != this->deaths.end(); ++_iter88)
     {
-      xfer += (*_iter79).write(oprot);
+      xfer += (*_iter88).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1790,10 +2181,10 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<Leaving> ::const_iterator _iter80;
-    for (_iter80 = this->leaving.begin(); _iter80 != this->leaving.end(); ++_iter80)
+    std::vector<Leaving> ::const_iterator _iter89;
+    for (_iter89 = this->leaving.begin(); _iter89 != this->leaving.end(); ++_iter89)
     {
-      xfer += (*_iter80).write(oprot);
+      xfer += (*_iter89).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1810,10 +2201,10 @@
   xfer += oprot->writeFieldBegin("heirs", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->heirs.size()));
-    std::vector<KeyHeir> ::const_iterator _iter81;
-    for (_iter81 = this->heirs.begin(); _iter81 != this->heirs.end(); ++_iter81)
+    std::vector<KeyHeir> ::const_iterator _iter90;
+    for (_iter90 = this->heirs.begin(); _iter90 != this->heirs.end(); ++_iter90)
     {
-      xfer += (*_iter81).write(oprot);
+      xfer += (*_iter90).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1822,10 +2213,10 @@
   xfer += oprot->writeFieldBegin("pathFaults", ::apache::thrift::protocol::T_LIST, 16);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->pathFaults.size()));
-    std::vector<PathFault> ::const_iterator _iter82;
-    for (_iter82 = this->pathFaults.begin(); _iter82 != this->pathFaults.end(); ++_iter82)
+    std::vector<PathFault> ::const_iterator _iter91;
+    for (_iter91 = this->pathFaults.begin(); _iter91 != this->pathFaults.end(); ++_iter91)
     {
-      xfer += (*_iter82).write(oprot);
+      xfer += (*_iter91).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1834,15 +2225,35 @@
   xfer += oprot->writeFieldBegin("work", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->work.size()));
-    std::vector<WorkReport> ::const_iterator _iter83;
-    for (_iter83 = this->work.begin(); _iter83 != this->work.end(); ++_iter83)
+    std::vector<WorkReport> ::const_iterator _iter92;
+    for (_iter92 = this->work.begin(); _iter92 != this->work.end(); ++_iter92)
     {
-      xfer += (*_iter83).write(oprot);
+      xfer += (*_iter92).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("statements", ::apache::thrift::protocol::T_LIST, 18);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->statements.size()));
+    std::vector<ServerStatement> ::const_iterator _iter93;
+    for (_iter93 = this->statements.begin(); _iter93 != this->statements.end(); ++_iter93)
+    {
+      xfer += (*_iter93).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("readsStore", ::apache::thrift::protocol::T_BOOL, 19);
+  xfer += oprot->writeBool(this->readsStore);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serversDigest", ::apache::thrift::protocol::T_I64, 20);
+  xfer += oprot->writeI64(this->serversDigest);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1867,89 +2278,104 @@
   swap(a.heirs, b.heirs);
   swap(a.pathFaults, b.pathFaults);
   swap(a.work, b.work);
+  swap(a.statements, b.statements);
+  swap(a.readsStore, b.readsStore);
+  swap(a.serversDigest, b.serversDigest);
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other84) {
-  kind = other84.kind;
-  sequence = other84.sequence;
-  senderId = other84.senderId;
-  senderAddress = other84.senderAddress;
-  targetId = other84.targetId;
-  targetAddress = other84.targetAddress;
-  updates = other84.updates;
-  configurationDigest = other84.configurationDigest;
-  hostListRevision = other84.hostListRevision;
-  changes = other84.changes;
-  deaths = other84.deaths;
-  leaving = other84.leaving;
-  wallMilliseconds = other84.wallMilliseconds;
-  counter = other84.counter;
-  heirs = other84.heirs;
-  pathFaults = other84.pathFaults;
-  work = other84.work;
-  __isset = other84.__isset;
-}
-Datagram::Datagram(Datagram&& other85) noexcept {
-  kind = other85.kind;
-  sequence = other85.sequence;
-  senderId = std::move(other85.senderId);
-  senderAddress = std::move(other85.senderAddress);
-  targetId = std::move(other85.targetId);
-  targetAddress = std::move(other85.targetAddress);
-  updates = std::move(other85.updates);
-  configurationDigest = other85.configurationDigest;
-  hostListRevision = other85.hostListRevision;
-  changes = std::move(other85.changes);
-  deaths = std::move(other85.deaths);
-  leaving = std::move(other85.leaving);
-  wallMilliseconds = other85.wallMilliseconds;
-  counter = other85.counter;
-  heirs = std::move(other85.heirs);
-  pathFaults = std::move(other85.pathFaults);
-  work = std::move(other85.work);
-  __isset = other85.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other86) {
-  kind = other86.kind;
-  sequence = other86.sequence;
-  senderId = other86.senderId;
-  senderAddress = other86.senderAddress;
-  targetId = other86.targetId;
-  targetAddress = other86.targetAddress;
-  updates = other86.updates;
-  configurationDigest = other86.configurationDigest;
-  hostListRevision = other86.hostListRevision;
-  changes = other86.changes;
-  deaths = other86.deaths;
-  leaving = other86.leaving;
-  wallMilliseconds = other86.wallMilliseconds;
-  counter = other86.counter;
-  heirs = other86.heirs;
-  pathFaults = other86.pathFaults;
-  work = other86.work;
-  __isset = other86.__isset;
+Datagram::Datagram(const Datagram& other94) {
+  kind = other94.kind;
+  sequence = other94.sequence;
+  senderId = other94.senderId;
+  senderAddress = other94.senderAddress;
+  targetId = other94.targetId;
+  targetAddress = other94.targetAddress;
+  updates = other94.updates;
+  configurationDigest = other94.configurationDigest;
+  hostListRevision = other94.hostListRevision;
+  changes = other94.changes;
+  deaths = other94.deaths;
+  leaving = other94.leaving;
+  wallMilliseconds = other94.wallMilliseconds;
+  counter = other94.counter;
+  heirs = other94.heirs;
+  pathFaults = other94.pathFaults;
+  work = other94.work;
+  statements = other94.statements;
+  readsStore = other94.readsStore;
+  serversDigest = other94.serversDigest;
+  __isset = other94.__isset;
+}
+Datagram::Datagram(Datagram&& other95) noexcept {
+  kind = other95.kind;
+  sequence = other95.sequence;
+  senderId = std::move(other95.senderId);
+  senderAddress = std::move(other95.senderAddress);
+  targetId = std::move(other95.targetId);
+  targetAddress = std::move(other95.targetAddress);
+  updates = std::move(other95.updates);
+  configurationDigest = other95.configurationDigest;
+  hostListRevision = other95.hostListRevision;
+  changes = std::move(other95.changes);
+  deaths = std::move(other95.deaths);
+  leaving = std::move(other95.leaving);
+  wallMilliseconds = other95.wallMilliseconds;
+  counter = other95.counter;
+  heirs = std::move(other95.heirs);
+  pathFaults = std::move(other95.pathFaults);
+  work = std::move(other95.work);
+  statements = std::move(other95.statements);
+  readsStore = other95.readsStore;
+  serversDigest = other95.serversDigest;
+  __isset = other95.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other96) {
+  kind = other96.kind;
+  sequence = other96.sequence;
+  senderId = other96.senderId;
+  senderAddress = other96.senderAddress;
+  targetId = other96.targetId;
+  targetAddress = other96.targetAddress;
+  updates = other96.updates;
+  configurationDigest = other96.configurationDigest;
+  hostListRevision = other96.hostListRevision;
+  changes = other96.changes;
+  deaths = other96.deaths;
+  leaving = other96.leaving;
+  wallMilliseconds = other96.wallMilliseconds;
+  counter = other96.counter;
+  heirs = other96.heirs;
+  pathFaults = other96.pathFaults;
+  work = other96.work;
+  statements = other96.statements;
+  readsStore = other96.readsStore;
+  serversDigest = other96.serversDigest;
+  __isset = other96.__isset;
   return *this;
 }
-Datagram& Datagram::operator=(Datagram&& other87) noexcept {
-  kind = other87.kind;
-  sequence = other87.sequence;
-  senderId = std::move(other87.senderId);
-  senderAddress = std::move(other87.senderAddress);
-  targetId = std::move(other87.targetId);
-  targetAddress = std::move(other87.targetAddress);
-  updates = std::move(other87.updates);
-  configurationDigest = other87.configurationDigest;
-  hostListRevision = other87.hostListRevision;
-  changes = std::move(other87.changes);
-  deaths = std::move(other87.deaths);
-  leaving = std::move(other87.leaving);
-  wallMilliseconds = other87.wallMilliseconds;
-  counter = other87.counter;
-  heirs = std::move(other87.heirs);
-  pathFaults = std::move(other87.pathFaults);
-  work = std::move(other87.work);
-  __isset = other87.__isset;
+Datagram& Datagram::operator=(Datagram&& other97) noexcept {
+  kind = other97.kind;
+  sequence = other97.sequence;
+  senderId = std::move(other97.senderId);
+  senderAddress = std::move(other97.senderAddress);
+  targetId = std::move(other97.targetId);
+  targetAddress = std::move(other97.targetAddress);
+  updates = std::move(other97.updates);
+  configurationDigest = other97.configurationDigest;
+  hostListRevision = other97.hostListRevision;
+  changes = std::move(other97.changes);
+  deaths = std::move(other97.deaths);
+  leaving = std::move(other97.leaving);
+  wallMilliseconds = other97.wallMilliseconds;
+  counter = other97.counter;
+  heirs = std::move(other97.heirs);
+  pathFaults = std::move(other97.pathFaults);
+  work = std::move(other97.work);
+  statements = std::move(other97.statements);
+  readsStore = other97.readsStore;
+  serversDigest = other97.serversDigest;
+  __isset = other97.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
@@ -1972,6 +2398,9 @@
   out << ", " << "heirs=" << to_string(heirs);
   out << ", " << "pathFaults=" << to_string(pathFaults);
   out << ", " << "work=" << to_string(work);
+  out << ", " << "statements=" << to_string(statements);
+  out << ", " << "readsStore=" << to_string(readsStore);
+  out << ", " << "serversDigest=" << to_string(serversDigest);
   out << ")";
 }
 
@@ -2027,14 +2456,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->have.clear();
-            uint32_t _size88;
-            ::apache::thrift::protocol::TType _etype91;
-            xfer += iprot->readListBegin(_etype91, _size88);
-            this->have.resize(_size88);
-            uint32_t _i92;
-            for (_i92 = 0; _i92 < _size88; ++_i92)
+            uint32_t _size98;
+            ::apache::thrift::protocol::TType _etype101;
+            xfer += iprot->readListBegin(_etype101, _size98);
+            this->have.resize(_size98);
+            uint32_t _i102;
+            for (_i102 = 0; _i102 < _size98; ++_i102)
             {
-              xfer += this->have[_i92].read(iprot);
+              xfer += this->have[_i102].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2087,10 +2516,10 @@
   xfer += oprot->writeFieldBegin("have", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->have.size()));
-    std::vector<ServiceVersion> ::const_iterator _iter93;
-    for (_iter93 = this->have.begin(); _iter93 != this->have.end(); ++_iter93)
+    std::vector<ServiceVersion> ::const_iterator _iter103;
+    for (_iter103 = this->have.begin(); _iter103 != this->have.end(); ++_iter103)
     {
-      xfer += (*_iter93).write(oprot);
+      xfer += (*_iter103).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2122,34 +2551,34 @@
   swap(a.__isset, b.__isset);
 }
 
-PullRequest::PullRequest(const PullRequest& other94) {
-  have = other94.have;
-  only = other94.only;
-  hostListRevision = other94.hostListRevision;
-  wantMembers = other94.wantMembers;
-  __isset = other94.__isset;
+PullRequest::PullRequest(const PullRequest& other104) {
+  have = other104.have;
+  only = other104.only;
+  hostListRevision = other104.hostListRevision;
+  wantMembers = other104.wantMembers;
+  __isset = other104.__isset;
 }
-PullRequest::PullRequest(PullRequest&& other95) noexcept {
-  have = std::move(other95.have);
-  only = other95.only;
-  hostListRevision = other95.hostListRevision;
-  wantMembers = other95.wantMembers;
-  __isset = other95.__isset;
+PullRequest::PullRequest(PullRequest&& other105) noexcept {
+  have = std::move(other105.have);
+  only = other105.only;
+  hostListRevision = other105.hostListRevision;
+  wantMembers = other105.wantMembers;
+  __isset = other105.__isset;
 }
-PullRequest& PullRequest::operator=(const PullRequest& other96) {
-  have = other96.have;
-  only = other96.only;
-  hostListRevision = other96.hostListRevision;
-  wantMembers = other96.wantMembers;
-  __isset = other96.__isset;
+PullRequest& PullRequest::operator=(const PullRequest& other106) {
+  have = other106.have;
+  only = other106.only;
+  hostListRevision = other106.hostListRevision;
+  wantMembers = other106.wantMembers;
+  __isset = other106.__isset;
   return *this;
 }
-PullRequest& PullRequest::operator=(PullRequest&& other97) noexcept {
-  have = std::move(other97.have);
-  only = other97.only;
-  hostListRevision = other97.hostListRevision;
-  wantMembers = other97.wantMembers;
-  __isset = other97.__isset;
+PullRequest& PullRequest::operator=(PullRequest&& other107) noexcept {
+  have = std::move(other107.have);
+  only = other107.only;
+  hostListRevision = other107.hostListRevision;
+  wantMembers = other107.wantMembers;
+  __isset = other107.__isset;
   return *this;
 }
 void PullRequest::printTo(std::ostream& out) const {
@@ -2323,42 +2752,42 @@
   swap(a.__isset, b.__isset);
 }
 
-Acceptance::Acceptance(const Acceptance& other98) {
-  content = other98.content;
-  parent = other98.parent;
-  version = other98.version;
-  signer = other98.signer;
-  signature = other98.signature;
-  firstOffset = other98.firstOffset;
-  __isset = other98.__isset;
-}
-Acceptance::Acceptance(Acceptance&& other99) noexcept {
-  content = std::move(other99.content);
-  parent = std::move(other99.parent);
-  version = other99.version;
-  signer = std::move(other99.signer);
-  signature = std::move(other99.signature);
-  firstOffset = other99.firstOffset;
-  __isset = other99.__isset;
-}
-Acceptance& Acceptance::operator=(const Acceptance& other100) {
-  content = other100.content;
-  parent = other100.parent;
-  version = other100.version;
-  signer = other100.signer;
-  signature = other100.signature;
-  firstOffset = other100.firstOffset;
-  __isset = other100.__isset;
+Acceptance::Acceptance(const Acceptance& other108) {
+  content = other108.content;
+  parent = other108.parent;
+  version = other108.version;
+  signer = other108.signer;
+  signature = other108.signature;
+  firstOffset = other108.firstOffset;
+  __isset = other108.__isset;
+}
+Acceptance::Acceptance(Acceptance&& other109) noexcept {
+  content = std::move(other109.content);
+  parent = std::move(other109.parent);
+  version = other109.version;
+  signer = std::move(other109.signer);
+  signature = std::move(other109.signature);
+  firstOffset = other109.firstOffset;
+  __isset = other109.__isset;
+}
+Acceptance& Acceptance::operator=(const Acceptance& other110) {
+  content = other110.content;
+  parent = other110.parent;
+  version = other110.version;
+  signer = other110.signer;
+  signature = other110.signature;
+  firstOffset = other110.firstOffset;
+  __isset = other110.__isset;
   return *this;
 }
-Acceptance& Acceptance::operator=(Acceptance&& other101) noexcept {
-  content = std::move(other101.content);
-  parent = std::move(other101.parent);
-  version = other101.version;
-  signer = std::move(other101.signer);
-  signature = std::move(other101.signature);
-  firstOffset = other101.firstOffset;
-  __isset = other101.__isset;
+Acceptance& Acceptance::operator=(Acceptance&& other111) noexcept {
+  content = std::move(other111.content);
+  parent = std::move(other111.parent);
+  version = other111.version;
+  signer = std::move(other111.signer);
+  signature = std::move(other111.signature);
+  firstOffset = other111.firstOffset;
+  __isset = other111.__isset;
   return *this;
 }
 void Acceptance::printTo(std::ostream& out) const {
@@ -2483,30 +2912,30 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryHost::EntryHost(const EntryHost& other102) {
-  id = other102.id;
-  dataCentre = other102.dataCentre;
-  address = other102.address;
-  __isset = other102.__isset;
+EntryHost::EntryHost(const EntryHost& other112) {
+  id = other112.id;
+  dataCentre = other112.dataCentre;
+  address = other112.address;
+  __isset = other112.__isset;
 }
-EntryHost::EntryHost(EntryHost&& other103) noexcept {
-  id = std::move(other103.id);
-  dataCentre = std::move(other103.dataCentre);
-  address = std::move(other103.address);
-  __isset = other103.__isset;
+EntryHost::EntryHost(EntryHost&& other113) noexcept {
+  id = std::move(other113.id);
+  dataCentre = std::move(other113.dataCentre);
+  address = std::move(other113.address);
+  __isset = other113.__isset;
 }
-EntryHost& EntryHost::operator=(const EntryHost& other104) {
-  id = other104.id;
-  dataCentre = other104.dataCentre;
-  address = other104.address;
-  __isset = other104.__isset;
+EntryHost& EntryHost::operator=(const EntryHost& other114) {
+  id = other114.id;
+  dataCentre = other114.dataCentre;
+  address = other114.address;
+  __isset = other114.__isset;
   return *this;
 }
-EntryHost& EntryHost::operator=(EntryHost&& other105) noexcept {
-  id = std::move(other105.id);
-  dataCentre = std::move(other105.dataCentre);
-  address = std::move(other105.address);
-  __isset = other105.__isset;
+EntryHost& EntryHost::operator=(EntryHost&& other115) noexcept {
+  id = std::move(other115.id);
+  dataCentre = std::move(other115.dataCentre);
+  address = std::move(other115.address);
+  __isset = other115.__isset;
   return *this;
 }
 void EntryHost::printTo(std::ostream& out) const {
@@ -2645,34 +3074,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Server::Server(const Server& other106) {
-  address = other106.address;
-  pool = other106.pool;
-  dataCentre = other106.dataCentre;
-  leaving = other106.leaving;
-  __isset = other106.__isset;
-}
-Server::Server(Server&& other107) noexcept {
-  address = std::move(other107.address);
-  pool = std::move(other107.pool);
-  dataCentre = std::move(other107.dataCentre);
-  leaving = other107.leaving;
-  __isset = other107.__isset;
-}
-Server& Server::operator=(const Server& other108) {
-  address = other108.address;
-  pool = other108.pool;
-  dataCentre = other108.dataCentre;
-  leaving = other108.leaving;
-  __isset = other108.__isset;
+Server::Server(const Server& other116) {
+  address = other116.address;
+  pool = other116.pool;
+  dataCentre = other116.dataCentre;
+  leaving = other116.leaving;
+  __isset = other116.__isset;
+}
+Server::Server(Server&& other117) noexcept {
+  address = std::move(other117.address);
+  pool = std::move(other117.pool);
+  dataCentre = std::move(other117.dataCentre);
+  leaving = other117.leaving;
+  __isset = other117.__isset;
+}
+Server& Server::operator=(const Server& other118) {
+  address = other118.address;
+  pool = other118.pool;
+  dataCentre = other118.dataCentre;
+  leaving = other118.leaving;
+  __isset = other118.__isset;
   return *this;
 }
-Server& Server::operator=(Server&& other109) noexcept {
-  address = std::move(other109.address);
-  pool = std::move(other109.pool);
-  dataCentre = std::move(other109.dataCentre);
-  leaving = other109.leaving;
-  __isset = other109.__isset;
+Server& Server::operator=(Server&& other119) noexcept {
+  address = std::move(other119.address);
+  pool = std::move(other119.pool);
+  dataCentre = std::move(other119.dataCentre);
+  leaving = other119.leaving;
+  __isset = other119.__isset;
   return *this;
 }
 void Server::printTo(std::ostream& out) const {
@@ -2761,14 +3190,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entryHosts.clear();
-            uint32_t _size110;
-            ::apache::thrift::protocol::TType _etype113;
-            xfer += iprot->readListBegin(_etype113, _size110);
-            this->entryHosts.resize(_size110);
-            uint32_t _i114;
-            for (_i114 = 0; _i114 < _size110; ++_i114)
+            uint32_t _size120;
+            ::apache::thrift::protocol::TType _etype123;
+            xfer += iprot->readListBegin(_etype123, _size120);
+            this->entryHosts.resize(_size120);
+            uint32_t _i124;
+            for (_i124 = 0; _i124 < _size120; ++_i124)
             {
-              xfer += this->entryHosts[_i114].read(iprot);
+              xfer += this->entryHosts[_i124].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2781,14 +3210,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size115;
-            ::apache::thrift::protocol::TType _etype118;
-            xfer += iprot->readListBegin(_etype118, _size115);
-            this->servers.resize(_size115);
-            uint32_t _i119;
-            for (_i119 = 0; _i119 < _size115; ++_i119)
+            uint32_t _size125;
+            ::apache::thrift::protocol::TType _etype128;
+            xfer += iprot->readListBegin(_etype128, _size125);
+            this->servers.resize(_size125);
+            uint32_t _i129;
+            for (_i129 = 0; _i129 < _size125; ++_i129)
             {
-              xfer += this->servers[_i119].read(iprot);
+              xfer += this->servers[_i129].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2801,14 +3230,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->goneEntryHosts.clear();
-            uint32_t _size120;
-            ::apache::thrift::protocol::TType _etype123;
-            xfer += iprot->readListBegin(_etype123, _size120);
-            this->goneEntryHosts.resize(_size120);
-            uint32_t _i124;
-            for (_i124 = 0; _i124 < _size120; ++_i124)
+            uint32_t _size130;
+            ::apache::thrift::protocol::TType _etype133;
+            xfer += iprot->readListBegin(_etype133, _size130);
+            this->goneEntryHosts.resize(_size130);
+            uint32_t _i134;
+            for (_i134 = 0; _i134 < _size130; ++_i134)
             {
-              xfer += iprot->readString(this->goneEntryHosts[_i124]);
+              xfer += iprot->readString(this->goneEntryHosts[_i134]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2821,14 +3250,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->goneServers.clear();
-            uint32_t _size125;
-            ::apache::thrift::protocol::TType _etype128;
-            xfer += iprot->readListBegin(_etype128, _size125);
-            this->goneServers.resize(_size125);
-            uint32_t _i129;
-            for (_i129 = 0; _i129 < _size125; ++_i129)
+            uint32_t _size135;
+            ::apache::thrift::protocol::TType _etype138;
+            xfer += iprot->readListBegin(_etype138, _size135);
+            this->goneServers.resize(_size135);
+            uint32_t _i139;
+            for (_i139 = 0; _i139 < _size135; ++_i139)
             {
-              xfer += iprot->readString(this->goneServers[_i129]);
+              xfer += iprot->readString(this->goneServers[_i139]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2865,10 +3294,10 @@
   xfer += oprot->writeFieldBegin("entryHosts", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entryHosts.size()));
-    std::vector<EntryHost> ::const_iterator _iter130;
-    for (_iter130 = this->entryHosts.begin(); _iter130 != this->entryHosts.end(); ++_iter130)
+    std::vector<EntryHost> ::const_iterator _iter140;
+    for (_iter140 = this->entryHosts.begin(); _iter140 != this->entryHosts.end(); ++_iter140)
     {
-      xfer += (*_iter130).write(oprot);
+      xfer += (*_iter140).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2877,10 +3306,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<Server> ::const_iterator _iter131;
-    for (_iter131 = this->servers.begin(); _iter131 != this->servers.end(); ++_iter131)
+    std::vector<Server> ::const_iterator _iter141;
+    for (_iter141 = this->servers.begin(); _iter141 != this->servers.end(); ++_iter141)
     {
-      xfer += (*_iter131).write(oprot);
+      xfer += (*_iter141).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2889,10 +3318,10 @@
   xfer += oprot->writeFieldBegin("goneEntryHosts", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->goneEntryHosts.size()));
-    std::vector<std::string> ::const_iterator _iter132;
-    for (_iter132 = this->goneEntryHosts.begin(); _iter132 != this->goneEntryHosts.end(); ++_iter132)
+    std::vector<std::string> ::const_iterator _iter142;
+    for (_iter142 = this->goneEntryHosts.begin(); _iter142 != this->goneEntryHosts.end(); ++_iter142)
     {
-      xfer += oprot->writeString((*_iter132));
+      xfer += oprot->writeString((*_iter142));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2901,10 +3330,10 @@
   xfer += oprot->writeFieldBegin("goneServers", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->goneServers.size()));
-    std::vector<std::string> ::const_iterator _iter133;
-    for (_iter133 = this->goneServers.begin(); _iter133 != this->goneServers.end(); ++_iter133)
+    std::vector<std::string> ::const_iterator _iter143;
+    for (_iter143 = this->goneServers.begin(); _iter143 != this->goneServers.end(); ++_iter143)
     {
-      xfer += oprot->writeString((*_iter133));
+      xfer += oprot->writeString((*_iter143));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2926,42 +3355,42 @@
   swap(a.__isset, b.__isset);
 }
 
-HostsChange::HostsChange(const HostsChange& other134) {
-  fromRevision = other134.fromRevision;
-  toRevision = other134.toRevision;
-  entryHosts = other134.entryHosts;
-  servers = other134.servers;
-  goneEntryHosts = other134.goneEntryHosts;
-  goneServers = other134.goneServers;
-  __isset = other134.__isset;
-}
-HostsChange::HostsChange(HostsChange&& other135) noexcept {
-  fromRevision = other135.fromRevision;
-  toRevision = other135.toRevision;
-  entryHosts = std::move(other135.entryHosts);
-  servers = std::move(other135.servers);
-  goneEntryHosts = std::move(other135.goneEntryHosts);
-  goneServers = std::move(other135.goneServers);
-  __isset = other135.__isset;
-}
-HostsChange& HostsChange::operator=(const HostsChange& other136) {
-  fromRevision = other136.fromRevision;
-  toRevision = other136.toRevision;
-  entryHosts = other136.entryHosts;
-  servers = other136.servers;
-  goneEntryHosts = other136.goneEntryHosts;
-  goneServers = other136.goneServers;
-  __isset = other136.__isset;
+HostsChange::HostsChange(const HostsChange& other144) {
+  fromRevision = other144.fromRevision;
+  toRevision = other144.toRevision;
+  entryHosts = other144.entryHosts;
+  servers = other144.servers;
+  goneEntryHosts = other144.goneEntryHosts;
+  goneServers = other144.goneServers;
+  __isset = other144.__isset;
+}
+HostsChange::HostsChange(HostsChange&& other145) noexcept {
+  fromRevision = other145.fromRevision;
+  toRevision = other145.toRevision;
+  entryHosts = std::move(other145.entryHosts);
+  servers = std::move(other145.servers);
+  goneEntryHosts = std::move(other145.goneEntryHosts);
+  goneServers = std::move(other145.goneServers);
+  __isset = other145.__isset;
+}
+HostsChange& HostsChange::operator=(const HostsChange& other146) {
+  fromRevision = other146.fromRevision;
+  toRevision = other146.toRevision;
+  entryHosts = other146.entryHosts;
+  servers = other146.servers;
+  goneEntryHosts = other146.goneEntryHosts;
+  goneServers = other146.goneServers;
+  __isset = other146.__isset;
   return *this;
 }
-HostsChange& HostsChange::operator=(HostsChange&& other137) noexcept {
-  fromRevision = other137.fromRevision;
-  toRevision = other137.toRevision;
-  entryHosts = std::move(other137.entryHosts);
-  servers = std::move(other137.servers);
-  goneEntryHosts = std::move(other137.goneEntryHosts);
-  goneServers = std::move(other137.goneServers);
-  __isset = other137.__isset;
+HostsChange& HostsChange::operator=(HostsChange&& other147) noexcept {
+  fromRevision = other147.fromRevision;
+  toRevision = other147.toRevision;
+  entryHosts = std::move(other147.entryHosts);
+  servers = std::move(other147.servers);
+  goneEntryHosts = std::move(other147.goneEntryHosts);
+  goneServers = std::move(other147.goneServers);
+  __isset = other147.__isset;
   return *this;
 }
 void HostsChange::printTo(std::ostream& out) const {
@@ -3049,14 +3478,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size138;
-            ::apache::thrift::protocol::TType _etype141;
-            xfer += iprot->readListBegin(_etype141, _size138);
-            this->records.resize(_size138);
-            uint32_t _i142;
-            for (_i142 = 0; _i142 < _size138; ++_i142)
+            uint32_t _size148;
+            ::apache::thrift::protocol::TType _etype151;
+            xfer += iprot->readListBegin(_etype151, _size148);
+            this->records.resize(_size148);
+            uint32_t _i152;
+            for (_i152 = 0; _i152 < _size148; ++_i152)
             {
-              xfer += this->records[_i142].read(iprot);
+              xfer += this->records[_i152].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3077,14 +3506,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entryHosts.clear();
-            uint32_t _size143;
-            ::apache::thrift::protocol::TType _etype146;
-            xfer += iprot->readListBegin(_etype146, _size143);
-            this->entryHosts.resize(_size143);
-            uint32_t _i147;
-            for (_i147 = 0; _i147 < _size143; ++_i147)
+            uint32_t _size153;
+            ::apache::thrift::protocol::TType _etype156;
+            xfer += iprot->readListBegin(_etype156, _size153);
+            this->entryHosts.resize(_size153);
+            uint32_t _i157;
+            for (_i157 = 0; _i157 < _size153; ++_i157)
             {
-              xfer += this->entryHosts[_i147].read(iprot);
+              xfer += this->entryHosts[_i157].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3097,14 +3526,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size148;
-            ::apache::thrift::protocol::TType _etype151;
-            xfer += iprot->readListBegin(_etype151, _size148);
-            this->servers.resize(_size148);
-            uint32_t _i152;
-            for (_i152 = 0; _i152 < _size148; ++_i152)
+            uint32_t _size158;
+            ::apache::thrift::protocol::TType _etype161;
+            xfer += iprot->readListBegin(_etype161, _size158);
+            this->servers.resize(_size158);
+            uint32_t _i162;
+            for (_i162 = 0; _i162 < _size158; ++_i162)
             {
-              xfer += this->servers[_i152].read(iprot);
+              xfer += this->servers[_i162].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3117,14 +3546,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size153;
-            ::apache::thrift::protocol::TType _etype156;
-            xfer += iprot->readListBegin(_etype156, _size153);
-            this->members.resize(_size153);
-            uint32_t _i157;
-            for (_i157 = 0; _i157 < _size153; ++_i157)
+            uint32_t _size163;
+            ::apache::thrift::protocol::TType _etype166;
+            xfer += iprot->readListBegin(_etype166, _size163);
+            this->members.resize(_size163);
+            uint32_t _i167;
+            for (_i167 = 0; _i167 < _size163; ++_i167)
             {
-              xfer += this->members[_i157].read(iprot);
+              xfer += this->members[_i167].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3137,14 +3566,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->deaths.clear();
-            uint32_t _size158;
-            ::apache::thrift::protocol::TType _etype161;
-            xfer += iprot->readListBegin(_etype161, _size158);
-            this->deaths.resize(_size158);
-            uint32_t _i162;
-            for (_i162 = 0; _i162 < _size158; ++_i162)
+            uint32_t _size168;
+            ::apache::thrift::protocol::TType _etype171;
+            xfer += iprot->readListBegin(_etype171, _size168);
+            this->deaths.resize(_size168);
+            uint32_t _i172;
+            for (_i172 = 0; _i172 < _size168; ++_i172)
             {
-              xfer += this->deaths[_i162].read(iprot);
+              xfer += this->deaths[_i172].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3157,14 +3586,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heirs.clear();
-            uint32_t _size163;
-            ::apache::thrift::protocol::TType _etype166;
-            xfer += iprot->readListBegin(_etype166, _size163);
-            this->heirs.resize(_size163);
-            uint32_t _i167;
-            for (_i167 = 0; _i167 < _size163; ++_i167)
+            uint32_t _size173;
+            ::apache::thrift::protocol::TType _etype176;
+            xfer += iprot->readListBegin(_etype176, _size173);
+            this->heirs.resize(_size173);
+            uint32_t _i177;
+            for (_i177 = 0; _i177 < _size173; ++_i177)
             {
-              xfer += this->heirs[_i167].read(iprot);
+              xfer += this->heirs[_i177].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3177,14 +3606,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->pathFaults.clear();
-            uint32_t _size168;
-            ::apache::thrift::protocol::TType _etype171;
-            xfer += iprot->readListBegin(_etype171, _size168);
-            this->pathFaults.resize(_size168);
-            uint32_t _i172;
-            for (_i172 = 0; _i172 < _size168; ++_i172)
+            uint32_t _size178;
+            ::apache::thrift::protocol::TType _etype181;
+            xfer += iprot->readListBegin(_etype181, _size178);
+            this->pathFaults.resize(_size178);
+            uint32_t _i182;
+            for (_i182 = 0; _i182 < _size178; ++_i182)
             {
-              xfer += this->pathFaults[_i172].read(iprot);
+              xfer += this->pathFaults[_i182].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3221,10 +3650,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<Acceptance> ::const_iterator _iter173;
-    for (_iter173 = this->records.begin(); _iter173 != this->records.end(); ++_iter173)
+    std::vector<Acceptance> ::const_iterator _iter183;
+    for (_iter183 = this->records.begin(); _iter183 != this->records.end(); ++_iter183)
     {
-      xfer += (*_iter173).write(oprot);
+      xfer += (*_iter183).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3237,10 +3666,10 @@
   xfer += oprot->writeFieldBegin("entryHosts", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entryHosts.size()));
-    std::vector<EntryHost> ::const_iterator _iter174;
-    for (_iter174 = this->entryHosts.begin(); _iter174 != this->entryHosts.end(); ++_iter174)
+    std::vector<EntryHost> ::const_iterator _iter184;
+    for (_iter184 = this->entryHosts.begin(); _iter184 != this->entryHosts.end(); ++_iter184)
     {
-      xfer += (*_iter174).write(oprot);
+      xfer += (*_iter184).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3249,10 +3678,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<Server> ::const_iterator _iter175;
-    for (_iter175 = this->servers.begin(); _iter175 != this->servers.end(); ++_iter175)
+    std::vector<Server> ::const_iterator _iter185;
+    for (_iter185 = this->servers.begin(); _iter185 != this->servers.end(); ++_iter185)
     {
-      xfer += (*_iter175).write(oprot);
+      xfer += (*_iter185).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3261,10 +3690,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter176;
-    for (_iter176 = this->members.begin(); _iter176 != this->members.end(); ++_iter176)
+    std::vector<Member> ::const_iterator _iter186;
+    for (_iter186 = this->members.begin(); _iter186 != this->members.end(); ++_iter186)
     {
-      xfer += (*_iter176).write(oprot);
+      xfer += (*_iter186).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3273,10 +3702,10 @@
   xfer += oprot->writeFieldBegin("deaths", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deaths.size()));
-    std::vector<Death> ::const_iterator _iter177;
-    for (_iter177 = this->deaths.begin(); _iter177 != this->deaths.end(); ++_iter177)
+    std::vector<Death> ::const_iterator _iter187;
+    for (_iter187 = this->deaths.begin(); _iter187 != this->deaths.end(); ++_iter187)
     {
-      xfer += (*_iter177).write(oprot);
+      xfer += (*_iter187).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3285,10 +3714,10 @@
   xfer += oprot->writeFieldBegin("heirs", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->heirs.size()));
-    std::vector<KeyHeir> ::const_iterator _iter178;
-    for (_iter178 = this->heirs.begin(); _iter178 != this->heirs.end(); ++_iter178)
+    std::vector<KeyHeir> ::const_iterator _iter188;
+    for (_iter188 = this->heirs.begin(); _iter188 != this->heirs.end(); ++_iter188)
     {
-      xfer += (*_iter178).write(oprot);
+      xfer += (*_iter188).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3297,10 +3726,10 @@
   xfer += oprot->writeFieldBegin("pathFaults", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->pathFaults.size()));
-    std::vector<PathFault> ::const_iterator _iter179;
-    for (_iter179 = this->pathFaults.begin(); _iter179 != this->pathFaults.end(); ++_iter179)
+    std::vector<PathFault> ::const_iterator _iter189;
+    for (_iter189 = this->pathFaults.begin(); _iter189 != this->pathFaults.end(); ++_iter189)
     {
-      xfer += (*_iter179).write(oprot);
+      xfer += (*_iter189).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3330,54 +3759,54 @@
   swap(a.__isset, b.__isset);
 }
 
-PullReply::PullReply(const PullReply& other180) {
-  records = other180.records;
-  hostListRevision = other180.hostListRevision;
-  entryHosts = other180.entryHosts;
-  servers = other180.servers;
-  members = other180.members;
-  deaths = other180.deaths;
-  heirs = other180.heirs;
-  pathFaults = other180.pathFaults;
-  hostsChange = other180.hostsChange;
-  __isset = other180.__isset;
-}
-PullReply::PullReply(PullReply&& other181) noexcept {
-  records = std::move(other181.records);
-  hostListRevision = other181.hostListRevision;
-  entryHosts = std::move(other181.entryHosts);
-  servers = std::move(other181.servers);
-  members = std::move(other181.members);
-  deaths = std::move(other181.deaths);
-  heirs = std::move(other181.heirs);
-  pathFaults = std::move(other181.pathFaults);
-  hostsChange = std::move(other181.hostsChange);
-  __isset = other181.__isset;
-}
-PullReply& PullReply::operator=(const PullReply& other182) {
-  records = other182.records;
-  hostListRevision = other182.hostListRevision;
-  entryHosts = other182.entryHosts;
-  servers = other182.servers;
-  members = other182.members;
-  deaths = other182.deaths;
-  heirs = other182.heirs;
-  pathFaults = other182.pathFaults;
-  hostsChange = other182.hostsChange;
-  __isset = other182.__isset;
+PullReply::PullReply(const PullReply& other190) {
+  records = other190.records;
+  hostListRevision = other190.hostListRevision;
+  entryHosts = other190.entryHosts;
+  servers = other190.servers;
+  members = other190.members;
+  deaths = other190.deaths;
+  heirs = other190.heirs;
+  pathFaults = other190.pathFaults;
+  hostsChange = other190.hostsChange;
+  __isset = other190.__isset;
+}
+PullReply::PullReply(PullReply&& other191) noexcept {
+  records = std::move(other191.records);
+  hostListRevision = other191.hostListRevision;
+  entryHosts = std::move(other191.entryHosts);
+  servers = std::move(other191.servers);
+  members = std::move(other191.members);
+  deaths = std::move(other191.deaths);
+  heirs = std::move(other191.heirs);
+  pathFaults = std::move(other191.pathFaults);
+  hostsChange = std::move(other191.hostsChange);
+  __isset = other191.__isset;
+}
+PullReply& PullReply::operator=(const PullReply& other192) {
+  records = other192.records;
+  hostListRevision = other192.hostListRevision;
+  entryHosts = other192.entryHosts;
+  servers = other192.servers;
+  members = other192.members;
+  deaths = other192.deaths;
+  heirs = other192.heirs;
+  pathFaults = other192.pathFaults;
+  hostsChange = other192.hostsChange;
+  __isset = other192.__isset;
   return *this;
 }
-PullReply& PullReply::operator=(PullReply&& other183) noexcept {
-  records = std::move(other183.records);
-  hostListRevision = other183.hostListRevision;
-  entryHosts = std::move(other183.entryHosts);
-  servers = std::move(other183.servers);
-  members = std::move(other183.members);
-  deaths = std::move(other183.deaths);
-  heirs = std::move(other183.heirs);
-  pathFaults = std::move(other183.pathFaults);
-  hostsChange = std::move(other183.hostsChange);
-  __isset = other183.__isset;
+PullReply& PullReply::operator=(PullReply&& other193) noexcept {
+  records = std::move(other193.records);
+  hostListRevision = other193.hostListRevision;
+  entryHosts = std::move(other193.entryHosts);
+  servers = std::move(other193.servers);
+  members = std::move(other193.members);
+  deaths = std::move(other193.deaths);
+  heirs = std::move(other193.heirs);
+  pathFaults = std::move(other193.pathFaults);
+  hostsChange = std::move(other193.hostsChange);
+  __isset = other193.__isset;
   return *this;
 }
 void PullReply::printTo(std::ostream& out) const {
@@ -3488,26 +3917,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Header::Header(const Header& other184) {
-  name = other184.name;
-  value = other184.value;
-  __isset = other184.__isset;
+Header::Header(const Header& other194) {
+  name = other194.name;
+  value = other194.value;
+  __isset = other194.__isset;
 }
-Header::Header(Header&& other185) noexcept {
-  name = std::move(other185.name);
-  value = std::move(other185.value);
-  __isset = other185.__isset;
+Header::Header(Header&& other195) noexcept {
+  name = std::move(other195.name);
+  value = std::move(other195.value);
+  __isset = other195.__isset;
 }
-Header& Header::operator=(const Header& other186) {
-  name = other186.name;
-  value = other186.value;
-  __isset = other186.__isset;
+Header& Header::operator=(const Header& other196) {
+  name = other196.name;
+  value = other196.value;
+  __isset = other196.__isset;
   return *this;
 }
-Header& Header::operator=(Header&& other187) noexcept {
-  name = std::move(other187.name);
-  value = std::move(other187.value);
-  __isset = other187.__isset;
+Header& Header::operator=(Header&& other197) noexcept {
+  name = std::move(other197.name);
+  value = std::move(other197.value);
+  __isset = other197.__isset;
   return *this;
 }
 void Header::printTo(std::ostream& out) const {
@@ -3610,14 +4039,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size188;
-            ::apache::thrift::protocol::TType _etype191;
-            xfer += iprot->readListBegin(_etype191, _size188);
-            this->headers.resize(_size188);
-            uint32_t _i192;
-            for (_i192 = 0; _i192 < _size188; ++_i192)
+            uint32_t _size198;
+            ::apache::thrift::protocol::TType _etype201;
+            xfer += iprot->readListBegin(_etype201, _size198);
+            this->headers.resize(_size198);
+            uint32_t _i202;
+            for (_i202 = 0; _i202 < _size198; ++_i202)
             {
-              xfer += this->headers[_i192].read(iprot);
+              xfer += this->headers[_i202].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3670,10 +4099,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter193;
-    for (_iter193 = this->headers.begin(); _iter193 != this->headers.end(); ++_iter193)
+    std::vector<Header> ::const_iterator _iter203;
+    for (_iter203 = this->headers.begin(); _iter203 != this->headers.end(); ++_iter203)
     {
-      xfer += (*_iter193).write(oprot);
+      xfer += (*_iter203).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3699,42 +4128,42 @@
   swap(a.__isset, b.__isset);
 }
 
-RememberedKey::RememberedKey(const RememberedKey& other194) {
-  name = other194.name;
-  issuer = other194.issuer;
-  status = other194.status;
-  outcome = other194.outcome;
-  headers = other194.headers;
-  body = other194.body;
-  __isset = other194.__isset;
-}
-RememberedKey::RememberedKey(RememberedKey&& other195) noexcept {
-  name = std::move(other195.name);
-  issuer = std::move(other195.issuer);
-  status = other195.status;
-  outcome = other195.outcome;
-  headers = std::move(other195.headers);
-  body = std::move(other195.body);
-  __isset = other195.__isset;
-}
-RememberedKey& RememberedKey::operator=(const RememberedKey& other196) {
-  name = other196.name;
-  issuer = other196.issuer;
-  status = other196.status;
-  outcome = other196.outcome;
-  headers = other196.headers;
-  body = other196.body;
-  __isset = other196.__isset;
+RememberedKey::RememberedKey(const RememberedKey& other204) {
+  name = other204.name;
+  issuer = other204.issuer;
+  status = other204.status;
+  outcome = other204.outcome;
+  headers = other204.headers;
+  body = other204.body;
+  __isset = other204.__isset;
+}
+RememberedKey::RememberedKey(RememberedKey&& other205) noexcept {
+  name = std::move(other205.name);
+  issuer = std::move(other205.issuer);
+  status = other205.status;
+  outcome = other205.outcome;
+  headers = std::move(other205.headers);
+  body = std::move(other205.body);
+  __isset = other205.__isset;
+}
+RememberedKey& RememberedKey::operator=(const RememberedKey& other206) {
+  name = other206.name;
+  issuer = other206.issuer;
+  status = other206.status;
+  outcome = other206.outcome;
+  headers = other206.headers;
+  body = other206.body;
+  __isset = other206.__isset;
   return *this;
 }
-RememberedKey& RememberedKey::operator=(RememberedKey&& other197) noexcept {
-  name = std::move(other197.name);
-  issuer = std::move(other197.issuer);
-  status = other197.status;
-  outcome = other197.outcome;
-  headers = std::move(other197.headers);
-  body = std::move(other197.body);
-  __isset = other197.__isset;
+RememberedKey& RememberedKey::operator=(RememberedKey&& other207) noexcept {
+  name = std::move(other207.name);
+  issuer = std::move(other207.issuer);
+  status = other207.status;
+  outcome = other207.outcome;
+  headers = std::move(other207.headers);
+  body = std::move(other207.body);
+  __isset = other207.__isset;
   return *this;
 }
 void RememberedKey::printTo(std::ostream& out) const {
@@ -3825,14 +4254,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rights.clear();
-            uint32_t _size198;
-            ::apache::thrift::protocol::TType _etype201;
-            xfer += iprot->readListBegin(_etype201, _size198);
-            this->rights.resize(_size198);
-            uint32_t _i202;
-            for (_i202 = 0; _i202 < _size198; ++_i202)
+            uint32_t _size208;
+            ::apache::thrift::protocol::TType _etype211;
+            xfer += iprot->readListBegin(_etype211, _size208);
+            this->rights.resize(_size208);
+            uint32_t _i212;
+            for (_i212 = 0; _i212 < _size208; ++_i212)
             {
-              xfer += this->rights[_i202].read(iprot);
+              xfer += this->rights[_i212].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3861,14 +4290,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keys.clear();
-            uint32_t _size203;
-            ::apache::thrift::protocol::TType _etype206;
-            xfer += iprot->readListBegin(_etype206, _size203);
-            this->keys.resize(_size203);
-            uint32_t _i207;
-            for (_i207 = 0; _i207 < _size203; ++_i207)
+            uint32_t _size213;
+            ::apache::thrift::protocol::TType _etype216;
+            xfer += iprot->readListBegin(_etype216, _size213);
+            this->keys.resize(_size213);
+            uint32_t _i217;
+            for (_i217 = 0; _i217 < _size213; ++_i217)
             {
-              xfer += this->keys[_i207].read(iprot);
+              xfer += this->keys[_i217].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3905,10 +4334,10 @@
   xfer += oprot->writeFieldBegin("rights", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rights.size()));
-    std::vector<KeyHeir> ::const_iterator _iter208;
-    for (_iter208 = this->rights.begin(); _iter208 != this->rights.end(); ++_iter208)
+    std::vector<KeyHeir> ::const_iterator _iter218;
+    for (_iter218 = this->rights.begin(); _iter218 != this->rights.end(); ++_iter218)
     {
-      xfer += (*_iter208).write(oprot);
+      xfer += (*_iter218).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3925,10 +4354,10 @@
   xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keys.size()));
-    std::vector<RememberedKey> ::const_iterator _iter209;
-    for (_iter209 = this->keys.begin(); _iter209 != this->keys.end(); ++_iter209)
+    std::vector<RememberedKey> ::const_iterator _iter219;
+    for (_iter219 = this->keys.begin(); _iter219 != this->keys.end(); ++_iter219)
     {
-      xfer += (*_iter209).write(oprot);
+      xfer += (*_iter219).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3950,42 +4379,42 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyHandOver::KeyHandOver(const KeyHandOver& other210) {
-  giver = other210.giver;
-  heir = other210.heir;
-  rights = other210.rights;
-  part = other210.part;
-  parts = other210.parts;
-  keys = other210.keys;
-  __isset = other210.__isset;
-}
-KeyHandOver::KeyHandOver(KeyHandOver&& other211) noexcept {
-  giver = std::move(other211.giver);
-  heir = std::move(other211.heir);
-  rights = std::move(other211.rights);
-  part = other211.part;
-  parts = other211.parts;
-  keys = std::move(other211.keys);
-  __isset = other211.__isset;
-}
-KeyHandOver& KeyHandOver::operator=(const KeyHandOver& other212) {
-  giver = other212.giver;
-  heir = other212.heir;
-  rights = other212.rights;
-  part = other212.part;
-  parts = other212.parts;
-  keys = other212.keys;
-  __isset = other212.__isset;
+KeyHandOver::KeyHandOver(const KeyHandOver& other220) {
+  giver = other220.giver;
+  heir = other220.heir;
+  rights = other220.rights;
+  part = other220.part;
+  parts = other220.parts;
+  keys = other220.keys;
+  __isset = other220.__isset;
+}
+KeyHandOver::KeyHandOver(KeyHandOver&& other221) noexcept {
+  giver = std::move(other221.giver);
+  heir = std::move(other221.heir);
+  rights = std::move(other221.rights);
+  part = other221.part;
+  parts = other221.parts;
+  keys = std::move(other221.keys);
+  __isset = other221.__isset;
+}
+KeyHandOver& KeyHandOver::operator=(const KeyHandOver& other222) {
+  giver = other222.giver;
+  heir = other222.heir;
+  rights = other222.rights;
+  part = other222.part;
+  parts = other222.parts;
+  keys = other222.keys;
+  __isset = other222.__isset;
   return *this;
 }
-KeyHandOver& KeyHandOver::operator=(KeyHandOver&& other213) noexcept {
-  giver = std::move(other213.giver);
-  heir = std::move(other213.heir);
-  rights = std::move(other213.rights);
-  part = other213.part;
-  parts = other213.parts;
-  keys = std::move(other213.keys);
-  __isset = other213.__isset;
+KeyHandOver& KeyHandOver::operator=(KeyHandOver&& other223) noexcept {
+  giver = std::move(other223.giver);
+  heir = std::move(other223.heir);
+  rights = std::move(other223.rights);
+  part = other223.part;
+  parts = other223.parts;
+  keys = std::move(other223.keys);
+  __isset = other223.__isset;
   return *this;
 }
 void KeyHandOver::printTo(std::ostream& out) const {
--- a/src/libs/peer/gen/peer_types.h
+++ b/src/libs/peer/gen/peer_types.h
@@ -39,6 +39,8 @@
 
 class WorkReport;
 
+class ServerStatement;
+
 class Datagram;
 
 class PullRequest;
@@ -551,9 +553,11 @@
 std::ostream& operator<<(std::ostream& out, const ServerWork& obj);
 
 typedef struct _WorkReport__isset {
-  _WorkReport__isset() : serviceName(false), servers(false) {}
+  _WorkReport__isset() : serviceName(false), servers(false), served(false), unserved(false) {}
   bool serviceName :1;
   bool servers :1;
+  bool served :1;
+  bool unserved :1;
 } _WorkReport__isset;
 
 class WorkReport : public virtual ::apache::thrift::TBase {
@@ -564,12 +568,16 @@
   WorkReport& operator=(const WorkReport&);
   WorkReport& operator=(WorkReport&&) noexcept;
   WorkReport() noexcept
-             : serviceName() {
+             : serviceName(),
+               served(0),
+               unserved(0) {
   }
 
   virtual ~WorkReport() noexcept;
   std::string serviceName;
   std::vector<ServerWork>  servers;
+  int32_t served;
+  int32_t unserved;
 
   _WorkReport__isset __isset;
 
@@ -577,12 +585,20 @@
 
   void __set_servers(const std::vector<ServerWork> & val);
 
+  void __set_served(const int32_t val);
+
+  void __set_unserved(const int32_t val);
+
   bool operator == (const WorkReport & rhs) const
   {
     if (!(serviceName == rhs.serviceName))
       return false;
     if (!(servers == rhs.servers))
       return false;
+    if (!(served == rhs.served))
+      return false;
+    if (!(unserved == rhs.unserved))
+      return false;
     return true;
   }
   bool operator != (const WorkReport &rhs) const {
@@ -601,8 +617,116 @@
 
 std::ostream& operator<<(std::ostream& out, const WorkReport& obj);
 
+typedef struct _ServerStatement__isset {
+  _ServerStatement__isset() : id(false), address(false), pool(false), dataCentre(false), leaving(false), started(false), sequence(false), slots(false), coldMilliseconds(false), removed(false) {}
+  bool id :1;
+  bool address :1;
+  bool pool :1;
+  bool dataCentre :1;
+  bool leaving :1;
+  bool started :1;
+  bool sequence :1;
+  bool slots :1;
+  bool coldMilliseconds :1;
+  bool removed :1;
+} _ServerStatement__isset;
+
+class ServerStatement : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServerStatement(const ServerStatement&);
+  ServerStatement(ServerStatement&&) noexcept;
+  ServerStatement& operator=(const ServerStatement&);
+  ServerStatement& operator=(ServerStatement&&) noexcept;
+  ServerStatement() noexcept
+                  : id(),
+                    address(),
+                    pool(),
+                    dataCentre(),
+                    leaving(0),
+                    started(0),
+                    sequence(0),
+                    slots(0),
+                    coldMilliseconds(0),
+                    removed(0) {
+  }
+
+  virtual ~ServerStatement() noexcept;
+  std::string id;
+  std::string address;
+  std::string pool;
+  std::string dataCentre;
+  bool leaving;
+  int64_t started;
+  int64_t sequence;
+  int32_t slots;
+  int32_t coldMilliseconds;
+  bool removed;
+
+  _ServerStatement__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  void __set_pool(const std::string& val);
+
+  void __set_dataCentre(const std::string& val);
+
+  void __set_leaving(const bool val);
+
+  void __set_started(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_slots(const int32_t val);
+
+  void __set_coldMilliseconds(const int32_t val);
+
+  void __set_removed(const bool val);
+
+  bool operator == (const ServerStatement & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(pool == rhs.pool))
+      return false;
+    if (!(dataCentre == rhs.dataCentre))
+      return false;
+    if (!(leaving == rhs.leaving))
+      return false;
+    if (!(started == rhs.started))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(slots == rhs.slots))
+      return false;
+    if (!(coldMilliseconds == rhs.coldMilliseconds))
+      return false;
+    if (!(removed == rhs.removed))
+      return false;
+    return true;
+  }
+  bool operator != (const ServerStatement &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServerStatement & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServerStatement &a, ServerStatement &b);
+
+std::ostream& operator<<(std::ostream& out, const ServerStatement& obj);
+
 typedef struct _Datagram__isset {
-  _Datagram__isset() : kind(false), sequence(false), senderId(false), senderAddress(false), targetId(false), targetAddress(false), updates(false), configurationDigest(false), hostListRevision(false), changes(false), deaths(false), leaving(false), wallMilliseconds(false), counter(false), heirs(false), pathFaults(false), work(false) {}
+  _Datagram__isset() : kind(false), sequence(false), senderId(false), senderAddress(false), targetId(false), targetAddress(false), updates(false), configurationDigest(false), hostListRevision(false), changes(false), deaths(false), leaving(false), wallMilliseconds(false), counter(false), heirs(false), pathFaults(false), work(false), statements(false), readsStore(false), serversDigest(false) {}
   bool kind :1;
   bool sequence :1;
   bool senderId :1;
@@ -620,6 +744,9 @@
   bool heirs :1;
   bool pathFaults :1;
   bool work :1;
+  bool statements :1;
+  bool readsStore :1;
+  bool serversDigest :1;
 } _Datagram__isset;
 
 class Datagram : public virtual ::apache::thrift::TBase {
@@ -639,7 +766,9 @@
              configurationDigest(0),
              hostListRevision(0),
              wallMilliseconds(0),
-             counter(0) {
+             counter(0),
+             readsStore(0),
+             serversDigest(0) {
   }
 
   virtual ~Datagram() noexcept;
@@ -660,6 +789,9 @@
   std::vector<KeyHeir>  heirs;
   std::vector<PathFault>  pathFaults;
   std::vector<WorkReport>  work;
+  std::vector<ServerStatement>  statements;
+  bool readsStore;
+  int64_t serversDigest;
 
   _Datagram__isset __isset;
 
@@ -697,6 +829,12 @@
 
   void __set_work(const std::vector<WorkReport> & val);
 
+  void __set_statements(const std::vector<ServerStatement> & val);
+
+  void __set_readsStore(const bool val);
+
+  void __set_serversDigest(const int64_t val);
+
   bool operator == (const Datagram & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -733,6 +871,12 @@
       return false;
     if (!(work == rhs.work))
       return false;
+    if (!(statements == rhs.statements))
+      return false;
+    if (!(readsStore == rhs.readsStore))
+      return false;
+    if (!(serversDigest == rhs.serversDigest))
+      return false;
     return true;
   }
   bool operator != (const Datagram &rhs) const {
--- a/src/libs/peer/peer.thrift
+++ b/src/libs/peer/peer.thrift
@@ -56,6 +56,21 @@
 struct WorkReport {
   1: string serviceName
   2: list<ServerWork> servers
+  3: i32 served
+  4: i32 unserved
+}
+
+struct ServerStatement {
+  1: string id
+  2: string address
+  3: string pool
+  4: string dataCentre
+  5: bool leaving
+  6: i64 started
+  7: i64 sequence
+  8: i32 slots
+  9: i32 coldMilliseconds
+  10: bool removed
 }
 
 struct Datagram {
@@ -76,6 +91,9 @@
   15: list<KeyHeir> heirs
   16: list<PathFault> pathFaults
   17: list<WorkReport> work
+  18: list<ServerStatement> statements
+  19: bool readsStore
+  20: i64 serversDigest
 }
 
 struct PullRequest {
--- a/src/libs/peer/peer_codec.cpp
+++ b/src/libs/peer/peer_codec.cpp
@@ -81,6 +81,10 @@
   Wire.heirs = converted<wire::KeyHeir>(Message.Heirs, ToWire);
   Wire.pathFaults = converted<wire::PathFault>(Message.PathFaults, ToWire);
   Wire.work = converted<wire::WorkReport>(Message.Work, ToWire);
+  Wire.statements =
+      converted<wire::ServerStatement>(Message.Statements, ToWire);
+  Wire.readsStore = Message.ReadsStore;
+  Wire.serversDigest = toWire(Message.ServersDigest);
   Wire.wallMilliseconds = Message.Time.WallMilliseconds;
   Wire.counter = static_cast<std::int32_t>(Message.Time.Counter);
   return pack(FleetSecret, "datagram", Wire);
@@ -106,6 +110,9 @@
   Message.Heirs = converted<key_heir>(Wire.heirs, FromWire);
   Message.PathFaults = converted<path_fault>(Wire.pathFaults, FromWire);
   Message.Work = converted<work_report>(Wire.work, FromWire);
+  Message.Statements = converted<server_statement>(Wire.statements, FromWire);
+  Message.ReadsStore = Wire.readsStore;
+  Message.ServersDigest = fromWire(Wire.serversDigest);
   Message.Time = {Wire.wallMilliseconds,
                   static_cast<std::uint32_t>(Wire.counter)};
   return Message;
--- a/src/libs/peer/wire_conversion.cpp
+++ b/src/libs/peer/wire_conversion.cpp
@@ -10,6 +10,10 @@
 /// More answers than one report of a proxy can tell of.
 constexpr std::int32_t MostWorkCount = 10'000;
 
+std::uint32_t countFromWire(std::int32_t Value) {
+  return static_cast<std::uint32_t>(std::clamp(Value, 0, MostWorkCount));
+}
+
 } // namespace
 
 
@@ -195,23 +199,58 @@
 }
 
 server_work fromWire(const wire::ServerWork &Work) {
-  auto Count = [](std::int32_t Value) {
-    return static_cast<std::uint32_t>(std::clamp(Value, 0, MostWorkCount));
-  };
-  return {Work.server, Count(Work.inUse), Count(Work.good), Count(Work.failed),
-          Count(Work.slow)};
+  return {Work.server, countFromWire(Work.inUse), countFromWire(Work.good),
+          countFromWire(Work.failed), countFromWire(Work.slow)};
 }
 
 wire::WorkReport toWire(const work_report &Report) {
   wire::WorkReport Result;
   Result.serviceName = Report.Service;
   Result.servers = converted<wire::ServerWork>(Report.Servers, ToWire);
+  Result.served = static_cast<std::int32_t>(Report.Served);
+  Result.unserved = static_cast<std::int32_t>(Report.Unserved);
   return Result;
 }
 
 work_report fromWire(const wire::WorkReport &Report) {
   return {Report.serviceName,
-          converted<server_work>(Report.servers, FromWire)};
+          converted<server_work>(Report.servers, FromWire),
+          countFromWire(Report.served), countFromWire(Report.unserved)};
+}
+
+wire::ServerStatement toWire(const server_statement &Statement) {
+  const backend_server &Server = Statement.Entry.Server;
+  wire::ServerStatement Result;
+  Result.id = Statement.Id;
+  Result.address = Server.Address;
+  Result.pool = Server.Pool;
+  Result.dataCentre = Server.DataCentre;
+  Result.leaving = Server.State == server_state::Leaving;
+  Result.started = Server.Started;
+  Result.sequence = toWire(Statement.Entry.Sequence);
+  Result.slots = static_cast<std::int32_t>(Server.Slots);
+  Result.coldMilliseconds = static_cast<std::int32_t>(
+      Statement.ColdLeft.count());
+  Result.removed = Statement.Removed;
+  return Result;
+}
+
+server_statement fromWire(const wire::ServerStatement &Statement) {
+  server_statement Result;
+  Result.Id = Statement.id;
+  backend_server &Server = Result.Entry.Server;
+  Server.Address = Statement.address;
+  Server.Pool = Statement.pool;
+  Server.DataCentre = Statement.dataCentre;
+  Server.State =
+      Statement.leaving ? server_state::Leaving : server_state::Live;
+  Server.Instance = Statement.id;
+  Server.Started = Statement.started;
+  Server.Slots = countFromWire(Statement.slots);
+  Result.Entry.Sequence = fromWire(Statement.sequence);
+  Result.ColdLeft = milliseconds(std::max(0, Statement.coldMilliseconds));
+  Result.Removed = Statement.removed;
+  return Result;
 }
 
 wire::Header toWire(const header_field &Header) {
--- a/src/libs/peer/wire_conversion.h
+++ b/src/libs/peer/wire_conversion.h
@@ -42,6 +42,8 @@
 server_work fromWire(const wire::ServerWork &Work);
 wire::WorkReport toWire(const work_report &Report);
 work_report fromWire(const wire::WorkReport &Report);
+wire::ServerStatement toWire(const server_statement &Statement);
+server_statement fromWire(const wire::ServerStatement &Statement);
 wire::Header toWire(const header_field &Header);
 header_field fromWire(const wire::Header &Header);
 wire::RememberedKey toWire(const remembered_key &Key);
--- a/src/libs/process/control_message.h
+++ b/src/libs/process/control_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "process/key_hand_over.h"
+#include "process/server_directory.h"
 #include "process/swim.h"
 #include "process/time_line.h"
 #include "process/traffic_message.h"
@@ -44,6 +45,12 @@
   std::vector<path_fault> PathFaults;
   /// The sender's work with backend servers that other proxies use too.
   std::vector<work_report> Work;
+  /// Backend servers that the sender has read of in the store.
+  std::vector<server_statement> Statements;
+  /// The sender reads the store for all, and the store answers it.
+  bool ReadsStore = false;
+  /// Of the backend servers that the sender knows.
+  std::uint64_t ServersDigest = 0;
   hybrid_time Time;
 };
 
--- a/src/libs/process/pool_scheduler.cpp
+++ b/src/libs/process/pool_scheduler.cpp
@@ -10,13 +10,14 @@
 namespace {
 
 /// What a failed request costs against one that waits for its whole target
-/// time. A repeatable one loses the time of an attempt.
+/// time. A repeatable one loses the time of an attempt, a refused one less.
 constexpr double FailureCost = 1.5;
 constexpr double RepeatableFailureCost = 0.5;
+constexpr double ShedCost = 0.3;
 /// Spreads requests while no server is full.
 constexpr double LoadCost = 0.05;
 /// Bytes between data centres are dear, a free slot is dearer.
-constexpr double OtherDataCentreCost = 0.03;
+constexpr double OtherDataCentreCost = 0.05;
 constexpr double TieCost = 0.01;
 /// Share of the target time that a request may be expected to take.
 constexpr double TargetShare = 0.85;
@@ -28,16 +29,35 @@
 constexpr milliseconds FullPause{300};
 /// A server runs at about half of its speed while it is cold.
 constexpr std::size_t ColdDivisor = 2;
+/// From this chance of failure on a server that has failed last gets nothing
+/// that may not be repeated; below, one request at a time finds out.
+constexpr double Doubted = 0.5;
+/// Share of the target time for which a request without a server is held: a
+/// refusal that comes later costs the caller the time for another try.
+constexpr int HoldDivisor = 8;
+/// Unserved share from which on all servers are kept in use: the users count a
+/// tenth over two seconds.
+constexpr double TroubleShare = 0.10;
+constexpr double EnoughAnswers = 8;
+/// The users count servers that get nothing for two seconds. One that fails is
+/// tried just in time, as each trial may cost an answer.
+constexpr milliseconds LongestIdle{700};
+constexpr milliseconds LongestIdleFailing{1'800};
+/// Puts a server that has been idle for that long before all others.
+constexpr double OwedGain = 2;
+constexpr milliseconds LeastReserved{200};
+/// Callers wait for a third of their time at most.
+constexpr milliseconds MostReserved{1'600};
+/// Half-life of the share of unserved requests.
+constexpr milliseconds UnservedMemory{1'400};
 
-double milliseconds_(milliseconds Time) {
-  return static_cast<double>(Time.count());
-}
+double count(milliseconds Time) { return static_cast<double>(Time.count()); }
 
 } // namespace
 
 pool_scheduler::pool_scheduler(const service_definition &Definition,
                                std::uint64_t Seed)
-    : Definition(Definition), Retries(SharedPoolRetries), Random(Seed) {
+    : Definition(Definition), Unserved(UnservedMemory), Random(Seed) {
   for (rank Rank : AllRanks)
     Queues.emplace_back(Definition.QueueLimit[rankIndex(Rank)]);
 }
@@ -79,27 +99,51 @@
   });
 }
 
+milliseconds pool_scheduler::holdTime(const waiting_request &Request) {
+  return Request.Target / HoldDivisor;
+}
+
 std::optional<request_id> pool_scheduler::submit(waiting_request Request,
                                                  steady_time Now) {
+  Retries.onRequest(Request.Rank, Now);
+  // The queue lets a request go when its usual time no longer fits.
+  Request.Deadline = std::min(Request.Deadline,
+                              Now + holdTime(Request) + Request.UsualTime);
   rank_queue &Queue = Queues[rankIndex(Request.Rank)];
   auto Dropped = Queue.push(std::move(Request), Now);
   return Dropped ? std::optional(Dropped->Id) : std::nullopt;
 }
 
-void pool_scheduler::resubmit(waiting_request Request) {
+void pool_scheduler::resubmit(waiting_request Request, steady_time Now) {
+  Request.Deadline = std::min(Request.Deadline,
+                              Now + holdTime(Request) + Request.UsualTime);
   rank_queue &Queue = Queues[rankIndex(Request.Rank)];
   Queue.pushFront(std::move(Request));
 }
 
+bool pool_scheduler::mostAreFailing() const {
+  auto Usable = std::ranges::count_if(Servers, &pooled_server::usable);
+  auto Failing = std::ranges::count_if(Servers, [](const pooled_server &S) {
+    return S.usable() && S.Failing;
+  });
+  return 2 * Failing > Usable;
+}
+
+bool pool_scheduler::inTrouble(steady_time Now) const {
+  if (Now < UnstableUntil)
+    return true;
+  double Total = Unserved.total(Now);
+  return Total >= EnoughAnswers && Unserved.bad(Now) > TroubleShare * Total;
+}
+
 std::size_t pool_scheduler::roomFor(const waiting_request &Request,
                                     const pooled_server &Server,
                                     steady_time Now) const {
-  double Slots = static_cast<double>(Server.Slots);
+  auto Slots = static_cast<double>(Server.Slots);
   if (Now < Server.ColdUntil)
     Slots = std::max(1.0, Slots / ColdDivisor);
-  double Usual = std::max(1.0, milliseconds_(Request.UsualTime));
-  double MostWait =
-      milliseconds_(Request.Target) * TargetShare - LongAnswer * Usual;
+  double Usual = std::max(1.0, count(Request.UsualTime));
+  double MostWait = count(Request.Target) * TargetShare - LongAnswer * Usual;
   double Queued = std::max(Slots * LeastQueueShare, MostWait / Usual * Slots);
   auto Room = static_cast<std::size_t>(Slots + Queued);
   return Now < Server.FullUntil ? std::min(Room, Server.FullAt) : Room;
@@ -108,22 +152,29 @@
 double pool_scheduler::costOf(const waiting_request &Request,
                               const pooled_server &Server,
                               steady_time Now) const {
-  double Slots = static_cast<double>(Server.Slots);
-  double Used = static_cast<double>(Server.used());
-  double Usual = std::max(1.0, milliseconds_(Request.UsualTime));
+  auto Slots = static_cast<double>(Server.Slots);
+  auto Used = static_cast<double>(Server.used());
+  double Usual = std::max(1.0, count(Request.UsualTime));
   double Wait = std::max(0.0, Used + 1 - Slots) / Slots * Usual;
-  double Target = std::max(1.0, milliseconds_(Request.Target));
+  double Target = std::max(1.0, count(Request.Target));
   bool MayRepeat = Request.Idempotent && Request.Avoid.empty() &&
                    Retries.available(Request.Rank);
   double Cost =
-      Server.Belief.sick(Now) * (MayRepeat ? RepeatableFailureCost
-                                           : FailureCost) +
-      Wait / Target + Used / Slots * LoadCost;
+      Server.Belief.sick(Now) *
+          (MayRepeat ? RepeatableFailureCost : FailureCost) +
+      Server.Shedding.sick(Now) * ShedCost + Wait / Target +
+      Used / Slots * LoadCost;
   if (Request.Bulk && Server.DataCentre != DataCentre)
     Cost += OtherDataCentreCost;
   return Cost;
 }
 
+bool pool_scheduler::isOwedWork(const pooled_server &Server,
+                                steady_time Now) {
+  return Now > Server.LastUsed + (Server.Failing ? LongestIdleFailing
+                                                 : LongestIdle);
+}
+
 pool_scheduler::pooled_server *
 pool_scheduler::chooseServer(const waiting_request &Request, steady_time Now) {
   struct choice {
@@ -132,13 +183,20 @@
     double Cost = 0;
   };
   std::uniform_real_distribution<double> Tie(0, TieCost);
+  bool Trouble = inTrouble(Now);
+  bool Selective = !mostAreFailing();
   choice Best;
   for (pooled_server &Server : Servers) {
     if (!Server.usable() || Server.used() >= roomFor(Request, Server, Now))
       continue;
+    bool Owed = Trouble && isOwedWork(Server, Now);
+    if (Selective && Server.Failing && !Owed &&
+        (Server.used() > 0 || Server.Belief.sick(Now) > Doubted))
+      continue;
     bool Avoided = std::ranges::find(Request.Avoid, Server.Address) !=
                    Request.Avoid.end();
-    double Cost = costOf(Request, Server, Now) + Tie(Random);
+    double Cost = costOf(Request, Server, Now) + Tie(Random) -
+                  (Owed ? OwedGain : 0);
     if (!Best.Server ||
         std::pair(Avoided, Cost) < std::pair(Best.Avoided, Best.Cost))
       Best = {&Server, Avoided, Cost};
@@ -155,11 +213,27 @@
       continue;
     waiting_request Request = Queue.pop(Now);
     ++Server->InUse;
+    Server->LastUsed = Now;
+    noteStart(Now);
     return slot_assignment{Request.Id, Server->Address, Server->Instance};
   }
   return std::nullopt;
 }
 
+void pool_scheduler::noteStart(steady_time Now) {
+  double Elapsed = std::chrono::duration<double>(Now - LastStart).count();
+  StartRate = StartRate * std::exp(-Elapsed) + 1;
+  LastStart = Now;
+}
+
+milliseconds pool_scheduler::reservePause(steady_time Now) {
+  auto Step = std::chrono::duration_cast<steady_time::duration>(
+      std::chrono::duration<double>(1 / std::max(1.0, StartRate)));
+  LastReserved = std::max(LastReserved + Step, Now + LeastReserved);
+  LastReserved = std::min(LastReserved, Now + MostReserved);
+  return std::chrono::duration_cast<milliseconds>(LastReserved - Now);
+}
+
 void pool_scheduler::release(std::string_view Address, rank, steady_time) {
   pooled_server *Server = find(Address);
   if (!Server)
@@ -175,31 +249,50 @@
     return;
   switch (Signal) {
   case attempt_signal::Good:
+    Server->Failing = false;
+    Server->Shedding.observe(false, Now);
     return Server->Belief.observe(false, Now);
   case attempt_signal::Slow:
     return Server->Belief.observeSlow(Now);
   case attempt_signal::Failed:
+    Server->Failing = true;
     return Server->Belief.observe(true, Now);
   case attempt_signal::Shed:
-    Server->FullAt = std::max<std::size_t>(1, Server->used()) - 1;
+    Server->Shedding.observe(true, Now);
+    // One that refuses work while it has room is not full.
+    if (Server->used() <= Server->Slots)
+      return;
+    Server->FullAt = Server->used() - 1;
     Server->FullUntil = Now + FullPause;
   }
 }
 
+void pool_scheduler::noteAnswers(std::size_t Served, std::size_t NotServed,
+                                 steady_time Now) {
+  for (; Served > 0; --Served)
+    Unserved.observe(false, Now);
+  for (; NotServed > 0; --NotServed)
+    Unserved.observe(true, Now);
+}
+
 void pool_scheduler::markLeaving(std::string_view Address, steady_time) {
   if (pooled_server *Server = find(Address))
     Server->Leaving = true;
 }
 
 void pool_scheduler::setUsedElsewhere(std::string_view Address,
-                                      std::size_t Slots) {
-  if (pooled_server *Server = find(Address))
-    Server->UsedElsewhere = Slots;
+                                      std::size_t Slots, steady_time Now) {
+  pooled_server *Server = find(Address);
+  if (!Server)
+    return;
+  Server->UsedElsewhere = Slots;
+  if (Slots > 0)
+    Server->LastUsed = Now;
 }
 
 std::uint32_t pool_scheduler::inUseHere(std::string_view Address) const {
-  auto Found = std::ranges::find(Servers, Address, &pooled_server::Address);
-  return Found == Servers.end() ? 0 : static_cast<std::uint32_t>(Found->InUse);
+  const pooled_server *Server = find(Address);
+  return Server ? static_cast<std::uint32_t>(Server->InUse) : 0;
 }
 
 bool pool_scheduler::cancel(request_id Id) {
@@ -219,6 +312,12 @@
   return Found == Servers.end() ? nullptr : &*Found;
 }
 
+const pool_scheduler::pooled_server *
+pool_scheduler::find(std::string_view Address) const {
+  auto Found = std::ranges::find(Servers, Address, &pooled_server::Address);
+  return Found == Servers.end() ? nullptr : &*Found;
+}
+
 std::size_t pool_scheduler::waiting() const {
   return std::transform_reduce(Queues.begin(), Queues.end(), std::size_t{0},
                                std::plus{},
@@ -229,11 +328,6 @@
   return std::ranges::any_of(Servers, &pooled_server::usable);
 }
 
-milliseconds pool_scheduler::suggestedPause() const {
-  constexpr milliseconds LeastPause{250};
-  return LeastPause * (1 + static_cast<int>(waiting() / 4));
-}
-
 std::vector<server_status> pool_scheduler::status(steady_time Now) const {
   std::vector<server_status> Rows;
   for (const pooled_server &Server : Servers) {
--- a/src/libs/process/pool_scheduler.h
+++ b/src/libs/process/pool_scheduler.h
@@ -21,8 +21,9 @@
 /// Decides, for one service whose backend servers all proxies use, which
 /// request runs next and where. It counts the slots that this process uses and
 /// those that others have told of, and weighs the chance that a server fails a
-/// request against the time that the request would wait there. It knows no
-/// clock and no transport.
+/// request against the time that the request would wait there. A request for
+/// which no server has room is refused soon, with the time after which it may
+/// come back. It knows no clock and no transport.
 class pool_scheduler {
 public:
   pool_scheduler(const service_definition &Definition, std::uint64_t Seed);
@@ -34,35 +35,46 @@
 
   /// Prefers backend servers of that data centre for bulk work.
   void setDataCentre(std::string_view Name) { DataCentre = Name; }
+  void setRetryTerms(retry_terms Terms) { Retries.setTerms(Terms); }
+  /// Until then the fleet itself is in trouble, and all healthy servers are
+  /// kept in use.
+  void setUnstableUntil(steady_time Until) { UnstableUntil = Until; }
 
   /// Lets a request wait. Returns the request that has to leave for it, which
   /// may be the same one.
   std::optional<request_id> submit(waiting_request Request, steady_time Now);
   /// Lets a request wait again after a failed attempt.
-  void resubmit(waiting_request Request);
+  void resubmit(waiting_request Request, steady_time Now);
   /// The next request to start, if a backend server has room for it.
   std::optional<slot_assignment> next(steady_time Now);
   /// Frees the slot that an attempt held.
   void release(std::string_view Server, rank Rank, steady_time Now);
   /// Takes what an attempt has shown of a backend server, here or elsewhere.
   void observe(std::string_view Server, attempt_signal Signal, steady_time Now);
+  /// Requests of callers were answered well, or not, here or elsewhere.
+  void noteAnswers(std::size_t Served, std::size_t Unserved, steady_time Now);
   /// A backend server has left its address.
   void markLeaving(std::string_view Server, steady_time Now);
   /// How many slots of a backend server other proxies use.
-  void setUsedElsewhere(std::string_view Server, std::size_t Slots);
+  void setUsedElsewhere(std::string_view Server, std::size_t Slots,
+                        steady_time Now);
   /// Slots of a backend server that this process uses.
   std::uint32_t inUseHere(std::string_view Server) const;
   /// Removes a request that waits; false when it does not.
   bool cancel(request_id Id);
-  /// Removes requests that can no longer be answered in time.
+  /// Removes requests that have waited for as long as a request is held.
   std::vector<waiting_request> takeExpired(steady_time Now);
+  /// How long a request is held when no server has room.
+  static milliseconds holdTime(const waiting_request &Request);
 
   retry_budget &retries() { return Retries; }
   std::size_t waiting() const;
   bool hasServers() const;
   std::vector<server_status> status(steady_time Now) const;
-  /// Time after which a refused request would find room.
-  milliseconds suggestedPause() const;
+  /// After which time a request that is refused now should come back: refused
+  /// requests get times one after the other, at the pace at which requests
+  /// start here.
+  milliseconds reservePause(steady_time Now);
 
 private:
   struct pooled_server {
@@ -78,6 +90,11 @@
     std::size_t InUse = 0;
     std::size_t UsedElsewhere = 0;
     server_belief Belief;
+    server_belief Shedding{ShedTerms};
+    /// Its last answer was a failure.
+    bool Failing = false;
+    /// When a request was last seen there.
+    steady_time LastUsed;
     /// Until when it takes no more than it had when it was full.
     steady_time FullUntil;
     std::size_t FullAt = 0;
@@ -87,13 +104,20 @@
   };
 
   pooled_server *find(std::string_view Address);
+  const pooled_server *find(std::string_view Address) const;
+  bool mostAreFailing() const;
+  bool inTrouble(steady_time Now) const;
   /// Requests that may be at a server at once so that the last of them is
   /// answered within its target time.
   std::size_t roomFor(const waiting_request &Request,
                       const pooled_server &Server, steady_time Now) const;
   double costOf(const waiting_request &Request, const pooled_server &Server,
                 steady_time Now) const;
+  /// Whether the server has had nothing for so long that it is to get work
+  /// while many requests go unserved.
+  static bool isOwedWork(const pooled_server &Server, steady_time Now);
   pooled_server *chooseServer(const waiting_request &Request, steady_time Now);
+  void noteStart(steady_time Now);
   void dropGone();
 
   service_definition Definition;
@@ -101,6 +125,13 @@
   std::vector<pooled_server> Servers;
   std::vector<rank_queue> Queues;
   retry_budget Retries;
+  steady_time UnstableUntil;
+  failure_rate Unserved;
+  /// Requests started here, decaying: about the number of a second.
+  double StartRate = 0;
+  steady_time LastStart;
+  /// The time that was given to the last refused request.
+  steady_time LastReserved;
   std::mt19937_64 Random;
 };
 
--- a/src/libs/process/request_scheduler.h
+++ b/src/libs/process/request_scheduler.h
@@ -22,7 +22,7 @@
   {
     Scheduler.submit(std::move(Request), Now)
     } -> std::same_as<std::optional<request_id>>;
-  {Scheduler.resubmit(std::move(Request))};
+  {Scheduler.resubmit(std::move(Request), Now)};
   { Scheduler.next(Now) } -> std::same_as<std::optional<slot_assignment>>;
   {Scheduler.release(Server, Rank, Now)};
   {Scheduler.observe(Server, Signal, Now)};
@@ -52,8 +52,14 @@
 /// what they tell of their work.
 template <typename T>
 concept sharing_scheduler = request_scheduler<T> &&
-    requires(T Scheduler, std::string_view Server, std::size_t Slots) {
-  {Scheduler.setUsedElsewhere(Server, Slots)};
+    requires(T Scheduler, std::string_view Server, std::size_t Count,
+             const waiting_request &Request, steady_time Now) {
+  {Scheduler.setUsedElsewhere(Server, Count, Now)};
+  {Scheduler.noteAnswers(Count, Count, Now)};
+  /// How long a request is held when no server has room for it.
+  { Scheduler.holdTime(Request) } -> std::same_as<milliseconds>;
+  /// When a refused request should come back.
+  { Scheduler.reservePause(Now) } -> std::same_as<milliseconds>;
 };
 
 static_assert(ejecting_scheduler<service_scheduler>);
--- a/src/libs/process/retry_budget.h
+++ b/src/libs/process/retry_budget.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/time.h"
 #include "version/rank.h"
 
 #include <algorithm>
@@ -12,20 +13,22 @@
   double Initial = 3;
   double Most = 20;
   double PerSuccess = 0.1;
+  double PerRequest = 0;
+  /// Shared by all ranks.
+  double PerSecond = 0;
 };
 
-/// For a pool that all proxies of the fleet send to: few saved retries, since
-/// every process may spend its own at the same time.
-inline constexpr retry_terms SharedPoolRetries{1, 2, 0.15};
-
-/// Bounds retries to a share of recent successes, for each rank on its own, so
-/// that retries of one rank cannot use up what another may spend.
+/// Bounds retries to a share of recent work, for each rank on its own, so that
+/// retries of one rank cannot use up what another may spend.
 class retry_budget {
 public:
   explicit retry_budget(retry_terms Terms = {}) : Terms(Terms) {
     std::ranges::fill(Tokens, Terms.Initial);
   }
 
+  void setTerms(retry_terms NewTerms) { Terms = NewTerms; }
+
+  void onRequest(rank Rank, steady_time Now);
   void onSuccess(rank Rank);
 
   /// Takes one retry, or refuses.
@@ -34,8 +37,14 @@
   bool available(rank Rank) const;
 
 private:
+  void add(double &Left, double Amount) const {
+    Left = std::min(Terms.Most, Left + Amount);
+  }
+
   retry_terms Terms;
   per_rank<double> Tokens{};
+  double Shared = 0;
+  steady_time LastRequest;
 };
 
 } // namespace endiverail
--- a/src/libs/process/server_belief.h
+++ b/src/libs/process/server_belief.h
@@ -15,6 +15,10 @@
   milliseconds MeanSick{3'000};
 };
 
+/// Servers that refuse part of their work though they have room.
+inline constexpr failure_terms ShedTerms{0.02, 0.5, milliseconds(20'000),
+                                         milliseconds(3'000)};
+
 /// The probability that a backend server is in a spell of failures: the filter
 /// of a Markov chain with two states, fed by all answers that the fleet has
 /// seen. Without answers it returns to the long-term share of sick time.
@@ -24,7 +28,7 @@
 
   /// An answer was good, or the request failed.
   void observe(bool Failed, steady_time Now);
-  /// A request has had no answer for longer than usual: half as telling.
+  /// A request has had no answer for longer than usual: less telling.
   void observeSlow(steady_time Now);
 
   /// 0 for surely healthy, 1 for surely sick.
--- a/src/libs/process/server_directory.cpp
+++ b/src/libs/process/server_directory.cpp
@@ -1,5 +1,7 @@
 #include "process/server_directory.h"
 
+#include "base/hash.h"
+
 #include <algorithm>
 #include <tuple>
 
@@ -23,29 +25,67 @@
          (StoreBack != steady_time{} && Now < StoreBack + ReturnGrace);
 }
 
-void server_directory::apply(std::string_view Id, const server_entry &Entry,
-                             steady_time Now) {
-  if (Listed)
-    Listed->emplace(Id);
+bool server_directory::accept(std::string_view Id, const server_entry &Entry,
+                              bool Grace) {
   auto Found = Servers.find(Id);
   if (Found == Servers.end()) {
     Servers.emplace(std::string(Id), known_server{Entry, true, std::nullopt});
-    Changed = true;
-    return;
+    return true;
   }
   known_server &Known = Found->second;
   if (lifeOrder(Entry) < lifeOrder(Known.Entry))
-    return;
+    return false;
   // A statement that is repeated does not bring back what was removed.
-  if (!Known.Present && lifeOrder(Entry) == lifeOrder(Known.Entry) &&
-      !inGrace(Now))
-    return;
-  Changed = Changed || !Known.Present ||
-            !isSameToUsers(Entry.Server, Known.Entry.Server);
+  if (!Known.Present && lifeOrder(Entry) == lifeOrder(Known.Entry) && !Grace)
+    return false;
+  bool New =
+      !Known.Present || !isSameToUsers(Entry.Server, Known.Entry.Server);
   Known = {Entry, true, std::nullopt};
+  return New;
+}
+
+void server_directory::apply(std::string_view Id, const server_entry &Entry,
+                             steady_time Now) {
+  if (Listed)
+    Listed->emplace(Id);
+  if (!accept(Id, Entry, inGrace(Now)))
+    return;
+  Changed = true;
+  auto ColdLeft = std::chrono::duration_cast<milliseconds>(
+      std::max(Entry.Server.ColdUntil - Now, steady_time::duration(0)));
+  Statements.push_back({std::string(Id), Entry, ColdLeft, false});
+}
+
+void server_directory::learn(const server_statement &Statement,
+                             steady_time Now) {
+  if (Statement.Removed) {
+    auto Found = Servers.find(Statement.Id);
+    if (Found == Servers.end() || !Found->second.Present ||
+        lifeOrder(Statement.Entry) < lifeOrder(Found->second.Entry))
+      return;
+    Found->second = {Statement.Entry, false, std::nullopt};
+    Changed = true;
+    return;
+  }
+  server_entry Entry = Statement.Entry;
+  if (Statement.ColdLeft.count() > 0)
+    Entry.Server.ColdUntil = Now + Statement.ColdLeft;
+  Changed = accept(Statement.Id, Entry, false) || Changed;
+}
+
+std::uint64_t server_directory::digest() const {
+  std::uint64_t Digest = 0;
+  for (const auto &[Id, Known] : Servers)
+    if (Known.Present)
+      Digest ^= mixHashes(
+          stableHash(Id, Known.Entry.Server.Address),
+          static_cast<std::uint64_t>(Known.Entry.Server.Started) * 2 +
+              (Known.Entry.Server.State == server_state::Live ? 1 : 0));
+  return Digest;
 }
 
-void server_directory::removeKnown(known_server &Known, steady_time Now) {
+void server_directory::removeKnown(std::string_view Id, known_server &Known,
+                                   steady_time Now) {
   if (!Known.Present || Known.GoneAt)
     return;
   // One that was leaving has left; the grace is for those that lapsed.
@@ -55,12 +95,13 @@
   }
   Known.Present = false;
   Changed = true;
+  Statements.push_back({std::string(Id), Known.Entry, milliseconds(0), true});
 }
 
 void server_directory::remove(std::string_view Id, steady_time Now) {
   auto Found = Servers.find(Id);
   if (Found != Servers.end())
-    removeKnown(Found->second, Now);
+    removeKnown(Id, Found->second, Now);
 }
 
 void server_directory::beginListing() { Listed.emplace(); }
@@ -70,7 +111,7 @@
     return;
   for (auto &[Id, Known] : Servers)
     if (!Listed->contains(Id))
-      removeKnown(Known, Now);
+      removeKnown(Id, Known, Now);
   Listed.reset();
 }
 
@@ -92,6 +133,7 @@
       continue;
     Known.GoneAt.reset();
     Known.Present = false;
+    Statements.push_back({Id, Known.Entry, milliseconds(0), true});
     Any = true;
   }
   Changed = Changed || Any;
--- a/src/libs/process/server_directory.h
+++ b/src/libs/process/server_directory.h
@@ -13,6 +13,16 @@
 
 namespace endiverail {
 
+/// A change among the backend servers, as one daemon tells it to others.
+struct server_statement {
+  std::string Id;
+  server_entry Entry;
+  /// How much longer the server is cold.
+  milliseconds ColdLeft{0};
+  /// The server is gone; Entry is the last that it said.
+  bool Removed = false;
+};
+
 /// The backend servers that have registered themselves, from their records in
 /// the order of the store. Statements of an earlier life, or older ones of the
 /// same life, change nothing. A registration that lapsed while the store was
@@ -28,6 +38,15 @@
   /// A server's record was removed.
   void remove(std::string_view Id, steady_time Now);
 
+  /// Takes what another daemon has read.
+  void learn(const server_statement &Statement, steady_time Now);
+  /// What has changed by records from the store since the last call.
+  std::vector<server_statement> takeStatements() {
+    return std::exchange(Statements, {});
+  }
+  /// Equal for directories that hold the same servers in the same states.
+  std::uint64_t digest() const;
+
   /// Notes that a listing of all servers begins; endListing() removes those
   /// that have not come up in it.
   void beginListing();
@@ -57,13 +76,16 @@
   };
 
   bool inGrace(steady_time Now) const;
-  void removeKnown(known_server &Known, steady_time Now);
+  void removeKnown(std::string_view Id, known_server &Known, steady_time Now);
+  /// Whether the statement changed anything that users see.
+  bool accept(std::string_view Id, const server_entry &Entry, bool Grace);
 
   std::map<std::string, known_server, std::less<>> Servers;
   std::optional<std::set<std::string, std::less<>>> Listed;
   bool StoreAway = false;
   steady_time StoreBack;
   bool Changed = false;
+  std::vector<server_statement> Statements;
 };
 
 } // namespace endiverail
--- a/src/libs/process/service_scheduler.cpp
+++ b/src/libs/process/service_scheduler.cpp
@@ -99,7 +99,7 @@
   return Dropped ? std::optional(Dropped->Id) : std::nullopt;
 }
 
-void service_scheduler::resubmit(waiting_request Request) {
+void service_scheduler::resubmit(waiting_request Request, steady_time) {
   rank_queue &Queue = Queues[rankIndex(Request.Rank)];
   Queue.pushFront(std::move(Request));
 }
--- a/src/libs/process/service_scheduler.h
+++ b/src/libs/process/service_scheduler.h
@@ -67,7 +67,7 @@
   std::optional<request_id> submit(waiting_request Request, steady_time Now);
 
   /// Lets a request wait again after a failed attempt.
-  void resubmit(waiting_request Request);
+  void resubmit(waiting_request Request, steady_time Now);
 
   /// Takes back ejections whose right has ended.
   void endEjections(steady_time Now);
--- a/src/libs/process/store_control_state.cpp
+++ b/src/libs/process/store_control_state.cpp
@@ -12,6 +12,20 @@
 /// The listing of members is read once; after that members tell each other.
 constexpr follow_terms MembersTerms{milliseconds(60'000), milliseconds(0)};
 
+std::string_view stateName(member_state State) {
+  switch (State) {
+  case member_state::Alive:
+    return "alive";
+  case member_state::Suspect:
+    return "suspected";
+  case member_state::Dead:
+    return "lost";
+  case member_state::Left:
+    break;
+  }
+  return "gone";
+}
+
 } // namespace
 
 store_control_state::store_control_state(store_control_settings From,
@@ -39,7 +53,19 @@
   return MembersFollower;
 }
 
+bool store_control_state::isReader() const {
+  return std::ranges::find(Readers, Settings.Self.Id) != Readers.end();
+}
+
+/// The first listing is everybody's own, so that a start depends on nobody.
+bool store_control_state::readsServers(steady_time Now) const {
+  return !ServersKnown || isReader() ||
+         Now > std::max(LastReaderNews, Started) + ReaderSilence;
+}
+
 void store_control_state::tick(steady_time Now, store_control_actions &Out) {
+  if (Started == steady_time{})
+    Started = Now;
   std::vector<outgoing_gossip> Gossip;
   suggestLostMember(Now);
   Members.tick(Now, Gossip);
@@ -60,7 +86,13 @@
     Out.emplace_back(start_store_call{std::move(*Call)});
   };
   StartDue(ConfigurationFollower);
-  StartDue(ServersFollower);
+  if (readsServers(Now)) {
+    if (ServersFollower.listed() &&
+        Now > ServersFollower.lastAnswer() + LongestGap &&
+        !ServersFollower.failing())
+      ServersFollower.restart(Now);
+    StartDue(ServersFollower);
+  }
   // Of two that start together, the one that registers last finds the other.
   if (Registered)
     StartDue(MembersFollower);
@@ -75,7 +107,11 @@
       Next = std::min(Next, *At);
   };
   Consider(ConfigurationFollower.nextWake());
-  Consider(ServersFollower.nextWake());
+  if (isReader() || !ServersKnown)
+    Consider(ServersFollower.nextWake());
+  else if (auto Due = ServersFollower.nextWake())
+    Consider(std::max(*Due, std::max(LastReaderNews, Started) + ReaderSilence +
+                                milliseconds(1)));
   if (Registered)
     Consider(MembersFollower.nextWake());
   else if (!PutOut)
@@ -124,7 +160,17 @@
   Members.suggest(std::span(&PeerAddress, 1));
 }
 
-void store_control_state::noteStore(bool Answers, steady_time Now) {
+void store_control_state::hurryConfiguration(steady_time Now,
+                                             store_control_actions &Out) {
+  if (Now < LastHurry + HurryPause)
+    return;
+  LastHurry = Now;
+  if (ConfigurationFollower.hurry(Now))
+    Out.emplace_back(abandon_store_calls{store_topic::Configuration});
+}
+
+void store_control_state::noteStore(bool Answers, steady_time Now,
+                                    store_control_actions &Out) {
   if (StoreAway != Answers)
     return;
   StoreAway = !Answers;
@@ -137,6 +183,8 @@
   }
   spdlog::info("control: the store answers again");
   Directory.onStoreBack(Now);
+  // A read that waits may hang on a connection from before the loss.
+  hurryConfiguration(Now, Out);
 }
 
 void store_control_state::onPage(store_topic Topic, const keyed_page &Page,
@@ -148,7 +196,9 @@
       Directory.endListing(Now);
       Changed = Changed || !std::exchange(ServersKnown, true);
     }
-    noteStore(true, Now);
+    noteStore(true, Now, Out);
+    Directory.expire(Now);
+    tellServers(Out);
   }
   tick(Now, Out);
 }
@@ -159,10 +209,12 @@
   follower(Topic).onForgotten(Now);
 }
 
-void store_control_state::onCallFailed(store_topic Topic, steady_time Now) {
-  follower(Topic).onFailure(Now);
+void store_control_state::onCallFailed(store_topic Topic, steady_time Now,
+                                       store_control_actions &Out) {
+  follower(Topic).onFailure(Now, isReader() ? topic_follower::LongestBackOff
+                                            : topic_follower::RelaxedBackOff);
   if (Topic == store_topic::BackendServers)
-    noteStore(false, Now);
+    noteStore(false, Now, Out);
 }
 
 void store_control_state::onPut(bool Succeeded, steady_time Now) {
@@ -178,45 +230,93 @@
   Members.receive(Message.Gossip, Now, Gossip);
   sendGossip(Gossip, Out);
   if (Message.Digest.Configuration > version())
-    ConfigurationFollower.hurry(Now);
+    hurryConfiguration(Now, Out);
+  learnServers(Message, Now);
   for (const work_report &Report : Message.Work)
     Out.emplace_back(tell_traffic_threads{
         peer_work{Message.Gossip.SenderId, Report}});
   for (const server_death &Death : Message.Deaths)
     Out.emplace_back(tell_traffic_threads{Death});
-  if (Message.Gossip.Kind != gossip_kind::News)
-    publishIfChanged(Now, Out);
+  publishIfChanged(Now, Out);
+}
+
+void store_control_state::learnServers(const peer_message &Message,
+                                       steady_time Now) {
+  if (!Message.ReadsStore)
+    return;
+  LastReaderNews = Now;
+  if (isReader() && !StoreAway)
+    return;
+  for (const server_statement &Statement : Message.Statements)
+    Directory.learn(Statement, Now);
+  if (!ServersKnown || Message.ServersDigest == Directory.digest()) {
+    DiffersSince.reset();
+    return;
+  }
+  if (!DiffersSince)
+    DiffersSince = Now;
+  if (Now < *DiffersSince + MostDifference)
+    return;
+  DiffersSince.reset();
+  // The next tick lists anew, as if no reader had been heard.
+  LastReaderNews = Now - ReaderSilence - milliseconds(1);
+  ServersFollower.restart(Now);
+}
+
+void store_control_state::tellServers(store_control_actions &Out) {
+  std::vector<server_statement> Statements = Directory.takeStatements();
+  if (!isReader())
+    return;
+  auto Others = otherMembers();
+  std::span<const server_statement> Left = Statements;
+  do {
+    auto Part = Left.first(std::min(Left.size(), StatementsPerDatagram));
+    Left = Left.subspan(Part.size());
+    peer_message Message;
+    Message.Statements.assign(Part.begin(), Part.end());
+    Message.ReadsStore = true;
+    Message.ServersDigest = Directory.digest();
+    sendNews(std::move(Message), Others, Out);
+  } while (!Left.empty());
+}
+
+std::vector<const proxy_member *> store_control_state::otherMembers() const {
+  std::vector<const proxy_member *> Others;
+  for (const proxy_member &Member : PublishedMembers)
+    if (Member.Id != Settings.Self.Id)
+      Others.push_back(&Member);
+  return Others;
 }
 
 void store_control_state::onNotice(const control_notice &Notice,
-                                   steady_time Now,
                                    store_control_actions &Out) {
   peer_message Message;
-  if (const auto *Report = std::get_if<work_report>(&Notice))
+  if (const auto *Report = std::get_if<work_report>(&Notice)) {
+    // Only those that callers are led to need to know how the pools stand.
     Message.Work.push_back(*Report);
-  else if (const auto *Death = std::get_if<server_death>(&Notice)) {
+    sendNews(std::move(Message), Entries, Out);
+  }
+  if (const auto *Death = std::get_if<server_death>(&Notice)) {
     spdlog::warn("control: backend server {} died while it ran request {:x}",
                  Death->Server, Death->Fingerprint);
     Message.Deaths.push_back(*Death);
     Out.emplace_back(tell_traffic_threads{*Death});
-  } else {
-    return;
+    sendNews(std::move(Message), otherMembers(), Out);
   }
-  static_cast<void>(Now);
-  sendNews(std::move(Message), Out);
 }
 
-void store_control_state::sendNews(peer_message Message,
-                                   store_control_actions &Out) {
+void store_control_state::sendNews(
+    peer_message Message, std::span<const proxy_member *const> Members,
+    store_control_actions &Out) const {
   Message.Gossip.Kind = gossip_kind::News;
   Message.Gossip.SenderId = Settings.Self.Id;
-  Message.Gossip.SenderAddress = Settings.Self.Address;
   Message.Digest.Configuration = version();
   std::vector<endpoint_text> To;
-  for (const proxy_member &Member : Members.members())
-    if (Member.Id != Settings.Self.Id)
-      To.push_back(Member.Address);
-  Out.emplace_back(send_to_members{std::move(To), std::move(Message)});
+  for (const proxy_member *Member : Members)
+    if (Member->Id != Settings.Self.Id)
+      To.push_back(Member->Address);
+  if (!To.empty())
+    Out.emplace_back(send_to_members{std::move(To), std::move(Message)});
 }
 
 void store_control_state::sendGossip(std::vector<outgoing_gossip> &Gossip,
@@ -245,25 +345,17 @@
   sendGossip(Gossip, Out);
 }
 
-void store_control_state::publishIfChanged(steady_time,
+void store_control_state::publishIfChanged(steady_time Now,
                                            store_control_actions &Out) {
-  bool Others = Directory.takeChanged();
-  for (const member_change &Change : Members.takeChanges()) {
-    spdlog::info("membership: {} is {}", Change.Id,
-                 Change.State == member_state::Alive     ? "alive"
-                 : Change.State == member_state::Suspect ? "suspected"
-                 : Change.State == member_state::Dead    ? "lost"
-                                                         : "gone");
-  }
-  std::vector<proxy_member> Current = Members.members();
-  Others = Others || Current != PublishedMembers;
-  if (!std::exchange(Changed, false) && !Others)
+  bool NewServers = Directory.takeChanged();
+  bool NewMembers = takeMemberChanges(Now);
+  if (!std::exchange(Changed, false) && !NewServers && !NewMembers)
     return;
-  PublishedMembers = std::move(Current);
   auto Version = std::make_shared<fleet_version>();
   Version->Number = ++VersionNumber;
   Version->Ready = ready();
   Version->Draining = Draining;
+  Version->UnstableUntil = UnstableUntil;
   Version->SelfId = Settings.Self.Id;
   Version->SelfIncarnation = Settings.Self.Incarnation;
   if (Configuration) {
@@ -272,10 +364,28 @@
   }
   Version->View.Proxies = PublishedMembers;
   Version->View.Servers = Directory.servers();
-  for (const proxy_member &Member : PublishedMembers)
-    if (Member.Id != Settings.Self.Id)
-      KnownPeers.insert_or_assign(Member.Id, Member.Address);
   Out.emplace_back(publish_version{std::move(Version)});
 }
 
+bool store_control_state::takeMemberChanges(steady_time Now) {
+  // While the fleet starts for the first time everybody is new.
+  bool Settled = Now > Started + ShakenTime;
+  for (const member_change &Change : Members.takeChanges()) {
+    bool Lost = Change.State == member_state::Dead ||
+                Change.State == member_state::Suspect;
+    if (Lost || Settled)
+      UnstableUntil = Now + ShakenTime;
+    spdlog::info("membership: {} is {}", Change.Id, stateName(Change.State));
+  }
+  std::vector<proxy_member> Current = Members.members();
+  if (Current == PublishedMembers)
+    return false;
+  PublishedMembers = std::move(Current);
+  Readers = storeReaders(PublishedMembers);
+  Entries = allEntries(PublishedMembers);
+  for (const proxy_member *Member : otherMembers())
+    KnownPeers.insert_or_assign(Member->Id, Member->Address);
+  return true;
+}
+
 } // namespace endiverail
--- a/src/libs/process/store_control_state.h
+++ b/src/libs/process/store_control_state.h
@@ -6,6 +6,7 @@
 #include "process/swim.h"
 #include "process/topic_follower.h"
 #include "process/traffic_message.h"
+#include "version/fleet_roles.h"
 
 #include <cstdint>
 #include <optional>
@@ -31,8 +32,12 @@
 struct tell_traffic_threads {
   traffic_message Message;
 };
+/// The calls that read a topic are to be given up without a report.
+struct abandon_store_calls {
+  store_topic Topic = store_topic::Configuration;
+};
 using store_control_action =
-    std::variant<start_store_call, send_datagram, send_to_members,
+    std::variant<start_store_call, abandon_store_calls, send_datagram, send_to_members,
                  tell_traffic_threads, publish_version>;
 using store_control_actions = std::vector<store_control_action>;
 
@@ -45,8 +50,8 @@
   /// read waits at the store.
   follow_terms Configuration{milliseconds(50), milliseconds(8'000)};
   /// Servers state themselves all the time, so reads come at a pace: a leaving
-  /// server is known within half of the two seconds that it may take.
-  follow_terms Servers{milliseconds(700), milliseconds(0)};
+  /// server is known within a third of the two seconds that it may take.
+  follow_terms Servers{milliseconds(500), milliseconds(0)};
 };
 
 /// The control state of a daemon whose configuration and backend servers come
@@ -70,13 +75,13 @@
               store_control_actions &Out);
   /// The store has deleted records that were to be read.
   void onForgotten(store_topic Topic, steady_time Now);
-  void onCallFailed(store_topic Topic, steady_time Now);
+  void onCallFailed(store_topic Topic, steady_time Now,
+                    store_control_actions &Out);
   void onPut(bool Succeeded, steady_time Now);
 
   void onDatagram(const peer_message &Message, steady_time Now,
                   store_control_actions &Out);
-  void onNotice(const control_notice &Notice, steady_time Now,
-                store_control_actions &Out);
+  void onNotice(const control_notice &Notice, store_control_actions &Out);
 
   /// Callers are to be told of this daemon no more.
   void drain(steady_time Now, store_control_actions &Out);
@@ -92,16 +97,40 @@
   std::size_t serverCount() const { return Directory.servers().size(); }
 
 private:
+  /// Without news from those who read the store, each daemon reads for itself.
+  static constexpr milliseconds ReaderSilence{1'600};
+  /// A reader that has not read for that long lists anew: a listing is then
+  /// smaller than the records in between.
+  static constexpr milliseconds LongestGap{3'000};
+  /// How long the servers known here may differ from a reader's before they
+  /// are listed anew.
+  static constexpr milliseconds MostDifference{1'500};
+  /// Between two hurried reads of the configuration.
+  static constexpr milliseconds HurryPause{300};
+  /// How long the loss or the new start of a member shakes the fleet: until
+  /// its callers have gone elsewhere.
+  static constexpr milliseconds ShakenTime{4'000};
+  static constexpr std::size_t StatementsPerDatagram = 60;
   static constexpr milliseconds PutRetry{500};
   /// Between pings of a member that is believed lost.
   static constexpr milliseconds LostMemberPing{1'000};
 
   topic_follower &follower(store_topic Topic);
-  void noteStore(bool Answers, steady_time Now);
+  void noteStore(bool Answers, steady_time Now, store_control_actions &Out);
+  bool isReader() const;
+  bool readsServers(steady_time Now) const;
+  void hurryConfiguration(steady_time Now, store_control_actions &Out);
+  void learnServers(const peer_message &Message, steady_time Now);
+  void tellServers(store_control_actions &Out);
   void suggestLostMember(steady_time Now);
   void sendGossip(std::vector<outgoing_gossip> &Gossip,
                   store_control_actions &Out) const;
-  void sendNews(peer_message Message, store_control_actions &Out);
+  void sendNews(peer_message Message,
+                std::span<const proxy_member *const> Members,
+                store_control_actions &Out) const;
+  std::vector<const proxy_member *> otherMembers() const;
+  /// Returns whether the members that are published have changed.
+  bool takeMemberChanges(steady_time Now);
   void publishIfChanged(steady_time Now, store_control_actions &Out);
 
   store_control_settings Settings;
@@ -121,8 +150,18 @@
   bool PutOut = false;
   steady_time PutDue;
   steady_time NextLostPing;
+  steady_time Started;
+  steady_time LastReaderNews;
+  steady_time LastHurry;
+  /// Since when a reader's servers differ from those known here.
+  std::optional<steady_time> DiffersSince;
+  steady_time UnstableUntil;
   bool Changed = true;
   std::vector<proxy_member> PublishedMembers;
+  /// Those of the published members that read the store for all.
+  std::vector<std::string> Readers;
+  /// Those that callers are led to; they point into PublishedMembers.
+  std::vector<const proxy_member *> Entries;
   std::uint64_t VersionNumber = 0;
 };
 
--- a/src/libs/process/topic_follower.cpp
+++ b/src/libs/process/topic_follower.cpp
@@ -1,6 +1,7 @@
 #include "process/topic_follower.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace endiverail {
 
@@ -40,26 +41,29 @@
   CallOut = false;
   Failures = 0;
   LastAnswer = Now;
+  restart(Now);
+}
+
+void topic_follower::restart(steady_time Now) {
   Position.reset();
   ListedFrom.reset();
   After.clear();
   Due = Now;
 }
 
-void topic_follower::onFailure(steady_time Now) {
+void topic_follower::onFailure(steady_time Now, milliseconds Longest) {
   CallOut = false;
-  milliseconds Longest =
-      std::min(LongestBackOff,
-               FirstBackOff * (1 << std::min<std::size_t>(Failures, 6)));
+  milliseconds BackOff = std::min(
+      Longest, FirstBackOff * (1 << std::min<std::size_t>(Failures, 6)));
   ++Failures;
-  std::uniform_int_distribution<std::int64_t> Spread(Longest.count() / 2,
-                                                     Longest.count());
+  std::uniform_int_distribution<std::int64_t> Spread(BackOff.count() / 2,
+                                                     BackOff.count());
   Due = Now + milliseconds(Spread(Random));
 }
 
-void topic_follower::hurry(steady_time Now) {
-  if (!CallOut)
-    Due = std::min(Due, Now);
+bool topic_follower::hurry(steady_time Now) {
+  Due = std::min(Due, Now);
+  return std::exchange(CallOut, false);
 }
 
 std::optional<steady_time> topic_follower::nextWake() const {
--- a/src/libs/process/topic_follower.h
+++ b/src/libs/process/topic_follower.h
@@ -26,6 +26,8 @@
   /// is spread over a half, so that daemons do not return all at once.
   static constexpr milliseconds FirstBackOff{100};
   static constexpr milliseconds LongestBackOff{800};
+  /// Of a daemon that hears the news from others as well.
+  static constexpr milliseconds RelaxedBackOff{2'400};
 
   topic_follower(store_topic Topic, follow_terms Terms, std::uint64_t Seed)
       : Topic(Topic), Terms(Terms), Random(Seed) {}
@@ -38,10 +40,14 @@
   /// The store has deleted records that were not read.
   void onForgotten(steady_time Now);
   /// The call has failed, or its answer makes no sense.
-  void onFailure(steady_time Now);
+  void onFailure(steady_time Now, milliseconds Longest = LongestBackOff);
 
-  /// Reads at once: a peer knows more.
-  void hurry(steady_time Now);
+  /// Reads at once, as somebody knows more. Returns whether a call is out that
+  /// has to be abandoned for it.
+  bool hurry(steady_time Now);
+
+  /// Begins with a listing again.
+  void restart(steady_time Now);
 
   /// Whether a listing was read to its end since the last loss of records.
   bool listed() const { return Position.has_value(); }
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -40,6 +40,8 @@
   std::uint64_t Seed = 1;
   /// Where this process runs.
   std::string DataCentre;
+  /// What one process may spend of the fleet's retries.
+  retry_terms Retries{};
   /// Answers up to this size are passed on whole, so that one that is cut can
   /// be tried again.
   std::size_t MostBufferedBytes = std::size_t{64} * 1024;
@@ -169,6 +171,8 @@
   }
 
 private:
+  static constexpr int FirstServerError = 500;
+
   std::size_t mostUnwritten() const {
     return MostUnwritten + Settings.MostBufferedBytes;
   }
@@ -270,7 +274,7 @@
       for (const server_work &Work : Told.Report.Servers) {
         State->Elsewhere.note(Told.ProxyId, Work, Now);
         State->Scheduler.setUsedElsewhere(
-            Work.Server, State->Elsewhere.used(Work.Server, Now));
+            Work.Server, State->Elsewhere.used(Work.Server, Now), Now);
         auto Observe = [&](std::uint32_t Count, attempt_signal Signal) {
           for (; Count > 0; --Count)
             State->Scheduler.observe(Work.Server, Signal, Now);
@@ -279,6 +283,8 @@
         Observe(Work.Slow, attempt_signal::Slow);
         Observe(Work.Failed, attempt_signal::Failed);
       }
+      State->Scheduler.noteAnswers(Told.Report.Served, Told.Report.Unserved,
+                                   Now);
       startNext(Told.Report.Service, Now);
     }
   }
@@ -381,6 +387,7 @@
     if (!Active.Request.TryServer.empty())
       return tryForPeer(Active, Now);
     std::string Name = Active.Request.Service->Definition.Name;
+    request_id Id = Active.Request.Id;
     bool Owns = !Version->ownServers(Name).empty();
     if (!Owns && !Active.Request.Forwarded)
       if (const service_owner *Owner =
@@ -398,9 +405,24 @@
       answerError(Requests.at(*Dropped), error_kind::QueueFull,
                   "too much of this rank waits", Now);
     startNext(Name, Now);
+    holdIfWaiting(Id, Now);
     return {};
   }
 
+  /// A request for which no server has room is looked after when it has waited
+  /// long enough.
+  void holdIfWaiting([[maybe_unused]] request_id Id,
+                     [[maybe_unused]] steady_time Now) {
+    if constexpr (sharing_scheduler<Policy>) {
+      auto Found = Requests.find(Id);
+      if (Found == Requests.end() || Found->second.Attempt)
+        return;
+      state &State = stateOf(Found->second);
+      Timers.add(Now + Policy::holdTime(waiting(Found->second, State)),
+                 {Id, 0, timer_kind::Deadline});
+    }
+  }
+
   /// Tries a backend server for a peer that wants to know how it is.
   result<void> tryForPeer(active_request &Active, steady_time Now) {
     const endpoint_text &Server = Active.Request.TryServer;
@@ -460,8 +482,11 @@
     if (Servers.empty())
       Servers = Version->View.pool(Service->Definition.Pool);
     State.Scheduler.configure(Service->Definition, Servers, Now);
-    if constexpr (sharing_scheduler<Policy>)
+    if constexpr (sharing_scheduler<Policy>) {
       State.Scheduler.setDataCentre(Settings.DataCentre);
+      State.Scheduler.setRetryTerms(Settings.Retries);
+      State.Scheduler.setUnstableUntil(Version->UnstableUntil);
+    }
   }
 
   // Attempts.
@@ -494,7 +519,7 @@
     if (State.Work.empty())
       return;
     if (State.Work.due(Now))
-      Control.notify(work_report{Name, State.Work.take(Now)});
+      Control.notify(State.Work.take(Name, Now));
     if (!State.Work.empty() && State.NextWorkReport <= Now) {
       State.NextWorkReport = std::max(State.Work.nextDue(), Now);
       Timers.add(State.NextWorkReport, {0, 0, timer_kind::WorkReport});
@@ -741,6 +766,7 @@
   void complete(active_request &Active, const running_attempt &Attempt,
                 steady_time Now) {
     answer_head Head = Words.callerHead(*Attempt.Head, Attempt.fromPeer());
+    noteAnswer(Active, Head.Status < FirstServerError, Now);
     std::string Error(findHeader(Head.Headers, "Endiverail-Error"));
     if (!Active.HeadPosted) {
       std::string Body = std::exchange(Active.Buffered, {});
@@ -800,14 +826,17 @@
       orAnswerError(Active, Now, [&] { return place(Active, Now); });
       return;
     }
-    State.Scheduler.resubmit(waiting(Active, State));
+    request_id Id = Active.Request.Id;
+    State.Scheduler.resubmit(waiting(Active, State), Now);
     startNext(Name, Now);
+    holdIfWaiting(Id, Now);
   }
 
   void breakAnswer(active_request &Active, steady_time Now) {
     if (Active.HoldsKey)
       rememberOutcome(Active, errorHead(error_kind::BackendCut),
                       "the answer was cut\n", Now);
+    noteAnswer(Active, false, Now);
     Answers.breakOff(Active, Now);
     drop(Active);
   }
@@ -817,7 +846,8 @@
     // A retry that never started does not undo what an earlier attempt did.
     if (Active.MayHaveRun && errorAnswer(Kind).Outcome == outcome::NotRun)
       Kind = error_kind::BackendCut;
-    answer_head Head = Words.errorHead(Kind, suggestedPause(Active));
+    noteAnswer(Active, false, Now);
+    answer_head Head = Words.errorHead(Kind, reservePause(Active, Kind, Now));
     if (isKeyOfAnother(Active))
       Head.Outcome = outcome::Unknown;
     std::string Body(errorAnswer(Kind).Name);
@@ -832,12 +862,25 @@
                 errorAnswer(Kind).Name, Now);
   }
 
-  /// Time after which a refused request may find room; 0 for not known.
-  milliseconds suggestedPause([[maybe_unused]] const active_request &Active) {
+  /// Time after which a refused request should come back; 0 for not known.
+  milliseconds reservePause([[maybe_unused]] const active_request &Active,
+                            [[maybe_unused]] error_kind Kind,
+                            [[maybe_unused]] steady_time Now) {
     if constexpr (sharing_scheduler<Policy>)
-      return stateOf(Active).Scheduler.suggestedPause();
-    else
-      return milliseconds(0);
+      if (errorAnswer(Kind).RetryAfterSeconds > 0)
+        return stateOf(Active).Scheduler.reservePause(Now);
+    return milliseconds(0);
+  }
+
+  /// Counts an answer to a caller for the service's share of unserved requests.
+  void noteAnswer([[maybe_unused]] const active_request &Active,
+                  [[maybe_unused]] bool Well,
+                  [[maybe_unused]] steady_time Now) {
+    if constexpr (sharing_scheduler<Policy>) {
+      state &State = stateOf(Active);
+      State.Scheduler.noteAnswers(Well ? 1 : 0, Well ? 0 : 1, Now);
+      State.Work.noteAnswer(Well);
+    }
   }
 
   /// Whether the request has a key that this thread does not hold: an earlier
--- a/src/libs/process/work_report.h
+++ b/src/libs/process/work_report.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace endiverail {
@@ -29,6 +30,9 @@
 struct work_report {
   std::string Service;
   std::vector<server_work> Servers;
+  /// Callers' requests that were answered well, and the others.
+  std::uint32_t Served = 0;
+  std::uint32_t Unserved = 0;
 
   bool operator==(const work_report &) const = default;
 };
@@ -39,7 +43,7 @@
   /// A busy service tells of its work once in this time; a failure is told at
   /// once. The slots in use of 44 proxies are then at most one usual answer's
   /// tenth old.
-  static constexpr milliseconds Period{40};
+  static constexpr milliseconds Period{60};
   /// Slots that stay in use are told again, for whoever missed a datagram.
   static constexpr milliseconds Refresh{500};
 
@@ -58,6 +62,11 @@
     Urgent = Urgent || Signal == attempt_signal::Failed;
   }
 
+  void noteAnswer(bool Well) {
+    ++(Well ? Served : Unserved);
+    Changed = true;
+  }
+
   /// Whether a report is due.
   bool due(steady_time Now) const {
     return Urgent || (Changed && Now >= LastTaken + Period) ||
@@ -69,11 +78,12 @@
     return LastTaken + (Changed ? Period : Refresh);
   }
 
-  bool empty() const { return Works.empty(); }
+  bool empty() const { return Works.empty() && !Changed; }
 
   /// Takes the report. Servers in use stay in the next one.
-  std::vector<server_work> take(steady_time Now) {
-    std::vector<server_work> Taken = Works;
+  work_report take(std::string_view Service, steady_time Now) {
+    work_report Taken{std::string(Service), Works,
+                      std::exchange(Served, 0), std::exchange(Unserved, 0)};
     std::erase_if(Works, [](const server_work &W) { return W.InUse == 0; });
     std::ranges::for_each(
         Works, [](server_work &W) { W.Good = W.Failed = W.Slow = 0; });
@@ -91,6 +101,8 @@
   }
 
   std::vector<server_work> Works;
+  std::uint32_t Served = 0;
+  std::uint32_t Unserved = 0;
   steady_time LastTaken;
   bool Changed = false;
   bool Urgent = false;
--- a/src/libs/version/caller_addresses.h
+++ b/src/libs/version/caller_addresses.h
@@ -12,9 +12,11 @@
 
 /// Most addresses that a caller of the fleet takes from one answer.
 inline constexpr std::size_t MostCallerAddresses = 64;
+/// With fewer, a caller has nowhere to go when they fail it.
+inline constexpr std::size_t LeastCallerAddresses = 2;
 
 /// The addresses that a caller in \p DataCentre should use: daemons that are
-/// offered, those of its own data centre if there are enough of them. \p Nonce
+/// offered as entries, those of its own data centre if it has enough of them. \p Nonce
 /// picks when there are more than an answer may hold.
 std::vector<std::string> callerAddresses(const fleet_version &Version,
                                          std::string_view DataCentre,
