--- a/src/app/endiveraild/main.cpp
+++ b/src/app/endiveraild/main.cpp
@@ -1,11 +1,10 @@
 #include "daemon/proxy_daemon.h"
 #include "daemon/store_daemon.h"
+#include "log/event_line.h"
 #include "platform/edge.h"
 #include "program/program.h"
 
 #include <gflags/gflags.h>
-#include <spdlog/spdlog.h>
-
 #include <iostream>
 
 using namespace endiverail;
@@ -32,10 +31,13 @@
                         const endpoint_text &CallerAddress) {
   holdSignals();
   BOOST_LEAF_AUTO(Running, Daemon::create(With));
-  spdlog::info("daemon: {} serves callers on {}", With.Id, CallerAddress);
+  event_line("started")
+      .with("daemon", With.Id)
+      .with("version", Version)
+      .with("callers", CallerAddress);
   waitForEnd();
   Running->drain();
-  spdlog::info("daemon: ends");
+  event_line("ended").with("dropped_lines", droppedEventLines());
   return exit_code::Success;
 }
 
@@ -49,6 +51,7 @@
     BOOST_LEAF_AUTO(Settings, readStoreDaemonSettings(FLAGS_settings, Text));
     if (FLAGS_check)
       return reportValid();
+    startEventLines();
     return serve<store_daemon<platform::edge>>(Settings,
                                                Settings.CallerAddress);
   }
--- a/src/libs/daemon/route_placement.cpp
+++ b/src/libs/daemon/route_placement.cpp
@@ -20,6 +20,7 @@
   Request.Headers = std::move(Received.Frame.Fields);
   Request.Body = std::move(Received.Body);
   Request.Arrived = Now;
+  Request.Name = Words.RequestId;
 
   const route *Route = Version.Routes->find(Words.Host, Request.path());
   if (!Route)
--- a/src/libs/daemon/store_control_thread.h
+++ b/src/libs/daemon/store_control_thread.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connection/backend_attempt.h"
+#include "log/event_line.h"
 #include "peer/datagram_socket.h"
 #include "peer/peer_codec.h"
 #include "process/event_loop.h"
@@ -9,8 +10,6 @@
 #include "process/published.h"
 #include "process/store_control_state.h"
 
-#include <spdlog/spdlog.h>
-
 #include <map>
 #include <optional>
 #include <string>
@@ -135,7 +134,8 @@
             return {};
           },
           [&](const failure &Failure) {
-            spdlog::debug("peer: dropped a datagram: {}", Failure.Detail);
+            event_line("datagram_dropped", event_level::Warning)
+                .with("detail", Failure.Detail);
           });
     }
     perform(Actions);
@@ -153,9 +153,9 @@
     State.onNotice(Notice, Actions);
   }
 
-  void take(const begin_store_drain &, steady_time Now,
+  void take(const begin_store_drain &, steady_time,
             store_control_actions &Actions) {
-    State.drain(Now, Actions);
+    State.drain(Actions);
   }
 
   void take(const end_store_control &, steady_time,
@@ -274,8 +274,9 @@
           return {};
         },
         [&](const failure &Failure) {
-          spdlog::warn("store: a read of topic {} failed: {}",
-                       static_cast<int>(Topic), Failure.Detail);
+          event_line("store_read_failed", event_level::Warning)
+              .with("topic", topicName(Topic))
+              .with("detail", Failure.Detail);
           State.onCallFailed(Topic, Now, Actions);
         });
   }
@@ -298,7 +299,9 @@
           return {};
         },
         [&](const failure &Failure) {
-          spdlog::warn("store: skipped a record: {}", Failure.Detail);
+          event_line("record_skipped", event_level::Warning)
+              .with("topic", topicName(Topic))
+              .with("detail", Failure.Detail);
         });
   }
 
--- a/src/libs/daemon/store_daemon.h
+++ b/src/libs/daemon/store_daemon.h
@@ -5,11 +5,10 @@
 #include "daemon/store_control_thread.h"
 #include "files/store_daemon_settings.h"
 #include "http/curl_transport.h"
+#include "log/event_line.h"
 #include "process/traffic_thread.h"
 #include "version/caller_addresses.h"
 
-#include <spdlog/spdlog.h>
-
 #include <atomic>
 #include <future>
 #include <memory>
@@ -194,14 +193,14 @@
   /// Ends gracefully: tells peers and callers, serves on while callers may
   /// still hold this address, and finishes what runs.
   void drain() {
-    spdlog::info("daemon: draining");
+    event_line("draining").with("connections", RequestDoor.connections());
     Control->post(begin_store_drain{});
     RequestDoor.announceClose();
     std::promise<void> Never;
     Never.get_future().wait_for(Settings.DrainTime - LastRequests);
     if (!RequestDoor.closeWhenIdle(LastRequests))
-      spdlog::warn("daemon: {} connections are open after the drain time",
-                   RequestDoor.connections());
+      event_line("drain_time_over", event_level::Warning)
+          .with("connections", RequestDoor.connections());
   }
 
 private:
--- a/src/libs/peer/gen/peer_types.cpp
+++ b/src/libs/peer/gen/peer_types.cpp
@@ -1074,6 +1074,10 @@
 void ServerWork::__set_slow(const int32_t val) {
   this->slow = val;
 }
+
+void ServerWork::__set_erred(const int32_t val) {
+  this->erred = val;
+}
 std::ostream& operator<<(std::ostream& out, const ServerWork& obj)
 {
   obj.printTo(out);
@@ -1142,6 +1146,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->erred);
+          this->__isset.erred = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1179,6 +1191,10 @@
   xfer += oprot->writeI32(this->slow);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("erred", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->erred);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1191,6 +1207,7 @@
   swap(a.good, b.good);
   swap(a.failed, b.failed);
   swap(a.slow, b.slow);
+  swap(a.erred, b.erred);
   swap(a.__isset, b.__isset);
 }
 
@@ -1200,6 +1217,7 @@
   good = other28.good;
   failed = other28.failed;
   slow = other28.slow;
+  erred = other28.erred;
   __isset = other28.__isset;
 }
 ServerWork::ServerWork(ServerWork&& other29) noexcept {
@@ -1208,6 +1226,7 @@
   good = other29.good;
   failed = other29.failed;
   slow = other29.slow;
+  erred = other29.erred;
   __isset = other29.__isset;
 }
 ServerWork& ServerWork::operator=(const ServerWork& other30) {
@@ -1216,6 +1235,7 @@
   good = other30.good;
   failed = other30.failed;
   slow = other30.slow;
+  erred = other30.erred;
   __isset = other30.__isset;
   return *this;
 }
@@ -1225,6 +1245,7 @@
   good = other31.good;
   failed = other31.failed;
   slow = other31.slow;
+  erred = other31.erred;
   __isset = other31.__isset;
   return *this;
 }
@@ -1236,6 +1257,7 @@
   out << ", " << "good=" << to_string(good);
   out << ", " << "failed=" << to_string(failed);
   out << ", " << "slow=" << to_string(slow);
+  out << ", " << "erred=" << to_string(erred);
   out << ")";
 }
 
@@ -1251,14 +1273,6 @@
 void WorkReport::__set_servers(const std::vector<ServerWork> & val) {
   this->servers = val;
 }
-
-void WorkReport::__set_served(const int32_t val) {
-  this->served = val;
-}
-
-void WorkReport::__set_unserved(const int32_t val) {
-  this->unserved = val;
-}
 std::ostream& operator<<(std::ostream& out, const WorkReport& obj)
 {
   obj.printTo(out);
@@ -1315,22 +1329,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->served);
-          this->__isset.served = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->unserved);
-          this->__isset.unserved = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1364,14 +1362,6 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("served", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->served);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("unserved", ::apache::thrift::protocol::T_I32, 4);
-  xfer += oprot->writeI32(this->unserved);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1381,38 +1371,28 @@
   using ::std::swap;
   swap(a.serviceName, b.serviceName);
   swap(a.servers, b.servers);
-  swap(a.served, b.served);
-  swap(a.unserved, b.unserved);
   swap(a.__isset, b.__isset);
 }
 
 WorkReport::WorkReport(const WorkReport& other38) {
   serviceName = other38.serviceName;
   servers = other38.servers;
-  served = other38.served;
-  unserved = other38.unserved;
   __isset = other38.__isset;
 }
 WorkReport::WorkReport(WorkReport&& other39) noexcept {
   serviceName = std::move(other39.serviceName);
   servers = std::move(other39.servers);
-  served = other39.served;
-  unserved = other39.unserved;
   __isset = other39.__isset;
 }
 WorkReport& WorkReport::operator=(const WorkReport& other40) {
   serviceName = other40.serviceName;
   servers = other40.servers;
-  served = other40.served;
-  unserved = other40.unserved;
   __isset = other40.__isset;
   return *this;
 }
 WorkReport& WorkReport::operator=(WorkReport&& other41) noexcept {
   serviceName = std::move(other41.serviceName);
   servers = std::move(other41.servers);
-  served = other41.served;
-  unserved = other41.unserved;
   __isset = other41.__isset;
   return *this;
 }
@@ -1421,8 +1401,6 @@
   out << "WorkReport(";
   out << "serviceName=" << to_string(serviceName);
   out << ", " << "servers=" << to_string(servers);
-  out << ", " << "served=" << to_string(served);
-  out << ", " << "unserved=" << to_string(unserved);
   out << ")";
 }
 
--- a/src/libs/peer/gen/peer_types.h
+++ b/src/libs/peer/gen/peer_types.h
@@ -480,12 +480,13 @@
 std::ostream& operator<<(std::ostream& out, const PathFault& obj);
 
 typedef struct _ServerWork__isset {
-  _ServerWork__isset() : server(false), inUse(false), good(false), failed(false), slow(false) {}
+  _ServerWork__isset() : server(false), inUse(false), good(false), failed(false), slow(false), erred(false) {}
   bool server :1;
   bool inUse :1;
   bool good :1;
   bool failed :1;
   bool slow :1;
+  bool erred :1;
 } _ServerWork__isset;
 
 class ServerWork : public virtual ::apache::thrift::TBase {
@@ -500,7 +501,8 @@
                inUse(0),
                good(0),
                failed(0),
-               slow(0) {
+               slow(0),
+               erred(0) {
   }
 
   virtual ~ServerWork() noexcept;
@@ -509,6 +511,7 @@
   int32_t good;
   int32_t failed;
   int32_t slow;
+  int32_t erred;
 
   _ServerWork__isset __isset;
 
@@ -522,6 +525,8 @@
 
   void __set_slow(const int32_t val);
 
+  void __set_erred(const int32_t val);
+
   bool operator == (const ServerWork & rhs) const
   {
     if (!(server == rhs.server))
@@ -534,6 +539,8 @@
       return false;
     if (!(slow == rhs.slow))
       return false;
+    if (!(erred == rhs.erred))
+      return false;
     return true;
   }
   bool operator != (const ServerWork &rhs) const {
@@ -553,11 +560,9 @@
 std::ostream& operator<<(std::ostream& out, const ServerWork& obj);
 
 typedef struct _WorkReport__isset {
-  _WorkReport__isset() : serviceName(false), servers(false), served(false), unserved(false) {}
+  _WorkReport__isset() : serviceName(false), servers(false) {}
   bool serviceName :1;
   bool servers :1;
-  bool served :1;
-  bool unserved :1;
 } _WorkReport__isset;
 
 class WorkReport : public virtual ::apache::thrift::TBase {
@@ -568,16 +573,12 @@
   WorkReport& operator=(const WorkReport&);
   WorkReport& operator=(WorkReport&&) noexcept;
   WorkReport() noexcept
-             : serviceName(),
-               served(0),
-               unserved(0) {
+             : serviceName() {
   }
 
   virtual ~WorkReport() noexcept;
   std::string serviceName;
   std::vector<ServerWork>  servers;
-  int32_t served;
-  int32_t unserved;
 
   _WorkReport__isset __isset;
 
@@ -585,20 +586,12 @@
 
   void __set_servers(const std::vector<ServerWork> & val);
 
-  void __set_served(const int32_t val);
-
-  void __set_unserved(const int32_t val);
-
   bool operator == (const WorkReport & rhs) const
   {
     if (!(serviceName == rhs.serviceName))
       return false;
     if (!(servers == rhs.servers))
       return false;
-    if (!(served == rhs.served))
-      return false;
-    if (!(unserved == rhs.unserved))
-      return false;
     return true;
   }
   bool operator != (const WorkReport &rhs) const {
--- a/src/libs/peer/peer.thrift
+++ b/src/libs/peer/peer.thrift
@@ -51,13 +51,12 @@
   3: i32 good
   4: i32 failed
   5: i32 slow
+  6: i32 erred
 }
 
 struct WorkReport {
   1: string serviceName
   2: list<ServerWork> servers
-  3: i32 served
-  4: i32 unserved
 }
 
 struct ServerStatement {
--- a/src/libs/peer/wire_conversion.cpp
+++ b/src/libs/peer/wire_conversion.cpp
@@ -195,27 +195,26 @@
   Result.good = static_cast<std::int32_t>(Work.Good);
   Result.failed = static_cast<std::int32_t>(Work.Failed);
   Result.slow = static_cast<std::int32_t>(Work.Slow);
+  Result.erred = static_cast<std::int32_t>(Work.Erred);
   return Result;
 }
 
 server_work fromWire(const wire::ServerWork &Work) {
   return {Work.server, countFromWire(Work.inUse), countFromWire(Work.good),
-          countFromWire(Work.failed), countFromWire(Work.slow)};
+          countFromWire(Work.failed), countFromWire(Work.slow),
+          countFromWire(Work.erred)};
 }
 
 wire::WorkReport toWire(const work_report &Report) {
   wire::WorkReport Result;
   Result.serviceName = Report.Service;
   Result.servers = converted<wire::ServerWork>(Report.Servers, ToWire);
-  Result.served = static_cast<std::int32_t>(Report.Served);
-  Result.unserved = static_cast<std::int32_t>(Report.Unserved);
   return Result;
 }
 
 work_report fromWire(const wire::WorkReport &Report) {
   return {Report.serviceName,
-          converted<server_work>(Report.servers, FromWire),
-          countFromWire(Report.served), countFromWire(Report.unserved)};
+          converted<server_work>(Report.servers, FromWire)};
 }
 
 wire::ServerStatement toWire(const server_statement &Statement) {
--- a/src/libs/process/active_request.h
+++ b/src/libs/process/active_request.h
@@ -28,6 +28,10 @@
   endpoint_text OpinionOf;
   /// The instance that is expected at the address, where it is known.
   std::string Instance;
+  /// What decided for the server: the chance that it fails, and the slots that
+  /// the fleet used there.
+  double Doubt = 0;
+  std::size_t SlotsUsed = 0;
 };
 
 /// An attempt that runs now.
--- a/src/libs/process/answer_times.cpp
+++ b/src/libs/process/answer_times.cpp
@@ -14,6 +14,9 @@
   double Milliseconds = static_cast<double>(Time.count()) / 1000;
   Median(Milliseconds);
   High(Milliseconds);
+  if (!Known && accumulators::count(Median) >= FirstAnswers)
+    Usual = milliseconds(
+        static_cast<std::int64_t>(accumulators::p_square_quantile(Median) + 1));
   if (Now - WindowStart < Window || accumulators::count(Median) < EnoughAnswers)
     return;
   auto Rounded = [](const quantile &Of) {
@@ -23,6 +26,7 @@
   Usual = Rounded(Median);
   Patience = std::max(LeastPatience, Rounded(High) * PatienceFactor);
   WindowStart = Now;
+  Known = true;
   Median = makeQuantile(0.5);
   High = makeQuantile(0.95);
 }
--- a/src/libs/process/answer_times.h
+++ b/src/libs/process/answer_times.h
@@ -32,6 +32,8 @@
                                  boost::accumulators::tag::p_square_quantile>>;
 
   static constexpr std::size_t EnoughAnswers = 50;
+  /// The median is rough but better than a guess from then on.
+  static constexpr std::size_t FirstAnswers = 8;
   static constexpr std::chrono::seconds Window{10};
   static constexpr int PatienceFactor = 4;
   static constexpr milliseconds LeastPatience{50};
@@ -40,6 +42,8 @@
 
   milliseconds Usual;
   milliseconds Patience;
+  /// Whether a whole window was seen.
+  bool Known = false;
   steady_time WindowStart;
   quantile Median = makeQuantile(0.5);
   quantile High = makeQuantile(0.95);
--- a/src/libs/process/keyed_store.h
+++ b/src/libs/process/keyed_store.h
@@ -24,6 +24,18 @@
   Members,
 };
 
+constexpr std::string_view topicName(store_topic Topic) {
+  switch (Topic) {
+  case store_topic::Configuration:
+    return "configuration";
+  case store_topic::BackendServers:
+    return "backend_servers";
+  case store_topic::Members:
+    break;
+  }
+  return "members";
+}
+
 /// One record of a topic.
 struct keyed_record {
   std::string Key;
--- a/src/libs/process/pool_scheduler.cpp
+++ b/src/libs/process/pool_scheduler.cpp
@@ -35,21 +35,17 @@
 /// Share of the target time for which a request without a server is held: a
 /// refusal that comes later costs the caller the time for another try.
 constexpr int HoldDivisor = 8;
-/// Unserved share from which on all servers are kept in use: the users count a
-/// tenth over two seconds.
-constexpr double TroubleShare = 0.10;
-constexpr double EnoughAnswers = 8;
-/// The users count servers that get nothing for two seconds. One that fails is
-/// tried just in time, as each trial may cost an answer.
-constexpr milliseconds LongestIdle{700};
-constexpr milliseconds LongestIdleFailing{1'800};
-/// Puts a server that has been idle for that long before all others.
-constexpr double OwedGain = 2;
+/// A server without work for that long is idle: the users count servers that
+/// get nothing for two seconds.
+constexpr milliseconds IdleAfter{1'500};
+/// Share of the servers that may be idle. The users want seven tenths of the
+/// sound ones in use while many requests fail, which nobody can foresee.
+constexpr double MostIdle = 0.2;
+/// Chance and cost of a failure while a request waits and is worked on.
+constexpr double WaitRisk = 1.5;
 constexpr milliseconds LeastReserved{200};
 /// Callers wait for a third of their time at most.
 constexpr milliseconds MostReserved{1'600};
-/// Half-life of the share of unserved requests.
-constexpr milliseconds UnservedMemory{1'400};
 
 double count(milliseconds Time) { return static_cast<double>(Time.count()); }
 
@@ -57,14 +53,14 @@
 
 pool_scheduler::pool_scheduler(const service_definition &Definition,
                                std::uint64_t Seed)
-    : Definition(Definition), Unserved(UnservedMemory), Random(Seed) {
+    : Definition(Definition), Random(Seed) {
   for (rank Rank : AllRanks)
     Queues.emplace_back(Definition.QueueLimit[rankIndex(Rank)]);
 }
 
 void pool_scheduler::configure(const service_definition &NewDefinition,
                                std::span<const backend_server> Listed,
-                               steady_time) {
+                               steady_time Now) {
   Definition = NewDefinition;
   for (rank Rank : AllRanks)
     Queues[rankIndex(Rank)].setLimit(Definition.QueueLimit[rankIndex(Rank)]);
@@ -72,12 +68,17 @@
     Server.Gone = true;
   for (const backend_server &Entry : Listed) {
     pooled_server *Known = find(Entry.Address);
-    if (!Known)
+    if (!Known) {
       Known = &Servers.emplace_back();
-    if (Known->Instance != Entry.Instance || Known->Started != Entry.Started) {
+      Known->LastUsed = Now;
+      if (!PoolKnown)
+        Known->Belief = server_belief::unknown();
+    } else if (Known->Instance != Entry.Instance ||
+               Known->Started != Entry.Started) {
       std::size_t StillRunning = Known->InUse;
       *Known = {};
       Known->InUse = StillRunning;
+      Known->LastUsed = Now;
     }
     Known->Address = Entry.Address;
     Known->Instance = Entry.Instance;
@@ -90,6 +91,7 @@
         1, Entry.Slots != 0 ? Entry.Slots : Definition.SlotsPerServer);
     Known->ColdUntil = Entry.ColdUntil;
   }
+  PoolKnown = PoolKnown || !Servers.empty();
   dropGone();
 }
 
@@ -129,13 +131,6 @@
   return 2 * Failing > Usable;
 }
 
-bool pool_scheduler::inTrouble(steady_time Now) const {
-  if (Now < UnstableUntil)
-    return true;
-  double Total = Unserved.total(Now);
-  return Total >= EnoughAnswers && Unserved.bad(Now) > TroubleShare * Total;
-}
-
 std::size_t pool_scheduler::roomFor(const waiting_request &Request,
                                     const pooled_server &Server,
                                     steady_time Now) const {
@@ -162,44 +157,60 @@
   double Cost =
       Server.Belief.sick(Now) *
           (MayRepeat ? RepeatableFailureCost : FailureCost) +
-      Server.Shedding.sick(Now) * ShedCost + Wait / Target +
+      Server.Shedding.sick(Now) * ShedCost + WaitRisk * Wait / Target +
       Used / Slots * LoadCost;
   if (Request.Bulk && Server.DataCentre != DataCentre)
     Cost += OtherDataCentreCost;
   return Cost;
 }
 
-bool pool_scheduler::isOwedWork(const pooled_server &Server,
-                                steady_time Now) {
-  return Now > Server.LastUsed + (Server.Failing ? LongestIdleFailing
-                                                 : LongestIdle);
+bool pool_scheduler::mayTake(const waiting_request &Request,
+                             const pooled_server &Server,
+                             steady_time Now) const {
+  return Server.usable() && Server.used() < roomFor(Request, Server, Now) &&
+         std::ranges::find(Request.Avoid, Server.Address) ==
+             Request.Avoid.end();
+}
+
+/// The least doubtful idle server, when more are idle than may be.
+pool_scheduler::pooled_server *
+pool_scheduler::chooseIdleServer(const waiting_request &Request,
+                                 steady_time Now) {
+  auto IsIdle = [&](const pooled_server &Server) {
+    return Server.usable() && Now > Server.LastUsed + IdleAfter;
+  };
+  auto Usable = std::ranges::count_if(Servers, &pooled_server::usable);
+  auto Idle = std::ranges::count_if(Servers, IsIdle);
+  if (static_cast<double>(Idle) <= MostIdle * static_cast<double>(Usable))
+    return nullptr;
+  pooled_server *Best = nullptr;
+  for (pooled_server &Server : Servers)
+    if (IsIdle(Server) && mayTake(Request, Server, Now) &&
+        (!Best || Server.Belief.sick(Now) < Best->Belief.sick(Now)))
+      Best = &Server;
+  return Best;
 }
 
 pool_scheduler::pooled_server *
 pool_scheduler::chooseServer(const waiting_request &Request, steady_time Now) {
+  if (pooled_server *Idle = chooseIdleServer(Request, Now))
+    return Idle;
   struct choice {
     pooled_server *Server = nullptr;
-    bool Avoided = true;
     double Cost = 0;
   };
   std::uniform_real_distribution<double> Tie(0, TieCost);
-  bool Trouble = inTrouble(Now);
   bool Selective = !mostAreFailing();
   choice Best;
   for (pooled_server &Server : Servers) {
-    if (!Server.usable() || Server.used() >= roomFor(Request, Server, Now))
+    if (!mayTake(Request, Server, Now))
       continue;
-    bool Owed = Trouble && isOwedWork(Server, Now);
-    if (Selective && Server.Failing && !Owed &&
+    if (Selective && Server.Failing &&
         (Server.used() > 0 || Server.Belief.sick(Now) > Doubted))
       continue;
-    bool Avoided = std::ranges::find(Request.Avoid, Server.Address) !=
-                   Request.Avoid.end();
-    double Cost = costOf(Request, Server, Now) + Tie(Random) -
-                  (Owed ? OwedGain : 0);
-    if (!Best.Server ||
-        std::pair(Avoided, Cost) < std::pair(Best.Avoided, Best.Cost))
-      Best = {&Server, Avoided, Cost};
+    double Cost = costOf(Request, Server, Now) + Tie(Random);
+    if (!Best.Server || Cost < Best.Cost)
+      Best = {&Server, Cost};
   }
   return Best.Server;
 }
@@ -215,7 +226,8 @@
     ++Server->InUse;
     Server->LastUsed = Now;
     noteStart(Now);
-    return slot_assignment{Request.Id, Server->Address, Server->Instance};
+    return slot_assignment{Request.Id, Server->Address, Server->Instance,
+                           Server->Belief.sick(Now), Server->used()};
   }
   return std::nullopt;
 }
@@ -247,6 +259,7 @@
   pooled_server *Server = find(Address);
   if (!Server)
     return;
+  Server->LastUsed = Now;
   switch (Signal) {
   case attempt_signal::Good:
     Server->Failing = false;
@@ -257,6 +270,8 @@
   case attempt_signal::Failed:
     Server->Failing = true;
     return Server->Belief.observe(true, Now);
+  case attempt_signal::Erred:
+    return Server->Belief.observeError(Now);
   case attempt_signal::Shed:
     Server->Shedding.observe(true, Now);
     // One that refuses work while it has room is not full.
@@ -267,14 +282,6 @@
   }
 }
 
-void pool_scheduler::noteAnswers(std::size_t Served, std::size_t NotServed,
-                                 steady_time Now) {
-  for (; Served > 0; --Served)
-    Unserved.observe(false, Now);
-  for (; NotServed > 0; --NotServed)
-    Unserved.observe(true, Now);
-}
-
 void pool_scheduler::markLeaving(std::string_view Address, steady_time) {
   if (pooled_server *Server = find(Address))
     Server->Leaving = true;
--- a/src/libs/process/pool_scheduler.h
+++ b/src/libs/process/pool_scheduler.h
@@ -21,7 +21,8 @@
 /// Decides, for one service whose backend servers all proxies use, which
 /// request runs next and where. It counts the slots that this process uses and
 /// those that others have told of, and weighs the chance that a server fails a
-/// request against the time that the request would wait there. A request for
+/// request against the time that the request would wait there. Few servers are
+/// left without work for long, so that it knows how all of them are. A request for
 /// which no server has room is refused soon, with the time after which it may
 /// come back. It knows no clock and no transport.
 class pool_scheduler {
@@ -36,9 +37,6 @@
   /// Prefers backend servers of that data centre for bulk work.
   void setDataCentre(std::string_view Name) { DataCentre = Name; }
   void setRetryTerms(retry_terms Terms) { Retries.setTerms(Terms); }
-  /// Until then the fleet itself is in trouble, and all healthy servers are
-  /// kept in use.
-  void setUnstableUntil(steady_time Until) { UnstableUntil = Until; }
 
   /// Lets a request wait. Returns the request that has to leave for it, which
   /// may be the same one.
@@ -51,8 +49,6 @@
   void release(std::string_view Server, rank Rank, steady_time Now);
   /// Takes what an attempt has shown of a backend server, here or elsewhere.
   void observe(std::string_view Server, attempt_signal Signal, steady_time Now);
-  /// Requests of callers were answered well, or not, here or elsewhere.
-  void noteAnswers(std::size_t Served, std::size_t Unserved, steady_time Now);
   /// A backend server has left its address.
   void markLeaving(std::string_view Server, steady_time Now);
   /// How many slots of a backend server other proxies use.
@@ -106,16 +102,16 @@
   pooled_server *find(std::string_view Address);
   const pooled_server *find(std::string_view Address) const;
   bool mostAreFailing() const;
-  bool inTrouble(steady_time Now) const;
   /// Requests that may be at a server at once so that the last of them is
   /// answered within its target time.
   std::size_t roomFor(const waiting_request &Request,
                       const pooled_server &Server, steady_time Now) const;
   double costOf(const waiting_request &Request, const pooled_server &Server,
                 steady_time Now) const;
-  /// Whether the server has had nothing for so long that it is to get work
-  /// while many requests go unserved.
-  static bool isOwedWork(const pooled_server &Server, steady_time Now);
+  bool mayTake(const waiting_request &Request, const pooled_server &Server,
+               steady_time Now) const;
+  pooled_server *chooseIdleServer(const waiting_request &Request,
+                                  steady_time Now);
   pooled_server *chooseServer(const waiting_request &Request, steady_time Now);
   void noteStart(steady_time Now);
   void dropGone();
@@ -125,13 +121,14 @@
   std::vector<pooled_server> Servers;
   std::vector<rank_queue> Queues;
   retry_budget Retries;
-  steady_time UnstableUntil;
-  failure_rate Unserved;
   /// Requests started here, decaying: about the number of a second.
   double StartRate = 0;
   steady_time LastStart;
   /// The time that was given to the last refused request.
   steady_time LastReserved;
+  /// Whether backend servers were listed before: those that come later have
+  /// just joined.
+  bool PoolKnown = false;
   std::mt19937_64 Random;
 };
 
--- /dev/null
+++ b/src/libs/process/request_log.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "base/error_kind.h"
+#include "log/event_line.h"
+#include "process/active_request.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string_view>
+
+namespace endiverail {
+
+/// Writes a line for what happens to a request that does not go well.
+namespace request_log {
+
+inline double millisecondsBetween(steady_time From, steady_time To) {
+  return std::chrono::duration<double, std::milli>(To - From).count();
+}
+
+/// An attempt has ended without an answer that is passed on.
+inline void attemptFailed(const active_request &Active,
+                          const running_attempt &Attempt,
+                          const attempt_end &End, steady_time Now) {
+  const caller_request &Request = Active.Request;
+  event_line Line("attempt_failed");
+  Line.with("request", Request.Name)
+      .with("service", Request.Service->Definition.Name)
+      .with("route", Request.Kind->Name)
+      .with("attempt", Active.Attempts)
+      .with("server", Attempt.Target.Server)
+      .with("instance", Attempt.Target.Instance)
+      .with("doubt", Attempt.Target.Doubt)
+      .with("slots_used", Attempt.Target.SlotsUsed)
+      .with("error", errorAnswer(End.Failure->Kind).Name)
+      .with("proven_not_run", End.Failure->ProvenNotRun)
+      .with("detail", End.Detail)
+      .with("took_ms", millisecondsBetween(Attempt.Started, Now))
+      .with("left_ms", millisecondsBetween(Now, Request.Deadline));
+  if (Attempt.Head)
+    Line.with("status", Attempt.Head->Status);
+}
+
+/// A backend server's own failure is passed on.
+inline void failurePassedOn(const active_request &Active,
+                            const running_attempt &Attempt, steady_time Now) {
+  const caller_request &Request = Active.Request;
+  event_line("failure_passed_on")
+      .with("request", Request.Name)
+      .with("service", Request.Service->Definition.Name)
+      .with("route", Request.Kind->Name)
+      .with("attempt", Active.Attempts)
+      .with("server", Attempt.Target.Server)
+      .with("instance", Attempt.Target.Instance)
+      .with("doubt", Attempt.Target.Doubt)
+      .with("slots_used", Attempt.Target.SlotsUsed)
+      .with("status", Attempt.Head ? Attempt.Head->Status : 0)
+      .with("took_ms", millisecondsBetween(Attempt.Started, Now));
+}
+
+/// The caller is told of an error.
+inline void refused(const active_request &Active, const answer_head &Head,
+                    error_kind Kind, std::string_view Detail, steady_time Now) {
+  const caller_request &Request = Active.Request;
+  event_line("error_answered")
+      .with("request", Request.Name)
+      .with("service", Request.Service->Definition.Name)
+      .with("route", Request.Kind->Name)
+      .with("error", errorAnswer(Kind).Name)
+      .with("status", Head.Status)
+      .with("attempts", Active.Attempts)
+      .with("may_have_run", Active.MayHaveRun)
+      .with("detail", Detail)
+      .with("retry_after", findHeader(Head.Headers, "Retry-After"))
+      .with("held_ms", millisecondsBetween(Request.Arrived, Now))
+      .with("left_ms", millisecondsBetween(Now, Request.Deadline));
+}
+
+/// The caller has gone before its answer.
+inline void callerGone(const active_request &Active, steady_time Now) {
+  event_line("caller_gone")
+      .with("request", Active.Request.Name)
+      .with("service", Active.Request.Service->Definition.Name)
+      .with("attempts", Active.Attempts)
+      .with("server",
+            Active.Attempt ? Active.Attempt->Target.Server : std::string())
+      .with("after_ms", millisecondsBetween(Active.Request.Arrived, Now));
+}
+
+} // namespace request_log
+} // namespace endiverail
--- a/src/libs/process/server_belief.cpp
+++ b/src/libs/process/server_belief.cpp
@@ -9,8 +9,11 @@
 /// Bounds that let a belief change its mind after a few answers.
 constexpr double LeastSick = 0.002;
 constexpr double MostSick = 0.995;
-/// Ratio of "slow when sick" to "slow when well".
-constexpr double SlowRatio = 4;
+/// Ratio of "slow when sick" to "slow when well": a hundredth of the users'
+/// requests takes several times as long as usual.
+constexpr double SlowRatio = 15;
+/// Ratio for an error after the usual work.
+constexpr double ErrorRatio = 4;
 
 double seconds(milliseconds Time) {
   return std::chrono::duration<double>(Time).count();
@@ -48,4 +51,6 @@
 
 void server_belief::observeSlow(steady_time Now) { update(SlowRatio, Now); }
 
+void server_belief::observeError(steady_time Now) { update(ErrorRatio, Now); }
+
 } // namespace endiverail
--- a/src/libs/process/server_evidence.h
+++ b/src/libs/process/server_evidence.h
@@ -15,6 +15,8 @@
   Slow,
   /// An error, a cut answer, a time-out or no connection.
   Failed,
+  /// An error after the usual work: healthy servers give some as well.
+  Erred,
   /// Refused for lack of capacity: says nothing of its health.
   Shed,
 };
--- a/src/libs/process/service_scheduler.cpp
+++ b/src/libs/process/service_scheduler.cpp
@@ -235,7 +235,7 @@
                                                : SuspectedTrialPause);
   ++Server->InUse;
   ++InUseByRank[rankIndex(*Rank)];
-  return slot_assignment{Request.Id, Server->Address, ""};
+  return slot_assignment{Request.Id, Server->Address};
 }
 
 void service_scheduler::release(std::string_view Address, rank Rank,
@@ -285,6 +285,9 @@
     Server->Limit = std::max(LeastLimit, Server->Limit * LimitCut);
     return;
   }
+  // An owner compares with its pool, so an error counts whenever it comes.
+  if (Signal == attempt_signal::Erred)
+    Signal = attempt_signal::Failed;
   Server->Evidence.observe(Signal, baselineFor(*Server, Now), Now);
   bool Good = Signal == attempt_signal::Good;
   if (Good)
--- a/src/libs/process/service_scheduler.h
+++ b/src/libs/process/service_scheduler.h
@@ -22,7 +22,10 @@
   request_id Request = 0;
   endpoint_text Server;
   /// The instance that is expected there, where it is known.
-  std::string Instance;
+  std::string Instance{};
+  /// The chance that it fails, and the slots used there, as known.
+  double Doubt = 0;
+  std::size_t SlotsUsed = 0;
 };
 
 /// How a backend server stands with its owner.
--- a/src/libs/process/store_control_state.cpp
+++ b/src/libs/process/store_control_state.cpp
@@ -1,6 +1,6 @@
 #include "process/store_control_state.h"
 
-#include <spdlog/spdlog.h>
+#include "log/event_line.h"
 
 #include <algorithm>
 #include <iterator>
@@ -97,7 +97,7 @@
   if (Registered)
     StartDue(MembersFollower);
   Directory.expire(Now);
-  publishIfChanged(Now, Out);
+  publishIfChanged(Out);
 }
 
 steady_time store_control_state::nextWake() const {
@@ -135,8 +135,10 @@
 void store_control_state::onConfiguration(published_configuration Newer) {
   if (Configuration && Newer.Version <= Configuration->Version)
     return;
-  spdlog::info("control: configuration {} in force with {} routes",
-               Newer.Version, Newer.Routes->routes().size());
+  event_line("configuration_in_force")
+      .with("version", Newer.Version)
+      .with("before", version())
+      .with("routes", Newer.Routes->routes().size());
   Configuration = std::move(Newer);
   Changed = true;
 }
@@ -175,13 +177,13 @@
     return;
   StoreAway = !Answers;
   if (StoreAway) {
-    spdlog::warn("control: lost the store; version {} and {} backend servers "
-                 "stay in use",
-                 version(), Directory.servers().size());
+    event_line("store_lost", event_level::Warning)
+        .with("version", version())
+        .with("servers", Directory.servers().size());
     Directory.onStoreAway(Now);
     return;
   }
-  spdlog::info("control: the store answers again");
+  event_line("store_regained").with("version", version());
   Directory.onStoreBack(Now);
   // A read that waits may hang on a connection from before the loss.
   hurryConfiguration(Now, Out);
@@ -204,8 +206,7 @@
 }
 
 void store_control_state::onForgotten(store_topic Topic, steady_time Now) {
-  spdlog::info("control: the store has deleted records that were not read; "
-               "listing anew");
+  event_line("records_deleted").with("topic", topicName(Topic));
   follower(Topic).onForgotten(Now);
 }
 
@@ -237,7 +238,7 @@
         peer_work{Message.Gossip.SenderId, Report}});
   for (const server_death &Death : Message.Deaths)
     Out.emplace_back(tell_traffic_threads{Death});
-  publishIfChanged(Now, Out);
+  publishIfChanged(Out);
 }
 
 void store_control_state::learnServers(const peer_message &Message,
@@ -297,8 +298,10 @@
     sendNews(std::move(Message), Entries, Out);
   }
   if (const auto *Death = std::get_if<server_death>(&Notice)) {
-    spdlog::warn("control: backend server {} died while it ran request {:x}",
-                 Death->Server, Death->Fingerprint);
+    event_line("server_died", event_level::Warning)
+        .with("service", Death->Service)
+        .with("server", Death->Server)
+        .with("fingerprint", Death->Fingerprint);
     Message.Deaths.push_back(*Death);
     Out.emplace_back(tell_traffic_threads{*Death});
     sendNews(std::move(Message), otherMembers(), Out);
@@ -329,14 +332,14 @@
   }
 }
 
-void store_control_state::drain(steady_time Now, store_control_actions &Out) {
+void store_control_state::drain(store_control_actions &Out) {
   Draining = true;
   Changed = true;
   Members.setOffered(false);
   std::vector<outgoing_gossip> Gossip;
   Members.greet(Members.size(), Gossip);
   sendGossip(Gossip, Out);
-  publishIfChanged(Now, Out);
+  publishIfChanged(Out);
 }
 
 void store_control_state::leave(store_control_actions &Out) {
@@ -345,17 +348,15 @@
   sendGossip(Gossip, Out);
 }
 
-void store_control_state::publishIfChanged(steady_time Now,
-                                           store_control_actions &Out) {
+void store_control_state::publishIfChanged(store_control_actions &Out) {
   bool NewServers = Directory.takeChanged();
-  bool NewMembers = takeMemberChanges(Now);
+  bool NewMembers = takeMemberChanges();
   if (!std::exchange(Changed, false) && !NewServers && !NewMembers)
     return;
   auto Version = std::make_shared<fleet_version>();
   Version->Number = ++VersionNumber;
   Version->Ready = ready();
   Version->Draining = Draining;
-  Version->UnstableUntil = UnstableUntil;
   Version->SelfId = Settings.Self.Id;
   Version->SelfIncarnation = Settings.Self.Incarnation;
   if (Configuration) {
@@ -367,16 +368,11 @@
   Out.emplace_back(publish_version{std::move(Version)});
 }
 
-bool store_control_state::takeMemberChanges(steady_time Now) {
-  // While the fleet starts for the first time everybody is new.
-  bool Settled = Now > Started + ShakenTime;
-  for (const member_change &Change : Members.takeChanges()) {
-    bool Lost = Change.State == member_state::Dead ||
-                Change.State == member_state::Suspect;
-    if (Lost || Settled)
-      UnstableUntil = Now + ShakenTime;
-    spdlog::info("membership: {} is {}", Change.Id, stateName(Change.State));
-  }
+bool store_control_state::takeMemberChanges() {
+  for (const member_change &Change : Members.takeChanges())
+    event_line("member_changed")
+        .with("member", Change.Id)
+        .with("state", stateName(Change.State));
   std::vector<proxy_member> Current = Members.members();
   if (Current == PublishedMembers)
     return false;
--- a/src/libs/process/store_control_state.h
+++ b/src/libs/process/store_control_state.h
@@ -84,7 +84,7 @@
   void onNotice(const control_notice &Notice, store_control_actions &Out);
 
   /// Callers are to be told of this daemon no more.
-  void drain(steady_time Now, store_control_actions &Out);
+  void drain(store_control_actions &Out);
   /// Says good-bye.
   void leave(store_control_actions &Out);
 
@@ -107,9 +107,6 @@
   static constexpr milliseconds MostDifference{1'500};
   /// Between two hurried reads of the configuration.
   static constexpr milliseconds HurryPause{300};
-  /// How long the loss or the new start of a member shakes the fleet: until
-  /// its callers have gone elsewhere.
-  static constexpr milliseconds ShakenTime{4'000};
   static constexpr std::size_t StatementsPerDatagram = 60;
   static constexpr milliseconds PutRetry{500};
   /// Between pings of a member that is believed lost.
@@ -130,8 +127,8 @@
                 store_control_actions &Out) const;
   std::vector<const proxy_member *> otherMembers() const;
   /// Returns whether the members that are published have changed.
-  bool takeMemberChanges(steady_time Now);
-  void publishIfChanged(steady_time Now, store_control_actions &Out);
+  bool takeMemberChanges();
+  void publishIfChanged(store_control_actions &Out);
 
   store_control_settings Settings;
   swim Members;
@@ -155,7 +152,6 @@
   steady_time LastHurry;
   /// Since when a reader's servers differ from those known here.
   std::optional<steady_time> DiffersSince;
-  steady_time UnstableUntil;
   bool Changed = true;
   std::vector<proxy_member> PublishedMembers;
   /// Those of the published members that read the store for all.
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -15,6 +15,7 @@
 #include "process/mailbox.h"
 #include "process/message_dialect.h"
 #include "process/metrics.h"
+#include "process/request_log.h"
 #include "process/request_timers.h"
 #include "process/service_state.h"
 #include "process/traffic_message.h"
@@ -163,6 +164,8 @@
     Active->Attempt.reset();
     ByAttempt.erase(Id);
     settle(*Active, Attempt, End, Now);
+    if (End.Failure && sharing_scheduler<Policy>)
+      request_log::attemptFailed(*Active, Attempt, End, Now);
     if (End.Failure)
       fail(*Active, Attempt, *End.Failure, Now);
     else
@@ -226,6 +229,8 @@
     if (!Active)
       return;
     Active->CallerGone = true;
+    if (sharing_scheduler<Policy>)
+      request_log::callerGone(*Active, Now);
     if (!Active->Attempt) {
       stateOf(*Active).Scheduler.cancel(Active->Request.Id);
       if (Active->HoldsKey)
@@ -281,10 +286,9 @@
         };
         Observe(Work.Good, attempt_signal::Good);
         Observe(Work.Slow, attempt_signal::Slow);
+        Observe(Work.Erred, attempt_signal::Erred);
         Observe(Work.Failed, attempt_signal::Failed);
       }
-      State->Scheduler.noteAnswers(Told.Report.Served, Told.Report.Unserved,
-                                   Now);
       startNext(Told.Report.Service, Now);
     }
   }
@@ -485,7 +489,6 @@
     if constexpr (sharing_scheduler<Policy>) {
       State.Scheduler.setDataCentre(Settings.DataCentre);
       State.Scheduler.setRetryTerms(Settings.Retries);
-      State.Scheduler.setUnstableUntil(Version->UnstableUntil);
     }
   }
 
@@ -504,7 +507,8 @@
     while (auto Assignment = Scheduler.next(Now))
       startAttempt(Requests.at(Assignment->Request),
                    {Assignment->Server, attempt_route::Slot, "",
-                    std::move(Assignment->Instance)},
+                    std::move(Assignment->Instance), Assignment->Doubt,
+                    Assignment->SlotsUsed},
                    Now);
     if constexpr (ejecting_scheduler<Policy>)
       if (auto Trial = Scheduler.nextTrial();
@@ -600,8 +604,7 @@
       Deaths.onStart(Target.Server, Id);
     }
     if (Target.Route == attempt_route::Slot) {
-      Timers.add(Now + stateOf(Active).times(*Request.Kind).patience(),
-                 {Request.Id, Id, timer_kind::Slow});
+      Timers.add(Now + patienceOf(Active), {Request.Id, Id, timer_kind::Slow});
       noteUse(stateOf(Active), Target.Server);
       // An attempt that may be repeated leaves time for another one.
       if (Active.repeatable() && Active.Attempts < Request.Kind->MostAttempts)
@@ -662,7 +665,8 @@
     if (Judgement.Refused)
       return Judgement.Refused;
     if (Judgement.ServerFailed) {
-      noteSignal(State, Attempt.Target.Server, attempt_signal::Failed, Now);
+      noteSignal(State, Attempt.Target.Server,
+                 errorSignal(Active, Attempt, Now), Now);
       return std::nullopt;
     }
     State.times(*Active.Request.Kind)
@@ -706,12 +710,31 @@
       reportEvidence(Active, Now);
       return;
     }
-    bool Shed = End.Failure->Kind == error_kind::BackendShed;
     noteSignal(stateOf(Active), Attempt.Target.Server,
-               Shed ? attempt_signal::Shed : attempt_signal::Failed, Now);
+               failureSignal(Active, Attempt, *End.Failure, Now), Now);
     reportEvidence(Active, Now);
   }
 
+  attempt_signal failureSignal(const active_request &Active,
+                               const running_attempt &Attempt,
+                               const attempt_failure &Failure,
+                               steady_time Now) {
+    if (Failure.Kind == error_kind::BackendShed)
+      return attempt_signal::Shed;
+    return Failure.Kind == error_kind::BackendError
+               ? errorSignal(Active, Attempt, Now)
+               : attempt_signal::Failed;
+  }
+
+  /// A sick server fails at once what a healthy one fails after its work.
+  attempt_signal errorSignal(const active_request &Active,
+                             const running_attempt &Attempt, steady_time Now) {
+    constexpr int WorkDivisor = 8;
+    milliseconds Usual = stateOf(Active).times(*Active.Request.Kind).usual();
+    return Now - Attempt.Started < Usual / WorkDivisor ? attempt_signal::Failed
+                                                       : attempt_signal::Erred;
+  }
+
   void releaseSlot(const active_request &Active,
                    const running_attempt &Attempt, steady_time Now) {
     state &State = stateOf(Active);
@@ -766,7 +789,8 @@
   void complete(active_request &Active, const running_attempt &Attempt,
                 steady_time Now) {
     answer_head Head = Words.callerHead(*Attempt.Head, Attempt.fromPeer());
-    noteAnswer(Active, Head.Status < FirstServerError, Now);
+    if (Head.Status >= FirstServerError && sharing_scheduler<Policy>)
+      request_log::failurePassedOn(Active, Attempt, Now);
     std::string Error(findHeader(Head.Headers, "Endiverail-Error"));
     if (!Active.HeadPosted) {
       std::string Body = std::exchange(Active.Buffered, {});
@@ -836,7 +860,6 @@
     if (Active.HoldsKey)
       rememberOutcome(Active, errorHead(error_kind::BackendCut),
                       "the answer was cut\n", Now);
-    noteAnswer(Active, false, Now);
     Answers.breakOff(Active, Now);
     drop(Active);
   }
@@ -846,10 +869,11 @@
     // A retry that never started does not undo what an earlier attempt did.
     if (Active.MayHaveRun && errorAnswer(Kind).Outcome == outcome::NotRun)
       Kind = error_kind::BackendCut;
-    noteAnswer(Active, false, Now);
     answer_head Head = Words.errorHead(Kind, reservePause(Active, Kind, Now));
     if (isKeyOfAnother(Active))
       Head.Outcome = outcome::Unknown;
+    if (sharing_scheduler<Policy>)
+      request_log::refused(Active, Head, Kind, Detail, Now);
     std::string Body(errorAnswer(Kind).Name);
     Body.append(": ").append(Detail).push_back('\n');
     if (Active.HoldsKey) {
@@ -872,16 +896,6 @@
     return milliseconds(0);
   }
 
-  /// Counts an answer to a caller for the service's share of unserved requests.
-  void noteAnswer([[maybe_unused]] const active_request &Active,
-                  [[maybe_unused]] bool Well,
-                  [[maybe_unused]] steady_time Now) {
-    if constexpr (sharing_scheduler<Policy>) {
-      state &State = stateOf(Active);
-      State.Scheduler.noteAnswers(Well ? 1 : 0, Well ? 0 : 1, Now);
-      State.Work.noteAnswer(Well);
-    }
-  }
 
   /// Whether the request has a key that this thread does not hold: an earlier
   /// sending may have run, so nothing here can tell that it has not.
@@ -965,10 +979,20 @@
     noteSignal(State, Attempt.Target.Server, attempt_signal::Slow, Now);
     reportEvidence(Active, Now);
     ++Attempt.SlowReports;
-    Timers.add(Now + State.times(*Active.Request.Kind).patience(),
+    Timers.add(Now + patienceOf(Active),
                {Active.Request.Id, Attempt.Id, timer_kind::Slow});
   }
 
+  /// Time after which an attempt counts as slow. Where nobody else may find out
+  /// about a hanging server, its requests tell early.
+  milliseconds patienceOf(const active_request &Active) {
+    constexpr int SlowFactor = 3;
+    answer_times &Times = stateOf(Active).times(*Active.Request.Kind);
+    return sharing_scheduler<Policy>
+               ? std::min(Times.patience(), SlowFactor * Times.usual())
+               : Times.patience();
+  }
+
   void giveUpAttempt(active_request &Active, steady_time Now) {
     state &State = stateOf(Active);
     attempt_failure Failure{error_kind::BackendTimeout, false, false};
--- a/src/libs/process/work_report.h
+++ b/src/libs/process/work_report.h
@@ -9,7 +9,6 @@
 #include <map>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace endiverail {
@@ -22,6 +21,7 @@
   std::uint32_t Good = 0;
   std::uint32_t Failed = 0;
   std::uint32_t Slow = 0;
+  std::uint32_t Erred = 0;
 
   bool operator==(const server_work &) const = default;
 };
@@ -30,9 +30,6 @@
 struct work_report {
   std::string Service;
   std::vector<server_work> Servers;
-  /// Callers' requests that were answered well, and the others.
-  std::uint32_t Served = 0;
-  std::uint32_t Unserved = 0;
 
   bool operator==(const work_report &) const = default;
 };
@@ -58,13 +55,10 @@
     Work.Good += Signal == attempt_signal::Good ? 1 : 0;
     Work.Failed += Signal == attempt_signal::Failed ? 1 : 0;
     Work.Slow += Signal == attempt_signal::Slow ? 1 : 0;
+    Work.Erred += Signal == attempt_signal::Erred ? 1 : 0;
     Changed = true;
-    Urgent = Urgent || Signal == attempt_signal::Failed;
-  }
-
-  void noteAnswer(bool Well) {
-    ++(Well ? Served : Unserved);
-    Changed = true;
+    Urgent = Urgent || Signal == attempt_signal::Failed ||
+             Signal == attempt_signal::Slow;
   }
 
   /// Whether a report is due.
@@ -78,15 +72,14 @@
     return LastTaken + (Changed ? Period : Refresh);
   }
 
-  bool empty() const { return Works.empty() && !Changed; }
+  bool empty() const { return Works.empty(); }
 
   /// Takes the report. Servers in use stay in the next one.
   work_report take(std::string_view Service, steady_time Now) {
-    work_report Taken{std::string(Service), Works,
-                      std::exchange(Served, 0), std::exchange(Unserved, 0)};
+    work_report Taken{std::string(Service), Works};
     std::erase_if(Works, [](const server_work &W) { return W.InUse == 0; });
     std::ranges::for_each(
-        Works, [](server_work &W) { W.Good = W.Failed = W.Slow = 0; });
+        Works, [](server_work &W) { W.Good = W.Failed = W.Slow = W.Erred = 0; });
     LastTaken = Now;
     Changed = Urgent = false;
     return Taken;
@@ -97,12 +90,10 @@
     auto Found = std::ranges::find(Works, Server, &server_work::Server);
     if (Found != Works.end())
       return *Found;
-    return Works.emplace_back(server_work{std::string(Server), 0, 0, 0, 0});
+    return Works.emplace_back(server_work{std::string(Server), 0, 0, 0, 0, 0});
   }
 
   std::vector<server_work> Works;
-  std::uint32_t Served = 0;
-  std::uint32_t Unserved = 0;
   steady_time LastTaken;
   bool Changed = false;
   bool Urgent = false;
--- a/src/libs/request/caller_request.h
+++ b/src/libs/request/caller_request.h
@@ -43,6 +43,8 @@
 /// One caller's request, decoded and placed. It owns all that it needs.
 struct caller_request {
   request_id Id = 0;
+  /// The caller's name for the request, for logs; may be empty.
+  std::string Name{};
   caller_ticket Ticket;
   std::string Method;
   /// Path with query.
--- a/src/libs/version/fleet_version.h
+++ b/src/libs/version/fleet_version.h
@@ -24,9 +24,6 @@
   /// False until configuration and backend servers are known.
   bool Ready = false;
   bool Draining = false;
-  /// Until when the fleet counts as shaken: members were lost or have started
-  /// again a short while ago.
-  steady_time UnstableUntil{};
   std::string SelfId;
   std::uint64_t SelfIncarnation = 0;
   configuration Configuration;
--- a/tests/auto/connection/tst_request_framing.cpp
+++ b/tests/auto/connection/tst_request_framing.cpp
@@ -18,6 +18,81 @@
 
 } // namespace
 
+TEST_CASE("bodies in chunks are read where they are accepted") {
+  framing_limits Chunks = Limits;
+  Chunks.AcceptsChunks = true;
+  struct row {
+    const char *What;
+    std::string Bytes;
+    std::optional<std::string> Body;
+    std::size_t Left;
+  };
+  const row Rows[]{
+      {"one chunk", "3\r\nabc\r\n0\r\n\r\n", "abc", 0},
+      {"two chunks and a request behind", "3\r\nabc\r\nA\r\n0123456789\r\n"
+                                          "0\r\n\r\nGET",
+       "abc0123456789", 3},
+      {"an extension and a trailer", "1;x=y\r\na\r\n0\r\nT: 1\r\n\r\n", "a",
+       0},
+      {"nothing", "0\r\n\r\n", "", 0},
+      {"a chunk on its way", "3\r\nab", std::nullopt, 0},
+      {"a trailer on its way", "0\r\nT: 1\r\n", std::nullopt, 0},
+  };
+  for (const row &Row : Rows) {
+    INFO(Row.What);
+    auto Read = valueFrom([&] { return readChunkedBody(Row.Bytes, Chunks); });
+    REQUIRE(Read.has_value() == Row.Body.has_value());
+    if (!Read)
+      continue;
+    CHECK(Read->Body == *Row.Body);
+    CHECK(Read->FramedBytes == Row.Bytes.size() - Row.Left);
+  }
+  const refused_row Refused[]{
+      {"no size", "\r\nabc\r\n", error_kind::BadRequest},
+      {"a signed size", "-1\r\n", error_kind::BadRequest},
+      {"a size with a prefix", "0x3\r\nabc\r\n", error_kind::BadRequest},
+      {"a chunk that is longer", "1\r\nabc\r\n", error_kind::BadRequest},
+      {"an endless size", std::string(300, '1'), error_kind::BadRequest},
+      {"more than a body may hold", "65\r\n", error_kind::BodyTooLarge},
+      {"a size beyond 64 bits", "11111111111111111\r\n",
+       error_kind::BadRequest},
+      {"an endless trailer", "0\r\n" + std::string(2000, 'x'),
+       error_kind::BadRequest},
+  };
+  for (const refused_row &Row : Refused) {
+    INFO(Row.What);
+    CHECK(failureOf([&] { return readChunkedBody(Row.Bytes, Chunks); }) ==
+          Row.Kind);
+  }
+}
+
+TEST_CASE("only plain chunks are accepted, and never beside a length") {
+  framing_limits Chunks = Limits;
+  Chunks.AcceptsChunks = true;
+  const refused_row Rows[]{
+      {"a length with chunks",
+       "POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: "
+       "chunked\r\n\r\n",
+       error_kind::BadRequest},
+      {"two codings",
+       "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+       error_kind::BadRequest},
+      {"two fields",
+       "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n",
+       error_kind::BadRequest},
+      {"identity", "POST / HTTP/1.1\r\nTransfer-Encoding: identity\r\n\r\n",
+       error_kind::BadRequest},
+      {"HTTP/1.0", "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n",
+       error_kind::BadRequest},
+  };
+  for (const refused_row &Row : Rows) {
+    INFO(Row.What);
+    CHECK(failureOf([&] { return frameRequest(Row.Bytes, Chunks); }) ==
+          Row.Kind);
+  }
+}
+
 TEST_CASE("heads that two readers could read differently are refused") {
   using enum error_kind;
   const refused_row Rows[]{
--- /dev/null
+++ b/tests/auto/platform/tst_caller_dialect.cpp
@@ -0,0 +1,186 @@
+#include "failure_check.h"
+#include "platform/caller_dialect.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace endiverail;
+using namespace endiverail::test;
+using namespace std::chrono_literals;
+using platform::caller_dialect;
+
+namespace {
+
+using fields = std::vector<header_field>;
+
+const header_field Id{"Endiverail-Attempt-Identifier", "id-1"};
+const header_field Signed{"Endiverail-Response-Signature", "sig"};
+const header_field NotExecuted{"Endiverail-Request-Not-Executed", "1"};
+
+std::optional<std::string> valueIn(const fields &Fields,
+                                   std::string_view Name) {
+  auto Found = std::ranges::find(Fields, Name, &header_field::Name);
+  return Found == Fields.end() ? std::nullopt : std::optional(Found->Value);
+}
+
+} // namespace
+
+TEST_CASE("targets' answers are judged by their marks") {
+  using enum error_kind;
+  struct row {
+    const char *What;
+    int Status;
+    fields Fields;
+    bool MayRetry;
+    std::optional<error_kind> Refused;
+    bool ServerFailed;
+    bool Leaving;
+  };
+  const row Rows[]{
+      {"a signed success", 200, {Id, Signed}, true, {}, false, false},
+      {"a signed rejection", 404, {Id, Signed}, true, {}, false, false},
+      {"a success without signature", 200, {Id}, false, BackendMalformed, false,
+       false},
+      {"a success that names no request", 200, {Signed}, false, ForeignAnswer,
+       false, false},
+      {"the answer to another request",
+       200,
+       {{Id.Name, "id-2"}, Signed},
+       false,
+       ForeignAnswer,
+       false,
+       false},
+      {"an encoded body",
+       200,
+       {Id, Signed, {"Content-Encoding", "gzip"}},
+       false,
+       BackendMalformed,
+       false,
+       false},
+      {"a failure, with a retry left", 500, {Id, Signed}, true, BackendError,
+       true, false},
+      {"a failure, with none left", 500, {Id, Signed}, false, {}, true, false},
+      {"a failure without signature", 500, {Id}, false, BackendMalformed, false,
+       false},
+      {"a deadline that was met", 504, {Id, Signed}, true, {}, false, false},
+      {"a full server", 503, {NotExecuted}, true, BackendShed, false, false},
+      {"a server that limits", 429, {NotExecuted}, true, BackendShed, false,
+       false},
+      {"503 without the word that it was not run", 503, {Id, Signed}, false, {},
+       true, false},
+      {"another server at the address", 421, {}, true, BackendShed, false,
+       true},
+  };
+  for (const row &Row : Rows) {
+    INFO(Row.What);
+    auto Judged = caller_dialect::judge({Row.Status, Row.Fields, {}}, "id-1",
+                                        Row.MayRetry);
+    CHECK(Judged.Refused == Row.Refused);
+    CHECK(Judged.ServerFailed == Row.ServerFailed);
+    CHECK(Judged.Leaving == Row.Leaving);
+  }
+}
+
+TEST_CASE("a target sees the client's fields and the system's own") {
+  caller_request Request;
+  Request.Headers = {Id,
+                     {"Host", "h"},
+                     {"X-Own", "1"},
+                     {"Connection", "keep-alive, X-Hop"},
+                     {"X-Hop", "1"},
+                     {"Content-Length", "3"},
+                     {"Endiverail-Deadline-Milliseconds", "4000"},
+                     {"Endiverail-Expected-Instance", "forged"}};
+  attempt_sender Sender;
+  fields Sent =
+      caller_dialect::serverFields({Sender, Request, 1, "i-1", 1234ms});
+  CHECK(valueIn(Sent, Id.Name) == "id-1");
+  CHECK(valueIn(Sent, "Host") == "h");
+  CHECK(valueIn(Sent, "X-Own") == "1");
+  CHECK_FALSE(valueIn(Sent, "X-Hop"));
+  CHECK_FALSE(valueIn(Sent, "Content-Length"));
+  CHECK(valueIn(Sent, "Endiverail-Deadline-Milliseconds") == "1234");
+  CHECK(valueIn(Sent, "Endiverail-Expected-Instance") == "i-1");
+  CHECK(Sent.size() == 5);
+}
+
+TEST_CASE("what a client says of its request") {
+  struct row {
+    const char *What;
+    fields Fields;
+    std::optional<std::string> Host;
+    std::optional<milliseconds> TimeLeft;
+  };
+  const row Rows[]{
+      {"all of it",
+       {{"Host", "Jepu9.Example:80"},
+        {"endiverail-deadline-milliseconds", "250"}},
+       "jepu9.example",
+       250ms},
+      {"nothing", {}, "", {}},
+      {"no time left",
+       {{"Host", "h"}, {"Endiverail-Deadline-Milliseconds", "0"}},
+       "h",
+       0ms},
+      {"a negative time",
+       {{"Host", "h"}, {"Endiverail-Deadline-Milliseconds", "-1"}},
+       {},
+       {}},
+      {"a time that is no number",
+       {{"Host", "h"}, {"Endiverail-Deadline-Milliseconds", "soon"}},
+       {},
+       {}},
+      {"more time than there is",
+       {{"Host", "h"},
+        {"Endiverail-Deadline-Milliseconds", "18446744073709551615"}},
+       "h",
+       1h},
+  };
+  for (const row &Row : Rows) {
+    INFO(Row.What);
+    auto Read = [&] { return caller_dialect::wordsOf(Row.Fields); };
+    CHECK(failureOf(Read).has_value() == !Row.Host.has_value());
+    if (!Row.Host)
+      continue;
+    auto Words = valueFrom(Read);
+    CHECK(Words.Host == *Row.Host);
+    CHECK(Words.TimeLeft == Row.TimeLeft);
+  }
+}
+
+TEST_CASE("refusals that promise nothing was run carry a time to return") {
+  for (error_kind Kind :
+       {error_kind::QueueFull, error_kind::NotReady, error_kind::Draining,
+        error_kind::DeadlineBeforeRun, error_kind::BackendShed}) {
+    answer_head Head = caller_dialect::errorHead(Kind, 1250ms);
+    CHECK(Head.Status == 503);
+    CHECK(valueIn(Head.Headers, "Retry-After") == "1.250");
+  }
+  for (error_kind Kind : {error_kind::BackendCut, error_kind::BackendTimeout,
+                          error_kind::BackendMalformed}) {
+    answer_head Head = caller_dialect::errorHead(Kind, 1250ms);
+    CHECK((Head.Status == 502 || Head.Status == 504));
+    CHECK_FALSE(valueIn(Head.Headers, "Retry-After"));
+  }
+  answer_head Killer = caller_dialect::errorHead(error_kind::Quarantined, 1s);
+  CHECK(Killer.Status == 503);
+  CHECK_FALSE(valueIn(Killer.Headers, "Retry-After"));
+}
+
+TEST_CASE("questions for addresses and for readiness are told apart") {
+  auto Question = caller_dialect::addressQuestion(
+      "/-/resolve?name=Jepu9.example&region=r&zone=zg-a");
+  REQUIRE(Question);
+  CHECK(Question->Host == "jepu9.example");
+  CHECK(Question->Region == "r");
+  CHECK(Question->DataCentre == "zg-a");
+  CHECK(caller_dialect::addressQuestion("/-/resolve"));
+  CHECK_FALSE(caller_dialect::addressQuestion("/-/readiness"));
+  CHECK(caller_dialect::isReadinessCall("/-/readiness?x=1"));
+  CHECK_FALSE(caller_dialect::isReadinessCall("/-/ready"));
+  std::vector<std::string> Addresses{"10.0.0.1:80", "10.0.0.2:80"};
+  auto Answer = nlohmann::json::parse(
+      caller_dialect::addressAnswer(Addresses, 1500ms));
+  CHECK(Answer["addresses"].size() == 2);
+  CHECK(Answer["ttl-s"] == 1.5);
+}
--- /dev/null
+++ b/tests/auto/process/tst_pool_scheduler.cpp
@@ -0,0 +1,257 @@
+#include "process/pool_scheduler.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <set>
+
+using namespace endiverail;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct pool_fixture {
+  explicit pool_fixture(std::size_t Count = 4) { configure(Count); }
+
+  void configure(std::size_t Count) {
+    Servers.clear();
+    for (std::size_t Index = 0; Index < Count; ++Index) {
+      backend_server Server;
+      Server.Address = std::string(1, static_cast<char>('a' + Index));
+      Server.Pool = "s";
+      Server.DataCentre = Index % 2 == 0 ? "near" : "far";
+      Server.Instance = "i-" + Server.Address;
+      Server.Slots = 6;
+      Servers.push_back(Server);
+    }
+    Scheduler.configure(Definition, Servers, Now);
+    Scheduler.setDataCentre("near");
+    Scheduler.setRetryTerms({1, 10, 0, 1, 0});
+  }
+
+  static service_definition definition() {
+    service_definition Service;
+    Service.Name = Service.Pool = "s";
+    Service.QueueLimit = {1000, 1000, 1000};
+    return Service;
+  }
+
+  waiting_request request(bool Idempotent = false) {
+    waiting_request Request;
+    Request.Id = ++LastId;
+    Request.Idempotent = Idempotent;
+    Request.Arrived = Now;
+    Request.Target = 4s;
+    Request.Deadline = Now + 5s;
+    Request.UsualTime = 500ms;
+    return Request;
+  }
+
+  /// Where the request starts; empty when it has to wait.
+  std::string place(waiting_request Request) {
+    Scheduler.submit(std::move(Request), Now);
+    auto Assignment = Scheduler.next(Now);
+    return Assignment ? Assignment->Server : "";
+  }
+  std::string place(bool Idempotent = false) {
+    return place(request(Idempotent));
+  }
+
+  service_definition Definition = definition();
+  pool_scheduler Scheduler{definition(), 7};
+  std::vector<backend_server> Servers;
+  steady_time Now{1h};
+  request_id LastId = 0;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(pool_fixture, "work avoids a server from its first failure "
+                               "anywhere") {
+  Scheduler.observe("a", attempt_signal::Good, Now);
+  Scheduler.observe("b", attempt_signal::Failed, Now);
+  for (int Count = 0; Count < 30; ++Count)
+    CHECK(place() != "b");
+}
+
+TEST_CASE_METHOD(pool_fixture, "an error after the usual work is not held "
+                               "against a healthy server") {
+  for (std::string Server : {"a", "b", "c", "d"})
+    for (int Count = 0; Count < 3; ++Count)
+      Scheduler.observe(Server, attempt_signal::Good, Now);
+  Scheduler.observe("b", attempt_signal::Erred, Now);
+  std::set<std::string> Used;
+  for (int Count = 0; Count < 24; ++Count)
+    Used.insert(place());
+  CHECK(Used.contains("b"));
+}
+
+TEST_CASE_METHOD(pool_fixture,
+                 "a failing server draws no overflow while others are full") {
+  // The load: four servers with 24 slots, far more requests than these take,
+  // and one server that answers each request at once with an error.
+  for (int Count = 0; Count < 3; ++Count)
+    Scheduler.observe("b", attempt_signal::Failed, Now);
+  std::map<std::string, int> Placed;
+  for (int Count = 0; Count < 200; ++Count)
+    ++Placed[place()];
+  CHECK(Placed["b"] == 0);
+  CHECK(Placed[""] > 0);
+  CHECK(Placed["a"] >= 6);
+}
+
+TEST_CASE_METHOD(pool_fixture, "one request finds out whether a server that "
+                               "failed is well again") {
+  Scheduler.observe("b", attempt_signal::Failed, Now);
+  for (std::string Other : {"a", "c", "d"})
+    Scheduler.setUsedElsewhere(Other, 60, Now);
+  Now += 20s;
+  CHECK(place() == "b");
+  CHECK(place().empty());
+  Scheduler.observe("b", attempt_signal::Good, Now);
+  CHECK(Scheduler.next(Now));
+}
+
+TEST_CASE_METHOD(pool_fixture, "when most servers fail none is shut out") {
+  for (std::string Server : {"a", "b", "c"})
+    Scheduler.observe(Server, attempt_signal::Failed, Now);
+  std::set<std::string> Used;
+  for (int Count = 0; Count < 60; ++Count)
+    Used.insert(place());
+  CHECK(Used.size() >= 4);
+}
+
+TEST_CASE_METHOD(pool_fixture, "slots that others use count") {
+  Scheduler.setUsedElsewhere("a", 6, Now);
+  Scheduler.setUsedElsewhere("b", 6, Now);
+  Scheduler.setUsedElsewhere("c", 6, Now);
+  for (int Count = 0; Count < 5; ++Count)
+    CHECK(place() == "d");
+}
+
+TEST_CASE_METHOD(pool_fixture, "no server is given more than it answers "
+                               "within the target time") {
+  std::map<std::string, int> Placed;
+  for (int Count = 0; Count < 400; ++Count)
+    ++Placed[place()];
+  // 6 slots at 500 ms: what waits behind them starts 2.6 s later at most.
+  for (std::string Server : {"a", "b", "c", "d"}) {
+    CHECK(Placed[Server] >= 6);
+    CHECK(Placed[Server] <= 6 + 6 * 6);
+  }
+}
+
+TEST_CASE_METHOD(pool_fixture, "a request without room is refused after an "
+                               "eighth of its target time") {
+  for (std::string Server : {"a", "b", "c", "d"})
+    Scheduler.setUsedElsewhere(Server, 100, Now);
+  CHECK(place().empty());
+  CHECK(Scheduler.takeExpired(Now + 400ms).empty());
+  CHECK(Scheduler.takeExpired(Now + 501ms).size() == 1);
+}
+
+TEST_CASE_METHOD(pool_fixture, "refused callers are given different times to "
+                               "come back, at the pace of the work") {
+  for (int Count = 0; Count < 10; ++Count) {
+    place();
+    Now += 100ms;
+  }
+  std::vector<milliseconds> Pauses;
+  for (int Count = 0; Count < 8; ++Count)
+    Pauses.push_back(Scheduler.reservePause(Now));
+  CHECK(std::ranges::is_sorted(Pauses));
+  CHECK(Pauses.front() >= 200ms);
+  CHECK(Pauses.back() > Pauses.front() + 400ms);
+  for (int Count = 0; Count < 100; ++Count)
+    CHECK(Scheduler.reservePause(Now) <= 1'600ms);
+}
+
+TEST_CASE_METHOD(pool_fixture, "a server that refuses work with room left is "
+                               "not taken for full") {
+  place();
+  for (int Count = 0; Count < 5; ++Count)
+    for (std::string Server : {"a", "b", "c", "d"})
+      Scheduler.observe(Server, attempt_signal::Shed, Now);
+  for (int Count = 0; Count < 20; ++Count)
+    CHECK_FALSE(place().empty());
+}
+
+TEST_CASE_METHOD(pool_fixture, "a full server gets no more for a while") {
+  for (std::string Server : {"a", "b", "c", "d"}) {
+    Scheduler.setUsedElsewhere(Server, 10, Now);
+    Scheduler.observe(Server, attempt_signal::Shed, Now);
+  }
+  CHECK(place().empty());
+  Now += 301ms;
+  CHECK(Scheduler.next(Now));
+}
+
+TEST_CASE_METHOD(pool_fixture, "bulk work stays in its data centre while "
+                               "there is room") {
+  for (int Count = 0; Count < 8; ++Count) {
+    waiting_request Request = request(true);
+    Request.Bulk = true;
+    std::string Server = place(Request);
+    CHECK((Server == "a" || Server == "c"));
+  }
+}
+
+TEST_CASE_METHOD(pool_fixture, "a retry goes to another server") {
+  waiting_request Request = request(true);
+  Request.Avoid = {"a", "b", "c"};
+  CHECK(place(Request) == "d");
+}
+
+TEST_CASE("few servers are left without work, the least doubtful first") {
+  // The load: a pool of ten of which three are sick, at a rate that four
+  // servers could carry. The users count the servers that get nothing for two
+  // seconds while many requests fail.
+  pool_fixture Pool(10);
+  std::map<std::string, steady_time> LastUsed;
+  std::map<std::string, int> Failed;
+  const std::set<std::string> Sick{"h", "i", "j"};
+  steady_time End = Pool.Now + 10s;
+  for (; Pool.Now < End; Pool.Now += 25ms) {
+    std::string Server = Pool.place();
+    REQUIRE_FALSE(Server.empty());
+    LastUsed[Server] = Pool.Now;
+    Failed[Server] += Sick.contains(Server) ? 1 : 0;
+    Pool.Scheduler.observe(Server,
+                           Sick.contains(Server) ? attempt_signal::Failed
+                                                 : attempt_signal::Good,
+                           Pool.Now);
+    Pool.Scheduler.release(Server, rank::Urgent, Pool.Now);
+    auto Idle = std::ranges::count_if(LastUsed, [&](const auto &Entry) {
+      return Pool.Now > Entry.second + 2s;
+    });
+    CHECK(Idle <= 2);
+  }
+  CHECK(LastUsed.size() == 10);
+  // Of three sick servers one has to be tried about every two seconds.
+  CHECK(Failed["h"] + Failed["i"] + Failed["j"] <= 12);
+}
+
+TEST_CASE_METHOD(pool_fixture, "an instance that starts again is a new one") {
+  for (int Count = 0; Count < 3; ++Count)
+    Scheduler.observe("a", attempt_signal::Failed, Now);
+  Scheduler.markLeaving("b", Now);
+  Servers[0].Started = 5;
+  Servers[1].Instance = "i-other";
+  Scheduler.configure(Definition, Servers, Now);
+  std::set<std::string> Used;
+  for (int Count = 0; Count < 24; ++Count)
+    Used.insert(place());
+  CHECK(Used.contains("a"));
+  CHECK(Used.contains("b"));
+}
+
+TEST_CASE_METHOD(pool_fixture, "a leaving server gets nothing new") {
+  Servers[0].State = server_state::Leaving;
+  Scheduler.configure(Definition, Servers, Now);
+  Scheduler.markLeaving("c", Now);
+  for (int Count = 0; Count < 40; ++Count) {
+    std::string Server = place();
+    CHECK(Server != "a");
+    CHECK(Server != "c");
+  }
+}
--- /dev/null
+++ b/tests/auto/process/tst_server_directory.cpp
@@ -0,0 +1,127 @@
+#include "process/server_directory.h"
+
+#include <catch2/catch.hpp>
+
+using namespace endiverail;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct directory_fixture {
+  static server_entry entry(std::string Address, std::uint64_t Sequence,
+                            std::int64_t Started = 1,
+                            server_state State = server_state::Live) {
+    server_entry Entry;
+    Entry.Server.Address = std::move(Address);
+    Entry.Server.Pool = "s";
+    Entry.Server.State = State;
+    Entry.Server.Started = Started;
+    Entry.Server.Slots = 6;
+    Entry.Sequence = Sequence;
+    return Entry;
+  }
+
+  std::size_t count() const { return Directory.servers().size(); }
+
+  server_directory Directory;
+  steady_time Now{1h};
+};
+
+} // namespace
+
+TEST_CASE_METHOD(directory_fixture, "a server's own word is followed in order") {
+  Directory.apply("i", entry("a:1", 1), Now);
+  CHECK(Directory.takeChanged());
+  Directory.apply("i", entry("a:1", 2), Now);
+  CHECK_FALSE(Directory.takeChanged());
+  Directory.apply("i", entry("a:1", 4, 1, server_state::Leaving), Now);
+  CHECK(Directory.takeChanged());
+  // A statement that was on its way for long.
+  Directory.apply("i", entry("a:1", 3), Now);
+  CHECK(Directory.servers().front().State == server_state::Leaving);
+  // Another life counts anew.
+  Directory.apply("i", entry("a:1", 1, 2), Now);
+  CHECK(Directory.servers().front().State == server_state::Live);
+}
+
+TEST_CASE_METHOD(directory_fixture, "a removed server does not come back by "
+                                    "an old statement") {
+  Directory.apply("i", entry("a:1", 7), Now);
+  Directory.remove("i", Now);
+  CHECK(count() == 0);
+  Directory.apply("i", entry("a:1", 6), Now);
+  Directory.apply("i", entry("a:1", 7), Now);
+  CHECK(count() == 0);
+  Directory.apply("i", entry("a:1", 8), Now);
+  CHECK(count() == 1);
+}
+
+TEST_CASE_METHOD(directory_fixture, "entries that lapsed while the store was "
+                                    "away have time to come back") {
+  Directory.apply("lapsed", entry("a:1", 1), Now);
+  Directory.apply("back", entry("b:1", 1), Now);
+  Directory.apply("left", entry("c:1", 1, 1, server_state::Leaving), Now);
+  Directory.onStoreAway(Now);
+  Now += 60s;
+  Directory.onStoreBack(Now);
+  for (std::string_view Id : {"lapsed", "back", "left"})
+    Directory.remove(Id, Now);
+  // One that had said that it leaves has left.
+  CHECK(count() == 2);
+  Now += 1s;
+  Directory.apply("back", entry("b:1", 2), Now);
+  CHECK_FALSE(Directory.expire(Now));
+  Now += server_directory::ReturnGrace;
+  CHECK(Directory.expire(Now));
+  REQUIRE(count() == 1);
+  CHECK(Directory.servers().front().Address == "b:1");
+}
+
+TEST_CASE_METHOD(directory_fixture, "a listing removes what is not in it") {
+  Directory.apply("i", entry("a:1", 1), Now);
+  Directory.apply("j", entry("b:1", 1), Now);
+  Directory.beginListing();
+  Directory.apply("j", entry("b:1", 2), Now);
+  Directory.endListing(Now);
+  REQUIRE(count() == 1);
+  CHECK(Directory.servers().front().Address == "b:1");
+}
+
+TEST_CASE_METHOD(directory_fixture,
+                 "an address that two servers name belongs to the later one") {
+  Directory.apply("old", entry("a:1", 9, 1), Now);
+  Directory.apply("new", entry("a:1", 1, 2), Now);
+  REQUIRE(count() == 1);
+  CHECK(Directory.servers().front().Started == 2);
+}
+
+TEST_CASE_METHOD(directory_fixture, "what one daemon reads another learns") {
+  server_directory Other;
+  auto Tell = [&] {
+    for (const server_statement &Statement : Directory.takeStatements())
+      Other.learn(Statement, Now);
+  };
+  Directory.apply("i", entry("a:1", 1), Now);
+  Directory.apply("j", entry("b:1", 1), Now);
+  Tell();
+  CHECK(Other.digest() == Directory.digest());
+  CHECK(Other.servers() == Directory.servers());
+  Directory.apply("i", entry("a:1", 2, 1, server_state::Leaving), Now);
+  CHECK(Other.digest() != Directory.digest());
+  Tell();
+  CHECK(Other.digest() == Directory.digest());
+  Directory.remove("i", Now);
+  Tell();
+  CHECK(Other.servers() == Directory.servers());
+}
+
+TEST_CASE_METHOD(directory_fixture,
+                 "a reader's old news do not undo what was read here") {
+  server_statement Gone{"i", entry("a:1", 3), milliseconds(0), true};
+  Directory.apply("i", entry("a:1", 5), Now);
+  Directory.learn(Gone, Now);
+  CHECK(count() == 1);
+  Gone.Entry.Sequence = 5;
+  Directory.learn(Gone, Now);
+  CHECK(count() == 0);
+}
--- /dev/null
+++ b/tests/auto/process/tst_store_control_state.cpp
@@ -0,0 +1,311 @@
+#include "process/store_control_state.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+
+using namespace endiverail;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A small fleet whose datagrams all arrive, and a store that answers or not.
+class fleet_fixture {
+public:
+  explicit fleet_fixture(std::size_t Count) {
+    for (std::size_t Index = 0; Index < Count; ++Index) {
+      store_control_settings Settings;
+      Settings.Self = {"d" + std::to_string(Index),
+                       Index % 2 == 0 ? "even" : "odd",
+                       address(Index), 1, true, address(Index) + "0"};
+      Settings.Seeds = {address(0)};
+      Settings.Seed = Index + 1;
+      Daemons.push_back({store_control_state(Settings), {}, true});
+    }
+  }
+
+  static std::string address(std::size_t Index) {
+    return "10.0.0." + std::to_string(Index + 1) + ":1";
+  }
+
+  void pass(milliseconds Time) {
+    for (milliseconds Step(0); Step < Time; Step += 10ms) {
+      Now += 10ms;
+      for (std::size_t Index = 0; Index < Daemons.size(); ++Index) {
+        store_control_actions Actions;
+        Daemons[Index].State.tick(Now, Actions);
+        perform(Index, Actions);
+      }
+    }
+  }
+
+  void configure(std::uint64_t Version) {
+    ConfigurationVersion = Version;
+    ++ConfigurationEnd;
+  }
+
+  void say(std::string Id, std::uint64_t Sequence,
+           server_state State = server_state::Live) {
+    server_entry Entry;
+    Entry.Server.Address = Id + ":1";
+    Entry.Server.Pool = "s";
+    Entry.Server.State = State;
+    Entry.Server.Slots = 6;
+    Entry.Sequence = Sequence;
+    ServerLog.emplace_back(std::move(Id), Entry);
+  }
+
+  std::size_t leavingAt(std::size_t Index) const {
+    const auto &Version = Daemons[Index].Version;
+    return Version ? static_cast<std::size_t>(std::ranges::count(
+                         Version->View.Servers, server_state::Leaving,
+                         &backend_server::State))
+                   : 0;
+  }
+
+  std::uint64_t versionAt(std::size_t Index) const {
+    return Daemons[Index].State.version();
+  }
+
+protected:
+  struct daemon {
+    store_control_state State;
+    fleet_version_ref Version;
+    /// Whether the store answers this daemon.
+    bool Reaches = true;
+    std::size_t Calls = 0;
+    std::optional<read_records> Waiting;
+  };
+
+  void perform(std::size_t Index, store_control_actions &Actions) {
+    for (store_control_action &Action : Actions) {
+      if (auto *Start = std::get_if<start_store_call>(&Action))
+        answer(Index, Start->Call);
+      if (std::holds_alternative<abandon_store_calls>(Action))
+        Daemons[Index].Waiting.reset();
+      if (auto *Send = std::get_if<send_datagram>(&Action))
+        deliver(Index, Send->To, Send->Message);
+      if (auto *Send = std::get_if<send_to_members>(&Action))
+        for (const endpoint_text &To : Send->To)
+          deliver(Index, To, Send->Message);
+      if (auto *Publish = std::get_if<publish_version>(&Action))
+        Daemons[Index].Version = Publish->Version;
+    }
+    wakeReads();
+  }
+
+  void deliver(std::size_t, const endpoint_text &To,
+               const peer_message &Message) {
+    for (std::size_t Index = 0; Index < Daemons.size(); ++Index)
+      if (address(Index) == To) {
+        store_control_actions Actions;
+        Daemons[Index].State.onDatagram(Message, Now, Actions);
+        perform(Index, Actions);
+      }
+  }
+
+  void answer(std::size_t Index, const store_call &Call) {
+    daemon &Daemon = Daemons[Index];
+    ++Daemon.Calls;
+    store_control_actions Actions;
+    if (const auto *Put = std::get_if<put_record>(&Call)) {
+      if (Daemon.Reaches)
+        MemberLog.emplace_back(Put->Key, *Put->Value);
+      Daemon.State.onPut(Daemon.Reaches, Now);
+    }
+    if (const auto *List = std::get_if<list_newest>(&Call))
+      list(Index, List->Topic, Actions);
+    if (const auto *Read = std::get_if<read_records>(&Call))
+      read(Index, *Read, Actions);
+    perform(Index, Actions);
+  }
+
+  void list(std::size_t Index, store_topic Topic,
+            store_control_actions &Actions) {
+    store_control_state &State = Daemons[Index].State;
+    if (!Daemons[Index].Reaches)
+      return State.onCallFailed(Topic, Now, Actions);
+    keyed_page Page;
+    if (Topic == store_topic::Configuration) {
+      tellConfiguration(State);
+      Page.End = ConfigurationEnd;
+    }
+    if (Topic == store_topic::BackendServers) {
+      for (const auto &[Id, Entry] : ServerLog)
+        State.onServer(Id, Entry, Now);
+      Page.End = ServerLog.size();
+    }
+    if (Topic == store_topic::Members)
+      for (const auto &[Id, Peer] : MemberLog)
+        State.onMember(Id, Peer);
+    State.onPage(Topic, Page, Now, Actions);
+  }
+
+  void read(std::size_t Index, const read_records &Read,
+            store_control_actions &Actions) {
+    daemon &Daemon = Daemons[Index];
+    if (!Daemon.Reaches)
+      return Daemon.State.onCallFailed(Read.Topic, Now, Actions);
+    std::uint64_t End = Read.Topic == store_topic::Configuration
+                            ? ConfigurationEnd
+                            : ServerLog.size();
+    if (Read.From >= End && Read.Wait.count() > 0) {
+      Daemon.Waiting = Read;
+      return;
+    }
+    keyed_page Page;
+    Page.End = End;
+    Page.Records.resize(End - std::min(End, Read.From));
+    if (Read.Topic == store_topic::Configuration)
+      tellConfiguration(Daemon.State);
+    else
+      for (std::uint64_t At = Read.From; At < End; ++At)
+        Daemon.State.onServer(ServerLog[At].first, ServerLog[At].second, Now);
+    Daemon.State.onPage(Read.Topic, Page, Now, Actions);
+  }
+
+  void tellConfiguration(store_control_state &State) const {
+    published_configuration Configuration;
+    Configuration.Version = ConfigurationVersion;
+    Configuration.Routes = std::make_shared<route_table>();
+    if (ConfigurationVersion > 0)
+      State.onConfiguration(std::move(Configuration));
+  }
+
+  void wakeReads() {
+    for (std::size_t Index = 0; Index < Daemons.size(); ++Index) {
+      daemon &Daemon = Daemons[Index];
+      if (!Daemon.Waiting || !Daemon.Reaches || Silent ||
+          Daemon.Waiting->From >= ConfigurationEnd)
+        continue;
+      read_records Read = *Daemon.Waiting;
+      Daemon.Waiting.reset();
+      store_control_actions Actions;
+      read(Index, Read, Actions);
+      perform(Index, Actions);
+    }
+  }
+
+  steady_time Now{1h};
+  std::vector<daemon> Daemons;
+  std::uint64_t ConfigurationVersion = 0;
+  std::uint64_t ConfigurationEnd = 0;
+  /// Reads that wait hang for good.
+  bool Silent = false;
+  std::vector<std::pair<std::string, server_entry>> ServerLog;
+  std::vector<std::pair<std::string, endpoint_text>> MemberLog;
+};
+
+struct ten_daemons : fleet_fixture {
+  ten_daemons() : fleet_fixture(10) {
+    configure(1);
+    say("a", 1);
+    say("b", 1);
+    pass(5s);
+  }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(ten_daemons, "daemons find each other and are ready") {
+  for (const daemon &Daemon : Daemons) {
+    REQUIRE(Daemon.Version);
+    CHECK(Daemon.Version->Ready);
+    CHECK(Daemon.Version->View.Proxies.size() == 10);
+    CHECK(Daemon.Version->View.Servers.size() == 2);
+  }
+}
+
+TEST_CASE_METHOD(ten_daemons, "few daemons read the servers for all") {
+  std::size_t Before = 0;
+  for (const daemon &Daemon : Daemons)
+    Before += Daemon.Calls;
+  pass(10s);
+  std::size_t After = 0;
+  for (const daemon &Daemon : Daemons)
+    After += Daemon.Calls;
+  // Three readers twice a second, and one waiting read of the configuration
+  // each.
+  CHECK(After - Before <= 3 * 22 + 2 * 10);
+}
+
+TEST_CASE_METHOD(ten_daemons, "all know of a leaving server within a second") {
+  say("a", 2, server_state::Leaving);
+  pass(1s);
+  for (std::size_t Index = 0; Index < Daemons.size(); ++Index)
+    CHECK(leavingAt(Index) == 1);
+}
+
+TEST_CASE_METHOD(ten_daemons, "when no reader reaches the store the others "
+                              "read for themselves") {
+  auto Readers = storeReaders(Daemons[0].Version->View.Proxies);
+  for (daemon &Daemon : Daemons)
+    Daemon.Reaches = std::ranges::find(Readers, Daemon.Version->SelfId) ==
+                     Readers.end();
+  say("a", 2, server_state::Leaving);
+  pass(4s);
+  for (std::size_t Index = 0; Index < Daemons.size(); ++Index)
+    if (Daemons[Index].Reaches)
+      CHECK(leavingAt(Index) == 1);
+}
+
+TEST_CASE_METHOD(ten_daemons, "a new configuration is in force everywhere "
+                              "within two seconds, also where reads hang") {
+  // All reads that wait are on connections that went silent.
+  Silent = true;
+  configure(2);
+  // One daemon starts another read, as its store call timed out.
+  store_control_actions Actions;
+  Daemons[3].Waiting.reset();
+  Daemons[3].State.onCallFailed(store_topic::Configuration, Now, Actions);
+  perform(3, Actions);
+  pass(2s);
+  for (std::size_t Index = 0; Index < Daemons.size(); ++Index)
+    CHECK(versionAt(Index) == 2);
+}
+
+TEST_CASE_METHOD(ten_daemons, "a daemon that the store turns away does not "
+                              "besiege it for a version that peers know") {
+  Daemons[4].Reaches = false;
+  Daemons[4].Waiting.reset();
+  store_control_actions Actions;
+  Daemons[4].State.onCallFailed(store_topic::Configuration, Now, Actions);
+  configure(2);
+  std::size_t Before = Daemons[4].Calls;
+  pass(9s);
+  CHECK(versionAt(4) == 1);
+  CHECK(Daemons[4].Calls - Before <= 40);
+  Daemons[4].Reaches = true;
+  pass(1s);
+  CHECK(versionAt(4) == 2);
+}
+
+TEST_CASE_METHOD(ten_daemons, "an older configuration is never taken") {
+  configure(5);
+  pass(1s);
+  configure(4);
+  pass(1s);
+  for (std::size_t Index = 0; Index < Daemons.size(); ++Index)
+    CHECK(versionAt(Index) == 5);
+}
+
+TEST_CASE_METHOD(ten_daemons, "a draining daemon is not offered any more") {
+  store_control_actions Actions;
+  Daemons[2].State.drain(Actions);
+  perform(2, Actions);
+  pass(300ms);
+  for (std::size_t Index = 0; Index < Daemons.size(); ++Index) {
+    const proxy_member *Seen =
+        Daemons[Index].Version->View.findProxy("d2");
+    REQUIRE(Seen);
+    CHECK_FALSE(Seen->Offered);
+  }
+}
+
+TEST_CASE_METHOD(ten_daemons, "a lost member is left out") {
+  Daemons.pop_back();
+  pass(5s);
+  CHECK(Daemons[0].Version->View.Proxies.size() == 9);
+}
--- /dev/null
+++ b/tests/auto/process/tst_topic_follower.cpp
@@ -0,0 +1,89 @@
+#include "process/topic_follower.h"
+
+#include <catch2/catch.hpp>
+
+using namespace endiverail;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct follower_fixture {
+  template <typename Call> Call due() {
+    auto Next = Follower.next(Now);
+    REQUIRE(Next);
+    REQUIRE(std::holds_alternative<Call>(*Next));
+    return std::get<Call>(*Next);
+  }
+
+  static keyed_page page(std::vector<std::string> Keys, std::uint64_t End,
+                         bool More = false) {
+    keyed_page Page;
+    for (std::string &Key : Keys)
+      Page.Records.push_back({std::move(Key), "value"});
+    Page.End = End;
+    Page.More = More;
+    return Page;
+  }
+
+  topic_follower Follower{store_topic::BackendServers, {500ms, 0ms}, 1};
+  steady_time Now{1h};
+};
+
+} // namespace
+
+TEST_CASE_METHOD(follower_fixture, "a listing is followed by reads from where "
+                                   "it began") {
+  CHECK(due<list_newest>().After.empty());
+  CHECK_FALSE(Follower.next(Now));
+  Follower.onPage(page({"a", "b"}, 40, true), Now);
+  CHECK(due<list_newest>().After == "b");
+  // Records that come between the pages are read afterwards.
+  Follower.onPage(page({"c"}, 43), Now);
+  CHECK(Follower.endedListing());
+  CHECK_FALSE(Follower.next(Now));
+  Now += 500ms;
+  CHECK(due<read_records>().From == 40);
+  Follower.onPage(page({"x", "y", "z"}, 43), Now);
+  CHECK_FALSE(Follower.endedListing());
+  Now += 500ms;
+  CHECK(due<read_records>().From == 43);
+}
+
+TEST_CASE_METHOD(follower_fixture, "deleted records lead to another listing") {
+  due<list_newest>();
+  Follower.onPage(page({}, 5), Now);
+  Now += 500ms;
+  due<read_records>();
+  Follower.onForgotten(Now);
+  CHECK(due<list_newest>().After.empty());
+}
+
+TEST_CASE_METHOD(follower_fixture, "failed calls are repeated ever more "
+                                   "rarely, and the first answer ends that") {
+  std::vector<milliseconds> Pauses;
+  for (int Count = 0; Count < 8; ++Count) {
+    due<list_newest>();
+    Follower.onFailure(Now);
+    milliseconds Pause =
+        std::chrono::duration_cast<milliseconds>(*Follower.nextWake() - Now);
+    Pauses.push_back(Pause);
+    Now = *Follower.nextWake();
+  }
+  CHECK(Pauses.front() <= topic_follower::FirstBackOff);
+  CHECK(Pauses.back() >= topic_follower::LongestBackOff / 2);
+  CHECK(Pauses.back() <= topic_follower::LongestBackOff);
+  due<list_newest>();
+  Follower.onPage(page({}, 5), Now);
+  CHECK_FALSE(Follower.failing());
+  CHECK(*Follower.nextWake() == Now + 500ms);
+}
+
+TEST_CASE_METHOD(follower_fixture, "a hurried follower reads at once and says "
+                                   "whether a call is in the way") {
+  due<list_newest>();
+  Follower.onPage(page({}, 5), Now);
+  CHECK_FALSE(Follower.hurry(Now));
+  due<read_records>();
+  CHECK(Follower.hurry(Now));
+  due<read_records>();
+}
