Take accepted requests for evidence of health

Cause (structured lines): proofs of health came with the answers, half a second late, so all unknown servers were tried at the start, and spells were taken for shorter than the nine seconds that they last. Change: a request that has not failed within 50 ms counts as accepted; the belief's times follow the measured spells; idle for 1.8 s, not 1.5.

--- a/src/libs/peer/gen/peer_types.cpp
+++ b/src/libs/peer/gen/peer_types.cpp
@@ -1078,6 +1078,10 @@
 void ServerWork::__set_erred(const int32_t val) {
   this->erred = val;
 }
+
+void ServerWork::__set_accepted(const int32_t val) {
+  this->accepted = val;
+}
 std::ostream& operator<<(std::ostream& out, const ServerWork& obj)
 {
   obj.printTo(out);
@@ -1154,6 +1158,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->accepted);
+          this->__isset.accepted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1195,6 +1207,10 @@
   xfer += oprot->writeI32(this->erred);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("accepted", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->accepted);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1208,6 +1224,7 @@
   swap(a.failed, b.failed);
   swap(a.slow, b.slow);
   swap(a.erred, b.erred);
+  swap(a.accepted, b.accepted);
   swap(a.__isset, b.__isset);
 }
 
@@ -1218,6 +1235,7 @@
   failed = other28.failed;
   slow = other28.slow;
   erred = other28.erred;
+  accepted = other28.accepted;
   __isset = other28.__isset;
 }
 ServerWork::ServerWork(ServerWork&& other29) noexcept {
@@ -1227,6 +1245,7 @@
   failed = other29.failed;
   slow = other29.slow;
   erred = other29.erred;
+  accepted = other29.accepted;
   __isset = other29.__isset;
 }
 ServerWork& ServerWork::operator=(const ServerWork& other30) {
@@ -1236,6 +1255,7 @@
   failed = other30.failed;
   slow = other30.slow;
   erred = other30.erred;
+  accepted = other30.accepted;
   __isset = other30.__isset;
   return *this;
 }
@@ -1246,6 +1266,7 @@
   failed = other31.failed;
   slow = other31.slow;
   erred = other31.erred;
+  accepted = other31.accepted;
   __isset = other31.__isset;
   return *this;
 }
@@ -1258,6 +1279,7 @@
   out << ", " << "failed=" << to_string(failed);
   out << ", " << "slow=" << to_string(slow);
   out << ", " << "erred=" << to_string(erred);
+  out << ", " << "accepted=" << to_string(accepted);
   out << ")";
 }
 
--- a/src/libs/peer/gen/peer_types.h
+++ b/src/libs/peer/gen/peer_types.h
@@ -480,13 +480,14 @@
 std::ostream& operator<<(std::ostream& out, const PathFault& obj);
 
 typedef struct _ServerWork__isset {
-  _ServerWork__isset() : server(false), inUse(false), good(false), failed(false), slow(false), erred(false) {}
+  _ServerWork__isset() : server(false), inUse(false), good(false), failed(false), slow(false), erred(false), accepted(false) {}
   bool server :1;
   bool inUse :1;
   bool good :1;
   bool failed :1;
   bool slow :1;
   bool erred :1;
+  bool accepted :1;
 } _ServerWork__isset;
 
 class ServerWork : public virtual ::apache::thrift::TBase {
@@ -502,7 +503,8 @@
                good(0),
                failed(0),
                slow(0),
-               erred(0) {
+               erred(0),
+               accepted(0) {
   }
 
   virtual ~ServerWork() noexcept;
@@ -512,6 +514,7 @@
   int32_t failed;
   int32_t slow;
   int32_t erred;
+  int32_t accepted;
 
   _ServerWork__isset __isset;
 
@@ -527,6 +530,8 @@
 
   void __set_erred(const int32_t val);
 
+  void __set_accepted(const int32_t val);
+
   bool operator == (const ServerWork & rhs) const
   {
     if (!(server == rhs.server))
@@ -541,6 +546,8 @@
       return false;
     if (!(erred == rhs.erred))
       return false;
+    if (!(accepted == rhs.accepted))
+      return false;
     return true;
   }
   bool operator != (const ServerWork &rhs) const {
--- a/src/libs/peer/peer.thrift
+++ b/src/libs/peer/peer.thrift
@@ -52,6 +52,7 @@
   4: i32 failed
   5: i32 slow
   6: i32 erred
+  7: i32 accepted
 }
 
 struct WorkReport {
--- a/src/libs/peer/wire_conversion.cpp
+++ b/src/libs/peer/wire_conversion.cpp
@@ -193,6 +193,7 @@
   Result.server = Work.Server;
   Result.inUse = static_cast<std::int32_t>(Work.InUse);
   Result.good = static_cast<std::int32_t>(Work.Good);
+  Result.accepted = static_cast<std::int32_t>(Work.Accepted);
   Result.failed = static_cast<std::int32_t>(Work.Failed);
   Result.slow = static_cast<std::int32_t>(Work.Slow);
   Result.erred = static_cast<std::int32_t>(Work.Erred);
@@ -201,8 +202,8 @@
 
 server_work fromWire(const wire::ServerWork &Work) {
   return {Work.server, countFromWire(Work.inUse), countFromWire(Work.good),
-          countFromWire(Work.failed), countFromWire(Work.slow),
-          countFromWire(Work.erred)};
+          countFromWire(Work.accepted), countFromWire(Work.failed),
+          countFromWire(Work.slow), countFromWire(Work.erred)};
 }
 
 wire::WorkReport toWire(const work_report &Report) {
--- a/src/libs/process/active_request.h
+++ b/src/libs/process/active_request.h
@@ -42,6 +42,8 @@
   std::optional<backend_head> Head;
   /// How often it was reported as slow.
   std::size_t SlowReports = 0;
+  /// Whether it was noted that the server has accepted it.
+  bool Accepted = false;
   /// What the peer found of the backend server, when that was an error.
   std::optional<error_kind> PeerFound;
 
--- a/src/libs/process/pool_scheduler.cpp
+++ b/src/libs/process/pool_scheduler.cpp
@@ -37,7 +37,7 @@
 constexpr int HoldDivisor = 8;
 /// A server without work for that long is idle: the users count servers that
 /// get nothing for two seconds.
-constexpr milliseconds IdleAfter{1'500};
+constexpr milliseconds IdleAfter{1'800};
 /// Share of the servers that may be idle. The users want seven tenths of the
 /// sound ones in use while many requests fail, which nobody can foresee.
 constexpr double MostIdle = 0.2;
@@ -262,6 +262,8 @@
   Server->LastUsed = Now;
   switch (Signal) {
   case attempt_signal::Good:
+    return Server->Belief.observeAnswer(Now);
+  case attempt_signal::Accepted:
     Server->Failing = false;
     Server->Shedding.observe(false, Now);
     return Server->Belief.observe(false, Now);
--- a/src/libs/process/request_timers.h
+++ b/src/libs/process/request_timers.h
@@ -11,6 +11,8 @@
 enum class timer_kind {
   /// The caller waits no longer.
   Deadline,
+  /// An attempt that has not failed at once is accepted.
+  Accepted,
   /// An attempt takes longer than the pool nearly always does.
   Slow,
   /// An attempt without an answer leaves just time for another one.
--- a/src/libs/process/server_belief.cpp
+++ b/src/libs/process/server_belief.cpp
@@ -12,6 +12,8 @@
 /// Ratio of "slow when sick" to "slow when well": a hundredth of the users'
 /// requests takes several times as long as usual.
 constexpr double SlowRatio = 15;
+/// Ratio for a good answer to a request that was known to be accepted.
+constexpr double AnswerRatio = 0.6;
 /// Ratio for an error after the usual work.
 constexpr double ErrorRatio = 4;
 
@@ -51,6 +53,10 @@
 
 void server_belief::observeSlow(steady_time Now) { update(SlowRatio, Now); }
 
+void server_belief::observeAnswer(steady_time Now) {
+  update(AnswerRatio, Now);
+}
+
 void server_belief::observeError(steady_time Now) { update(ErrorRatio, Now); }
 
 } // namespace endiverail
--- a/src/libs/process/server_belief.h
+++ b/src/libs/process/server_belief.h
@@ -13,8 +13,8 @@
   double WhenWell = 0.002;
   double WhenSick = 0.75;
   /// Mean length of a healthy time and of a spell.
-  milliseconds MeanWell{12'000};
-  milliseconds MeanSick{4'500};
+  milliseconds MeanWell{21'000};
+  milliseconds MeanSick{9'000};
 };
 
 /// Servers that refuse part of their work though they have room.
@@ -39,8 +39,10 @@
     return Belief;
   }
 
-  /// An answer was good, or the request failed.
+  /// A request was accepted, or failed at once.
   void observe(bool Failed, steady_time Now);
+  /// An answer was good: the server accepted it a while ago.
+  void observeAnswer(steady_time Now);
   /// A request has had no answer for longer than usual: less telling.
   void observeSlow(steady_time Now);
   /// An error came after the usual work: tells little.
--- a/src/libs/process/server_evidence.h
+++ b/src/libs/process/server_evidence.h
@@ -11,6 +11,8 @@
 enum class attempt_signal {
   /// A whole answer in the usual time.
   Good,
+  /// The server works on the request: it has not failed it at once.
+  Accepted,
   /// No answer in the time in which the pool nearly always answers.
   Slow,
   /// An error, a cut answer, a time-out or no connection.
--- a/src/libs/process/service_scheduler.cpp
+++ b/src/libs/process/service_scheduler.cpp
@@ -281,6 +281,8 @@
   server_slot *Server = find(Address);
   if (!Server)
     return;
+  if (Signal == attempt_signal::Accepted)
+    return;
   if (Signal == attempt_signal::Shed) {
     Server->Limit = std::max(LeastLimit, Server->Limit * LimitCut);
     return;
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -184,6 +184,9 @@
   /// back until the answer is whole.
   static constexpr std::size_t MostUnwritten = std::size_t{448} * 1024;
   static constexpr milliseconds ReportPeriod{1'000};
+  /// A sick server fails a request within a few milliseconds of its arrival;
+  /// what is not answered by then is worked on.
+  static constexpr milliseconds AcceptedAfter{50};
 
   /// How often, and how often at most, the holder of a key is looked for
   /// anew: it may be handing its keys over.
@@ -284,6 +287,7 @@
           for (; Count > 0; --Count)
             State->Scheduler.observe(Work.Server, Signal, Now);
         };
+        Observe(Work.Accepted, attempt_signal::Accepted);
         Observe(Work.Good, attempt_signal::Good);
         Observe(Work.Slow, attempt_signal::Slow);
         Observe(Work.Erred, attempt_signal::Erred);
@@ -585,7 +589,7 @@
     const caller_request &Request = Active.Request;
     attempt_id Id = NextAttempt++;
     Active.Attempt =
-        running_attempt{Id, Target, Now, std::nullopt, 0, std::nullopt};
+        running_attempt{Id, Target, Now, std::nullopt, 0, false, std::nullopt};
     ++Active.Attempts;
     ByAttempt[Id] = Request.Id;
     auto Left =
@@ -606,6 +610,9 @@
     if (Target.Route == attempt_route::Slot) {
       Timers.add(Now + patienceOf(Active), {Request.Id, Id, timer_kind::Slow});
       noteUse(stateOf(Active), Target.Server);
+      if constexpr (sharing_scheduler<Policy>)
+        Timers.add(Now + AcceptedAfter,
+                   {Request.Id, Id, timer_kind::Accepted});
       // An attempt that may be repeated leaves time for another one.
       if (Active.repeatable() && Active.Attempts < Request.Kind->MostAttempts)
         Timers.add(Now + Left / 2, {Request.Id, Id, timer_kind::NoHead});
@@ -672,11 +679,19 @@
     State.times(*Active.Request.Kind)
         .add(std::chrono::duration_cast<microseconds>(Now - Attempt.Started),
              Now);
+    noteAccepted(Active, Now);
     if (Attempt.SlowReports == 0)
       noteSignal(State, Attempt.Target.Server, attempt_signal::Good, Now);
     return std::nullopt;
   }
 
+  /// Notes once an attempt that its backend server works on, or has answered.
+  void noteAccepted(active_request &Active, steady_time Now) {
+    if (!std::exchange(Active.Attempt->Accepted, true))
+      noteSignal(stateOf(Active), Active.Attempt->Target.Server,
+                 attempt_signal::Accepted, Now);
+  }
+
   attempt_history history(const active_request &Active, steady_time Now) {
     const caller_request &Request = Active.Request;
     state &State = stateOf(Active);
@@ -965,7 +980,9 @@
     }
     if (!Running || Active.Attempt->Id != Due.Attempt || Active.Attempt->Head)
       return;
-    if (Due.Kind == timer_kind::Slow)
+    if (Due.Kind == timer_kind::Accepted)
+      noteAccepted(Active, Now);
+    else if (Due.Kind == timer_kind::Slow)
       reportSlow(Active, Now);
     else
       giveUpAttempt(Active, Now);
--- a/src/libs/process/work_report.h
+++ b/src/libs/process/work_report.h
@@ -19,6 +19,7 @@
   /// Slots that the proxy uses now.
   std::uint32_t InUse = 0;
   std::uint32_t Good = 0;
+  std::uint32_t Accepted = 0;
   std::uint32_t Failed = 0;
   std::uint32_t Slow = 0;
   std::uint32_t Erred = 0;
@@ -53,6 +54,7 @@
   void noteSignal(std::string_view Server, attempt_signal Signal) {
     server_work &Work = find(Server);
     Work.Good += Signal == attempt_signal::Good ? 1 : 0;
+    Work.Accepted += Signal == attempt_signal::Accepted ? 1 : 0;
     Work.Failed += Signal == attempt_signal::Failed ? 1 : 0;
     Work.Slow += Signal == attempt_signal::Slow ? 1 : 0;
     Work.Erred += Signal == attempt_signal::Erred ? 1 : 0;
@@ -79,7 +81,7 @@
     work_report Taken{std::string(Service), Works};
     std::erase_if(Works, [](const server_work &W) { return W.InUse == 0; });
     std::ranges::for_each(
-        Works, [](server_work &W) { W.Good = W.Failed = W.Slow = W.Erred = 0; });
+        Works, [](server_work &W) { W.Good = W.Accepted = W.Failed = W.Slow = W.Erred = 0; });
     LastTaken = Now;
     Changed = Urgent = false;
     return Taken;
@@ -90,7 +92,7 @@
     auto Found = std::ranges::find(Works, Server, &server_work::Server);
     if (Found != Works.end())
       return *Found;
-    return Works.emplace_back(server_work{std::string(Server), 0, 0, 0, 0, 0});
+    return Works.emplace_back(server_work{std::string(Server), 0, 0, 0, 0, 0, 0});
   }
 
   std::vector<server_work> Works;
--- a/tests/auto/process/tst_pool_scheduler.cpp
+++ b/tests/auto/process/tst_pool_scheduler.cpp
@@ -68,7 +68,7 @@
 
 TEST_CASE_METHOD(pool_fixture, "work avoids a server from its first failure "
                                "anywhere") {
-  Scheduler.observe("a", attempt_signal::Good, Now);
+  Scheduler.observe("a", attempt_signal::Accepted, Now);
   Scheduler.observe("b", attempt_signal::Failed, Now);
   for (int Count = 0; Count < 30; ++Count)
     CHECK(place() != "b");
@@ -78,7 +78,7 @@
                                "against a healthy server") {
   for (std::string Server : {"a", "b", "c", "d"})
     for (int Count = 0; Count < 3; ++Count)
-      Scheduler.observe(Server, attempt_signal::Good, Now);
+      Scheduler.observe(Server, attempt_signal::Accepted, Now);
   Scheduler.observe("b", attempt_signal::Erred, Now);
   std::set<std::string> Used;
   for (int Count = 0; Count < 24; ++Count)
@@ -108,7 +108,7 @@
   Now += 20s;
   CHECK(place() == "b");
   CHECK(place().empty());
-  Scheduler.observe("b", attempt_signal::Good, Now);
+  Scheduler.observe("b", attempt_signal::Accepted, Now);
   CHECK(Scheduler.next(Now));
 }
 
@@ -218,7 +218,7 @@
     Failed[Server] += Sick.contains(Server) ? 1 : 0;
     Pool.Scheduler.observe(Server,
                            Sick.contains(Server) ? attempt_signal::Failed
-                                                 : attempt_signal::Good,
+                                                 : attempt_signal::Accepted,
                            Pool.Now);
     Pool.Scheduler.release(Server, rank::Urgent, Pool.Now);
     auto Idle = std::ranges::count_if(LastUsed, [&](const auto &Entry) {
