--- a/src/libs/connection/caller_connection.cpp
+++ b/src/libs/connection/caller_connection.cpp
@@ -45,8 +45,8 @@
   Buffer.erase(0, Frame.HeadBytes + Read->FramedBytes);
   Frame.BodyBytes = Read->Body.size();
   std::optional<received_request> Request;
-  Request.emplace(received_request{LastSequence, std::move(Frame),
-                                   std::move(Read->Body)});
+  Request.emplace(
+      received_request{LastSequence, std::move(Frame), std::move(Read->Body)});
   return Request;
 }
 
--- a/src/libs/connection/request_framing.cpp
+++ b/src/libs/connection/request_framing.cpp
@@ -95,8 +95,8 @@
   if (Lengths.Coding && !Limits.AcceptsChunks)
     return fail(error_kind::LengthRequired,
                 "send a Content-Length in place of chunks");
-  if (Lengths.Coding && (!equalIgnoringCase(*Lengths.Coding, "chunked") ||
-                         !Frame.ReadsChunks))
+  if (Lengths.Coding &&
+      (!equalIgnoringCase(*Lengths.Coding, "chunked") || !Frame.ReadsChunks))
     return fail(error_kind::BadRequest, "unsupported Transfer-Encoding");
   Frame.Chunked = Lengths.Coding.has_value();
   if (!Lengths.Length)
--- a/src/libs/daemon/daemon_parts.h
+++ b/src/libs/daemon/daemon_parts.h
@@ -66,10 +66,9 @@
       Running.emplace_back([&Thread] { Thread->run(); });
   }
   /// Waits until all requests are answered.
-  void finish() {
-    tellAll(finish_traffic{});
-    Running.clear();
-  }
+  void finish() { end(finish_traffic{false}); }
+  /// Gives up what still runs.
+  void stop() { end(finish_traffic{true}); }
   /// What is remembered of keys. Called after finish().
   std::vector<remembered_key> rememberedKeys(steady_time Now) const {
     std::vector<remembered_key> All;
@@ -79,6 +78,11 @@
   }
 
 private:
+  void end(finish_traffic Finish) {
+    tellAll(Finish);
+    Running.clear();
+  }
+
   std::vector<std::unique_ptr<Traffic>> Threads;
   std::vector<std::jthread> Running;
 };
@@ -88,8 +92,7 @@
 public:
   result<void> open(const front_end_settings &Settings, Dispatch &To,
                     memory_budget &Memory) {
-    BOOST_LEAF_ASSIGN(Front,
-                      front_end<Dispatch>::create(Settings, To, Memory));
+    BOOST_LEAF_ASSIGN(Front, front_end<Dispatch>::create(Settings, To, Memory));
     return Front->start();
   }
   void post(answer_message Message) { Front->post(std::move(Message)); }
--- a/src/libs/daemon/route_placement.cpp
+++ b/src/libs/daemon/route_placement.cpp
@@ -33,9 +33,8 @@
   if (!Request.Service)
     return fail(error_kind::NoBackendServer,
                 "the route's service is not configured: " + Part.Service);
-  milliseconds Allowed =
-      std::min(Words.TimeLeft.value_or(Route->Kind.Timeout),
-               Route->Kind.Timeout);
+  milliseconds Allowed = std::min(Words.TimeLeft.value_or(Route->Kind.Timeout),
+                                  Route->Kind.Timeout);
   if (Allowed.count() <= 0)
     return fail(error_kind::DeadlineBeforeRun, "the caller waits no longer");
   Request.Deadline = Now + Allowed;
--- a/src/libs/daemon/store_control_thread.h
+++ b/src/libs/daemon/store_control_thread.h
@@ -217,8 +217,14 @@
     milliseconds Timeout = CallTimeout + (Read ? Read->Wait : milliseconds(0));
     // Reads may be sent again by the library on their own; a write may too,
     // as it sets a key to the same value each time.
-    Transport.start({Id, Store, Call.Encoded.Method, Call.Encoded.Target,
-                     {}, Call.Encoded.Body, connection_choice::Reuse, Timeout,
+    Transport.start({Id,
+                     Store,
+                     Call.Encoded.Method,
+                     Call.Encoded.Target,
+                     {},
+                     Call.Encoded.Body,
+                     connection_choice::Reuse,
+                     Timeout,
                      false});
   }
 
--- a/src/libs/daemon/store_daemon.h
+++ b/src/libs/daemon/store_daemon.h
@@ -53,10 +53,9 @@
           auto Version = Versions.load();
           BOOST_LEAF_AUTO(Words, Edge::dialect::wordsOf(Request.Frame.Fields));
           request_id Id = NextRequest.fetch_add(1);
-          BOOST_LEAF_AUTO(Placed,
-                          placeByRoute(Ticket, std::move(Request), Words,
-                                       *Version, Id + FirstPosition,
-                                       steadyNow()));
+          BOOST_LEAF_AUTO(
+              Placed, placeByRoute(Ticket, std::move(Request), Words, *Version,
+                                   Id + FirstPosition, steadyNow()));
           Placed.Id = Id;
           request_owner Owner =
               ToTraffic.indexOf(Placed.Service->Definition.Name);
@@ -136,13 +135,13 @@
   void answerAddresses(const caller_ticket &Ticket,
                        const address_question &Question) {
     auto Version = Versions.load();
-    auto Addresses = callerAddresses(*Version, Question.DataCentre,
-                                     Nonces.fetch_add(1));
+    auto Addresses =
+        callerAddresses(*Version, Question.DataCentre, Nonces.fetch_add(1));
     if (Addresses.empty())
       return refuse(Ticket, error_kind::NotReady);
-    answerText(Ticket, "application/json",
-               Edge::dialect::addressAnswer(Addresses,
-                                            Settings.AddressLifetime));
+    answerText(
+        Ticket, "application/json",
+        Edge::dialect::addressAnswer(Addresses, Settings.AddressLifetime));
   }
 
   void answerReadiness(const caller_ticket &Ticket) {
@@ -179,8 +178,9 @@
   store_daemon(const store_daemon &) = delete;
   store_daemon &operator=(const store_daemon &) = delete;
 
+  /// Whoever wants requests answered drains first.
   ~store_daemon() {
-    Traffic.finish();
+    Traffic.stop();
     if (Control)
       Control->post(end_store_control{});
     if (ControlThread.joinable())
@@ -227,8 +227,9 @@
     // Hosts keep nothing, so the time of the start tells incarnations apart.
     auto Incarnation =
         static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
-    return {Settings.Id, Settings.DataCentre, Settings.PeerAddress, Incarnation,
-            true, Settings.CallerAddress};
+    return {
+        Settings.Id, Settings.DataCentre,   Settings.PeerAddress, Incarnation,
+        true,        Settings.CallerAddress};
   }
 
   fleet_version_ref firstVersion() const {
--- a/src/libs/experiment/capacity_experiment.cpp
+++ b/src/libs/experiment/capacity_experiment.cpp
@@ -1,8 +1,8 @@
 #include "experiment/experiments.h"
 
 #include "base/hash.h"
-#include "peer/peer_codec.h"
 #include "files/service_file.h"
+#include "peer/peer_codec.h"
 #include "process/control_state.h"
 #include "process/rank_queue.h"
 
--- a/src/libs/files/settings_fields.h
+++ b/src/libs/files/settings_fields.h
@@ -20,7 +20,7 @@
 
 /// A time in whole milliseconds.
 inline milliseconds readTime(checked_object &File, std::string_view Name,
-                      std::uint64_t Default, number_range Range) {
+                             std::uint64_t Default, number_range Range) {
   return milliseconds(File.optionalNumber(Name, Default, Range));
 }
 
--- a/src/libs/files/store_daemon_settings.cpp
+++ b/src/libs/files/store_daemon_settings.cpp
@@ -52,14 +52,18 @@
       File.optionalNumber("max_body_bytes", 16 * MiB, {0, 64 * MiB});
   Settings.BodyMemoryBytes = File.optionalNumber("body_memory_bytes", 64 * MiB,
                                                  {64 * KiB, 1024 * MiB});
-  Settings.MostBufferedBytes = File.optionalNumber(
-      "max_buffered_bytes", 1 * MiB, {4 * KiB, 16 * MiB});
+  Settings.MostBufferedBytes =
+      File.optionalNumber("max_buffered_bytes", 1 * MiB, {4 * KiB, 16 * MiB});
   File.object("retries", [&](checked_object &Budget) {
     Settings.Retries = readRetryTerms(Budget);
   });
   Settings.AddressLifetime =
       readTime(File, "address_lifetime_ms", 1'000, {100, 600'000});
-  Settings.DrainTime = readTime(File, "drain_time_ms", 5'300, {0, 600'000});
+  // The end itself takes a while on a small host.
+  constexpr double EndSeconds = 0.8;
+  double Grace = File.requiredReal("grace_s", EndSeconds, 600);
+  Settings.DrainTime = std::chrono::duration_cast<milliseconds>(
+      std::chrono::duration<double>(Grace - EndSeconds));
   return Settings;
 }
 
--- a/src/libs/http/curl_exchange.cpp
+++ b/src/libs/http/curl_exchange.cpp
@@ -46,8 +46,7 @@
 
 curl_exchange::curl_exchange(const attempt_request &Request)
     : Id(Request.Id), IsHead(Request.Method == "HEAD"),
-      AcceptsUnframed(Request.AcceptsUnframed),
-      Handle(curl_easy_init()) {
+      AcceptsUnframed(Request.AcceptsUnframed), Handle(curl_easy_init()) {
   CURL *Easy = Handle.get();
   std::string Url = "http://" + std::string(Request.Server) + "/";
   std::string Target(Request.Target);
--- a/src/libs/load/load_run.cpp
+++ b/src/libs/load/load_run.cpp
@@ -1,9 +1,9 @@
 #include "load/load_run.h"
 
 #include "base/hash.h"
+#include "files/host_list_codec.h"
 #include "http/blocking_client.h"
 #include "http/curl_transport.h"
-#include "files/host_list_codec.h"
 #include "standin/answer_content.h"
 
 #include <nlohmann/json.hpp>
--- a/src/libs/log/event_line.cpp
+++ b/src/libs/log/event_line.cpp
@@ -42,7 +42,8 @@
 std::string timeText() {
   using namespace std::chrono;
   auto Now = system_clock::now();
-  auto Milliseconds = duration_cast<milliseconds>(Now.time_since_epoch()) % 1000;
+  auto Milliseconds =
+      duration_cast<milliseconds>(Now.time_since_epoch()) % 1000;
   return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z",
                      fmt::gmtime(system_clock::to_time_t(Now)),
                      Milliseconds.count());
--- a/src/libs/operator/log_client.cpp
+++ b/src/libs/operator/log_client.cpp
@@ -1,8 +1,8 @@
 #include "operator/log_client.h"
 
-#include "http/blocking_client.h"
 #include "files/log_codec.h"
 #include "files/record_codec.h"
+#include "http/blocking_client.h"
 
 #include <nlohmann/json.hpp>
 #include <spdlog/spdlog.h>
--- a/src/libs/operator/publishing.h
+++ b/src/libs/operator/publishing.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "base/hash.h"
-#include "operator/log_client.h"
 #include "files/service_file.h"
+#include "operator/log_client.h"
 
 #include <filesystem>
 #include <string>
--- a/src/libs/peer/datagram_socket.cpp
+++ b/src/libs/peer/datagram_socket.cpp
@@ -1,7 +1,7 @@
 #include "peer/datagram_socket.h"
 
-#include "peer/peer_codec.h"
 #include "files/daemon_settings.h"
+#include "peer/peer_codec.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
--- a/src/libs/peer/wire_conversion.cpp
+++ b/src/libs/peer/wire_conversion.cpp
@@ -16,7 +16,6 @@
 
 } // namespace
 
-
 std::int64_t toWire(std::uint64_t Value) {
   return static_cast<std::int64_t>(Value);
 }
@@ -39,9 +38,9 @@
 
 member_update fromWire(const wire::Member &Member) {
   member_update Update;
-  Update.Proxy = {Member.id, Member.dataCentre, Member.address,
-                  fromWire(Member.incarnation), Member.offered,
-                  Member.callerAddress};
+  Update.Proxy = {Member.id,      Member.dataCentre,
+                  Member.address, fromWire(Member.incarnation),
+                  Member.offered, Member.callerAddress};
   Update.Refutation = fromWire(Member.refutation);
   Update.State = static_cast<member_state>(
       std::clamp(Member.state, 0, static_cast<int>(member_state::Left)));
@@ -201,9 +200,13 @@
 }
 
 server_work fromWire(const wire::ServerWork &Work) {
-  return {Work.server, countFromWire(Work.inUse), countFromWire(Work.good),
-          countFromWire(Work.accepted), countFromWire(Work.failed),
-          countFromWire(Work.slow), countFromWire(Work.erred)};
+  return {Work.server,
+          countFromWire(Work.inUse),
+          countFromWire(Work.good),
+          countFromWire(Work.accepted),
+          countFromWire(Work.failed),
+          countFromWire(Work.slow),
+          countFromWire(Work.erred)};
 }
 
 wire::WorkReport toWire(const work_report &Report) {
@@ -214,8 +217,7 @@
 }
 
 work_report fromWire(const wire::WorkReport &Report) {
-  return {Report.serviceName,
-          converted<server_work>(Report.servers, FromWire)};
+  return {Report.serviceName, converted<server_work>(Report.servers, FromWire)};
 }
 
 wire::ServerStatement toWire(const server_statement &Statement) {
@@ -229,8 +231,8 @@
   Result.started = Server.Started;
   Result.sequence = toWire(Statement.Entry.Sequence);
   Result.slots = static_cast<std::int32_t>(Server.Slots);
-  Result.coldMilliseconds = static_cast<std::int32_t>(
-      Statement.ColdLeft.count());
+  Result.coldMilliseconds =
+      static_cast<std::int32_t>(Statement.ColdLeft.count());
   Result.removed = Statement.Removed;
   return Result;
 }
@@ -242,8 +244,7 @@
   Server.Address = Statement.address;
   Server.Pool = Statement.pool;
   Server.DataCentre = Statement.dataCentre;
-  Server.State =
-      Statement.leaving ? server_state::Leaving : server_state::Live;
+  Server.State = Statement.leaving ? server_state::Leaving : server_state::Live;
   Server.Instance = Statement.id;
   Server.Started = Statement.started;
   Server.Slots = countFromWire(Statement.slots);
--- a/src/libs/process/pool_scheduler.cpp
+++ b/src/libs/process/pool_scheduler.cpp
@@ -14,6 +14,7 @@
 constexpr double FailureCost = 1.5;
 constexpr double RepeatableFailureCost = 0.5;
 constexpr double ShedCost = 0.3;
+constexpr double SlowCost = 1;
 /// Spreads requests while no server is full.
 constexpr double LoadCost = 0.05;
 /// Bytes between data centres are dear, a free slot is dearer.
@@ -85,8 +86,7 @@
     Known->Started = Entry.Started;
     Known->Gone = false;
     Known->DataCentre = Entry.DataCentre;
-    Known->Leaving =
-        Known->Leaving || Entry.State == server_state::Leaving;
+    Known->Leaving = Known->Leaving || Entry.State == server_state::Leaving;
     Known->Slots = std::max<std::size_t>(
         1, Entry.Slots != 0 ? Entry.Slots : Definition.SlotsPerServer);
     Known->ColdUntil = Entry.ColdUntil;
@@ -109,25 +109,24 @@
                                                  steady_time Now) {
   Retries.onRequest(Request.Rank, Now);
   // The queue lets a request go when its usual time no longer fits.
-  Request.Deadline = std::min(Request.Deadline,
-                              Now + holdTime(Request) + Request.UsualTime);
+  Request.Deadline =
+      std::min(Request.Deadline, Now + holdTime(Request) + Request.UsualTime);
   rank_queue &Queue = Queues[rankIndex(Request.Rank)];
   auto Dropped = Queue.push(std::move(Request), Now);
   return Dropped ? std::optional(Dropped->Id) : std::nullopt;
 }
 
 void pool_scheduler::resubmit(waiting_request Request, steady_time Now) {
-  Request.Deadline = std::min(Request.Deadline,
-                              Now + holdTime(Request) + Request.UsualTime);
+  Request.Deadline =
+      std::min(Request.Deadline, Now + holdTime(Request) + Request.UsualTime);
   rank_queue &Queue = Queues[rankIndex(Request.Rank)];
   Queue.pushFront(std::move(Request));
 }
 
 bool pool_scheduler::mostAreFailing() const {
   auto Usable = std::ranges::count_if(Servers, &pooled_server::usable);
-  auto Failing = std::ranges::count_if(Servers, [](const pooled_server &S) {
-    return S.usable() && S.Failing;
-  });
+  auto Failing = std::ranges::count_if(
+      Servers, [](const pooled_server &S) { return S.usable() && S.Failing; });
   return 2 * Failing > Usable;
 }
 
@@ -154,11 +153,11 @@
   double Target = std::max(1.0, count(Request.Target));
   bool MayRepeat = Request.Idempotent && Request.Avoid.empty() &&
                    Retries.available(Request.Rank);
-  double Cost =
-      Server.Belief.sick(Now) *
-          (MayRepeat ? RepeatableFailureCost : FailureCost) +
-      Server.Shedding.sick(Now) * ShedCost + WaitRisk * Wait / Target +
-      Used / Slots * LoadCost;
+  double Cost = Server.Belief.sick(Now) *
+                    (MayRepeat ? RepeatableFailureCost : FailureCost) +
+                Server.Shedding.sick(Now) * ShedCost +
+                Server.Slowness.sick(Now) * SlowCost +
+                WaitRisk * Wait / Target + Used / Slots * LoadCost;
   if (Request.Bulk && Server.DataCentre != DataCentre)
     Cost += OtherDataCentreCost;
   return Cost;
@@ -262,13 +261,14 @@
   Server->LastUsed = Now;
   switch (Signal) {
   case attempt_signal::Good:
+    Server->Slowness.observe(false, Now);
     return Server->Belief.observeAnswer(Now);
   case attempt_signal::Accepted:
     Server->Failing = false;
     Server->Shedding.observe(false, Now);
     return Server->Belief.observe(false, Now);
   case attempt_signal::Slow:
-    return Server->Belief.observeSlow(Now);
+    return Server->Slowness.observe(true, Now);
   case attempt_signal::Failed:
     Server->Failing = true;
     return Server->Belief.observe(true, Now);
@@ -289,6 +289,11 @@
     Server->Leaving = true;
 }
 
+bool pool_scheduler::isSlow(std::string_view Address, steady_time Now) const {
+  const pooled_server *Server = find(Address);
+  return Server && Server->Slowness.sick(Now) > Doubted;
+}
+
 void pool_scheduler::setUsedElsewhere(std::string_view Address,
                                       std::size_t Slots, steady_time Now) {
   pooled_server *Server = find(Address);
--- a/src/libs/process/pool_scheduler.h
+++ b/src/libs/process/pool_scheduler.h
@@ -22,9 +22,9 @@
 /// request runs next and where. It counts the slots that this process uses and
 /// those that others have told of, and weighs the chance that a server fails a
 /// request against the time that the request would wait there. Few servers are
-/// left without work for long, so that it knows how all of them are. A request for
-/// which no server has room is refused soon, with the time after which it may
-/// come back. It knows no clock and no transport.
+/// left without work for long, so that it knows how all of them are. A request
+/// for which no server has room is refused soon, with the time after which it
+/// may come back. It knows no clock and no transport.
 class pool_scheduler {
 public:
   pool_scheduler(const service_definition &Definition, std::uint64_t Seed);
@@ -51,6 +51,8 @@
   void observe(std::string_view Server, attempt_signal Signal, steady_time Now);
   /// A backend server has left its address.
   void markLeaving(std::string_view Server, steady_time Now);
+  /// Whether a backend server probably hangs or is slow.
+  bool isSlow(std::string_view Server, steady_time Now) const;
   /// How many slots of a backend server other proxies use.
   void setUsedElsewhere(std::string_view Server, std::size_t Slots,
                         steady_time Now);
@@ -87,6 +89,7 @@
     std::size_t UsedElsewhere = 0;
     server_belief Belief;
     server_belief Shedding{ShedTerms};
+    server_belief Slowness{SlowTerms};
     /// Its last answer was a failure.
     bool Failing = false;
     /// When a request was last seen there.
--- a/src/libs/process/request_scheduler.h
+++ b/src/libs/process/request_scheduler.h
@@ -13,11 +13,13 @@
 
 /// What decides which request of a service runs next and where.
 template <typename T>
-concept request_scheduler =
-    requires(T Scheduler, const service_definition &Definition,
-             std::span<const backend_server> Servers, waiting_request Request,
-             std::string_view Server, attempt_signal Signal, rank Rank,
-             request_id Id, steady_time Now) {
+concept request_scheduler = requires(T Scheduler,
+                                     const service_definition &Definition,
+                                     std::span<const backend_server> Servers,
+                                     waiting_request Request,
+                                     std::string_view Server,
+                                     attempt_signal Signal, rank Rank,
+                                     request_id Id, steady_time Now) {
   {Scheduler.configure(Definition, Servers, Now)};
   {
     Scheduler.submit(std::move(Request), Now)
@@ -28,9 +30,7 @@
   {Scheduler.observe(Server, Signal, Now)};
   {Scheduler.markLeaving(Server, Now)};
   { Scheduler.cancel(Id) } -> std::same_as<bool>;
-  {
-    Scheduler.takeExpired(Now)
-    } -> std::same_as<std::vector<waiting_request>>;
+  { Scheduler.takeExpired(Now) } -> std::same_as<std::vector<waiting_request>>;
   { Scheduler.retries() } -> std::same_as<retry_budget &>;
   { Scheduler.waiting() } -> std::same_as<std::size_t>;
   { Scheduler.hasServers() } -> std::same_as<bool>;
--- a/src/libs/process/server_belief.cpp
+++ b/src/libs/process/server_belief.cpp
@@ -9,9 +9,6 @@
 /// Bounds that let a belief change its mind after a few answers.
 constexpr double LeastSick = 0.002;
 constexpr double MostSick = 0.995;
-/// Ratio of "slow when sick" to "slow when well": a hundredth of the users'
-/// requests takes several times as long as usual.
-constexpr double SlowRatio = 15;
 /// Ratio for a good answer to a request that was known to be accepted.
 constexpr double AnswerRatio = 0.6;
 /// Ratio for an error after the usual work.
@@ -51,11 +48,7 @@
          Now);
 }
 
-void server_belief::observeSlow(steady_time Now) { update(SlowRatio, Now); }
-
-void server_belief::observeAnswer(steady_time Now) {
-  update(AnswerRatio, Now);
-}
+void server_belief::observeAnswer(steady_time Now) { update(AnswerRatio, Now); }
 
 void server_belief::observeError(steady_time Now) { update(ErrorRatio, Now); }
 
--- a/src/libs/process/server_belief.h
+++ b/src/libs/process/server_belief.h
@@ -21,6 +21,11 @@
 inline constexpr failure_terms ShedTerms{0.02, 0.5, milliseconds(20'000),
                                          milliseconds(3'000)};
 
+/// Servers that hang or take a multiple of the usual time: what they accept
+/// tells nothing, what they answer in the usual time does.
+inline constexpr failure_terms SlowTerms{0.03, 0.7, milliseconds(30'000),
+                                         milliseconds(6'000)};
+
 /// The chance of being sick that a server has which joins a known pool.
 inline constexpr double SickWhenNew = 0.05;
 
@@ -43,8 +48,6 @@
   void observe(bool Failed, steady_time Now);
   /// An answer was good: the server accepted it a while ago.
   void observeAnswer(steady_time Now);
-  /// A request has had no answer for longer than usual: less telling.
-  void observeSlow(steady_time Now);
   /// An error came after the usual work: tells little.
   void observeError(steady_time Now);
 
--- a/src/libs/process/server_directory.cpp
+++ b/src/libs/process/server_directory.cpp
@@ -38,8 +38,7 @@
   // A statement that is repeated does not bring back what was removed.
   if (!Known.Present && lifeOrder(Entry) == lifeOrder(Known.Entry) && !Grace)
     return false;
-  bool New =
-      !Known.Present || !isSameToUsers(Entry.Server, Known.Entry.Server);
+  bool New = !Known.Present || !isSameToUsers(Entry.Server, Known.Entry.Server);
   Known = {Entry, true, std::nullopt};
   return New;
 }
@@ -156,11 +155,11 @@
     if (Known.Present)
       Present.push_back(Known.Entry.Server);
   // An address that was given to another server has the later start.
-  std::ranges::sort(Present, [](const backend_server &L,
-                                const backend_server &R) {
-    return std::tie(L.Pool, L.Address, R.Started) <
-           std::tie(R.Pool, R.Address, L.Started);
-  });
+  std::ranges::sort(Present,
+                    [](const backend_server &L, const backend_server &R) {
+                      return std::tie(L.Pool, L.Address, R.Started) <
+                             std::tie(R.Pool, R.Address, L.Started);
+                    });
   auto SamePlace = [](const backend_server &L, const backend_server &R) {
     return L.Pool == R.Pool && L.Address == R.Address;
   };
--- a/src/libs/process/service_state.h
+++ b/src/libs/process/service_state.h
@@ -2,8 +2,8 @@
 
 #include "process/answer_times.h"
 #include "process/outcome_table.h"
-#include "process/second_opinions.h"
 #include "process/request_scheduler.h"
+#include "process/second_opinions.h"
 #include "process/work_report.h"
 #include "version/fleet_version.h"
 
--- a/src/libs/process/store_control_state.cpp
+++ b/src/libs/process/store_control_state.cpp
@@ -30,8 +30,7 @@
 
 store_control_state::store_control_state(store_control_settings From,
                                          swim_timing Timing)
-    : Settings(std::move(From)),
-      Members(Settings.Self, Timing, Settings.Seed),
+    : Settings(std::move(From)), Members(Settings.Self, Timing, Settings.Seed),
       ConfigurationFollower(store_topic::Configuration, Settings.Configuration,
                             Settings.Seed + 1),
       ServersFollower(store_topic::BackendServers, Settings.Servers,
@@ -127,8 +126,8 @@
     return;
   NextLostPing = Now + LostMemberPing;
   std::uniform_int_distribution<std::size_t> Any(0, KnownPeers.size() - 1);
-  auto Chosen = std::next(KnownPeers.begin(),
-                          static_cast<std::ptrdiff_t>(Any(Random)));
+  auto Chosen =
+      std::next(KnownPeers.begin(), static_cast<std::ptrdiff_t>(Any(Random)));
   Members.suggest(std::span(&Chosen->second, 1));
 }
 
@@ -144,8 +143,7 @@
 }
 
 void store_control_state::onServer(std::string_view Id,
-                                   const server_entry &Entry,
-                                   steady_time Now) {
+                                   const server_entry &Entry, steady_time Now) {
   Directory.apply(Id, Entry, Now);
 }
 
@@ -234,8 +232,8 @@
     hurryConfiguration(Now, Out);
   learnServers(Message, Now);
   for (const work_report &Report : Message.Work)
-    Out.emplace_back(tell_traffic_threads{
-        peer_work{Message.Gossip.SenderId, Report}});
+    Out.emplace_back(
+        tell_traffic_threads{peer_work{Message.Gossip.SenderId, Report}});
   for (const server_death &Death : Message.Deaths)
     Out.emplace_back(tell_traffic_threads{Death});
   publishIfChanged(Out);
@@ -308,9 +306,9 @@
   }
 }
 
-void store_control_state::sendNews(
-    peer_message Message, std::span<const proxy_member *const> Members,
-    store_control_actions &Out) const {
+void store_control_state::sendNews(peer_message Message,
+                                   std::span<const proxy_member *const> Members,
+                                   store_control_actions &Out) const {
   Message.Gossip.Kind = gossip_kind::News;
   Message.Gossip.SenderId = Settings.Self.Id;
   Message.Digest.Configuration = version();
--- a/src/libs/process/store_control_state.h
+++ b/src/libs/process/store_control_state.h
@@ -37,8 +37,8 @@
   store_topic Topic = store_topic::Configuration;
 };
 using store_control_action =
-    std::variant<start_store_call, abandon_store_calls, send_datagram, send_to_members,
-                 tell_traffic_threads, publish_version>;
+    std::variant<start_store_call, abandon_store_calls, send_datagram,
+                 send_to_members, tell_traffic_threads, publish_version>;
 using store_control_actions = std::vector<store_control_action>;
 
 struct store_control_settings {
--- a/src/libs/process/traffic_message.h
+++ b/src/libs/process/traffic_message.h
@@ -56,8 +56,10 @@
   std::string ProxyId;
   work_report Report;
 };
-/// The thread ends once its requests are answered.
-struct finish_traffic {};
+/// The thread ends once its requests are answered, or at once.
+struct finish_traffic {
+  bool AtOnce = false;
+};
 
 /// What a traffic thread is told.
 using traffic_message =
@@ -91,9 +93,9 @@
 };
 
 /// What a traffic thread tells the control thread.
-using control_notice = std::variant<ejection_wish, server_leaving, server_death,
-                                    path_fault_found, standing_report,
-                                    work_report>;
+using control_notice =
+    std::variant<ejection_wish, server_leaving, server_death, path_fault_found,
+                 standing_report, work_report>;
 
 /// Where notices of traffic threads go.
 template <typename T>
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -66,8 +66,8 @@
       : Poller(std::move(Poller)), Inbox(std::move(Event)),
         Settings(std::move(Settings)), Words(std::move(Words)),
         Answers(To, Metrics, this->Words), Control(Control), Metrics(Metrics),
-        Clock(std::move(Clock)),
-        Transport(this->Poller, *this), Keys(this->Settings.Keys) {
+        Clock(std::move(Clock)), Transport(this->Poller, *this),
+        Keys(this->Settings.Keys) {
     this->Poller.watch(Inbox.descriptor(), true, false);
   }
 
@@ -116,7 +116,7 @@
     return Next;
   }
 
-  bool finished() const { return Finishing && Requests.empty(); }
+  bool finished() const { return Finishing && (AtOnce || Requests.empty()); }
 
   /// What the heir of this process has to know of its keys. Called once run()
   /// has returned.
@@ -305,7 +305,10 @@
     Keys.inherit(Inherited.Keys, Now);
   }
 
-  void take(finish_traffic &, steady_time) { Finishing = true; }
+  void take(finish_traffic &Finish, steady_time) {
+    Finishing = true;
+    AtOnce = Finish.AtOnce;
+  }
 
   // Admission.
 
@@ -479,8 +482,7 @@
     return Service ? &stateOf(Service->Definition) : nullptr;
   }
 
-  void configure(const std::string &Name, state &State,
-                 steady_time Now) {
+  void configure(const std::string &Name, state &State, steady_time Now) {
     accepted_service_ref Service = Version->Configuration.find(Name);
     if (!Service)
       return;
@@ -611,8 +613,7 @@
       Timers.add(Now + patienceOf(Active), {Request.Id, Id, timer_kind::Slow});
       noteUse(stateOf(Active), Target.Server);
       if constexpr (sharing_scheduler<Policy>)
-        Timers.add(Now + AcceptedAfter,
-                   {Request.Id, Id, timer_kind::Accepted});
+        Timers.add(Now + AcceptedAfter, {Request.Id, Id, timer_kind::Accepted});
       // An attempt that may be repeated leaves time for another one.
       if (Active.repeatable() && Active.Attempts < Request.Kind->MostAttempts)
         Timers.add(Now + Left / 2, {Request.Id, Id, timer_kind::NoHead});
@@ -697,12 +698,12 @@
     state &State = stateOf(Active);
     return {Request.Kind->Idempotent,
             Active.Attempts,
-            Request.Kind->MostAttempts,
             Active.Cuts,
             Active.MayHaveRun,
             std::chrono::duration_cast<milliseconds>(Request.Deadline - Now),
             State.times(*Request.Kind).usual(),
-            State.Scheduler.retries().available(Request.Kind->Rank)};
+            State.Scheduler.retries().available(Request.Kind->Rank),
+            Request.Kind->MostAttempts};
   }
 
   /// Frees what the attempt held and takes what it has shown.
@@ -750,8 +751,8 @@
                                                        : attempt_signal::Erred;
   }
 
-  void releaseSlot(const active_request &Active,
-                   const running_attempt &Attempt, steady_time Now) {
+  void releaseSlot(const active_request &Active, const running_attempt &Attempt,
+                   steady_time Now) {
     state &State = stateOf(Active);
     State.Scheduler.release(Attempt.Target.Server, Active.Request.Kind->Rank,
                             Now);
@@ -761,12 +762,11 @@
   void reportEvidence([[maybe_unused]] const active_request &Active,
                       [[maybe_unused]] steady_time Now) {
     if constexpr (ejecting_scheduler<Policy>)
-      reportCondemned(Active.Request.Service->Definition.Name,
-                      stateOf(Active), Now);
+      reportCondemned(Active.Request.Service->Definition.Name, stateOf(Active),
+                      Now);
   }
 
-  void reportCondemned(const std::string &Name, state &State,
-                       steady_time Now) {
+  void reportCondemned(const std::string &Name, state &State, steady_time Now) {
     Policy &Scheduler = State.Scheduler;
     std::vector<endpoint_text> Condemned = Scheduler.condemned();
     State.Opinions.keepOnly(Condemned, Now);
@@ -911,7 +911,6 @@
     return milliseconds(0);
   }
 
-
   /// Whether the request has a key that this thread does not hold: an earlier
   /// sending may have run, so nothing here can tell that it has not.
   static bool isKeyOfAnother(const active_request &Active) {
@@ -998,15 +997,20 @@
     ++Attempt.SlowReports;
     Timers.add(Now + patienceOf(Active),
                {Active.Request.Id, Attempt.Id, timer_kind::Slow});
+    // Another server may still answer in time what this one holds up.
+    if constexpr (sharing_scheduler<Policy>)
+      if (Active.repeatable() &&
+          State.Scheduler.isSlow(Attempt.Target.Server, Now))
+        giveUpAttempt(Active, Now);
   }
 
   /// Time after which an attempt counts as slow. Where nobody else may find out
   /// about a hanging server, its requests tell early.
   milliseconds patienceOf(const active_request &Active) {
-    constexpr int SlowFactor = 3;
+    constexpr int SlowPercent = 250;
     answer_times &Times = stateOf(Active).times(*Active.Request.Kind);
     return sharing_scheduler<Policy>
-               ? std::min(Times.patience(), SlowFactor * Times.usual())
+               ? std::min(Times.patience(), Times.usual() * SlowPercent / 100)
                : Times.patience();
   }
 
@@ -1080,6 +1084,7 @@
   std::optional<steady_time> TrialWake;
   steady_time NextReport;
   bool Finishing = false;
+  bool AtOnce = false;
 };
 
 } // namespace endiverail
--- a/src/libs/process/work_report.h
+++ b/src/libs/process/work_report.h
@@ -80,8 +80,9 @@
   work_report take(std::string_view Service, steady_time Now) {
     work_report Taken{std::string(Service), Works};
     std::erase_if(Works, [](const server_work &W) { return W.InUse == 0; });
-    std::ranges::for_each(
-        Works, [](server_work &W) { W.Good = W.Accepted = W.Failed = W.Slow = W.Erred = 0; });
+    std::ranges::for_each(Works, [](server_work &W) {
+      W.Good = W.Accepted = W.Failed = W.Slow = W.Erred = 0;
+    });
     LastTaken = Now;
     Changed = Urgent = false;
     return Taken;
@@ -92,7 +93,8 @@
     auto Found = std::ranges::find(Works, Server, &server_work::Server);
     if (Found != Works.end())
       return *Found;
-    return Works.emplace_back(server_work{std::string(Server), 0, 0, 0, 0, 0, 0});
+    return Works.emplace_back(
+        server_work{std::string(Server), 0, 0, 0, 0, 0, 0});
   }
 
   std::vector<server_work> Works;
--- a/src/libs/request/attempt_policy.cpp
+++ b/src/libs/request/attempt_policy.cpp
@@ -7,8 +7,8 @@
   if (Failure.AnswerStarted)
     return attempt_step::BreakConnection;
   bool Repeatable = History.Idempotent || Failure.ProvenNotRun;
-  bool Affordable = History.Attempts < History.MostAttempts && History.Cuts < MaxCuts &&
-                    History.RetryBudgetLeft &&
+  bool Affordable = History.Attempts < History.MostAttempts &&
+                    History.Cuts < MaxCuts && History.RetryBudgetLeft &&
                     History.TimeLeft > History.UsualTime;
   return Repeatable && Affordable ? attempt_step::Retry : attempt_step::Answer;
 }
--- a/src/libs/request/attempt_policy.h
+++ b/src/libs/request/attempt_policy.h
@@ -22,8 +22,6 @@
   bool Idempotent = false;
   /// Attempts made, the failed one included.
   std::size_t Attempts = 0;
-  /// Attempts that the request's kind of work allows.
-  std::size_t MostAttempts = 3;
   /// Attempts whose connection broke while the request ran, the failed one
   /// included: it may be what kills the backend servers.
   std::size_t Cuts = 0;
@@ -33,6 +31,8 @@
   /// Time that an attempt usually takes.
   milliseconds UsualTime{0};
   bool RetryBudgetLeft = false;
+  /// Attempts that the request's kind of work allows.
+  std::size_t MostAttempts = 3;
 };
 
 enum class attempt_step {
--- a/src/libs/standin/standin_process.cpp
+++ b/src/libs/standin/standin_process.cpp
@@ -1,10 +1,10 @@
 #include "standin/standin_process.h"
 
 #include "base/text.h"
-#include "http/front_end.h"
 #include "files/daemon_settings.h"
 #include "files/host_list_codec.h"
 #include "files/log_codec.h"
+#include "http/front_end.h"
 #include "process/event_loop.h"
 #include "standin/answer_content.h"
 
--- a/src/libs/version/caller_addresses.h
+++ b/src/libs/version/caller_addresses.h
@@ -16,8 +16,8 @@
 inline constexpr std::size_t LeastCallerAddresses = 2;
 
 /// The addresses that a caller in \p DataCentre should use: daemons that are
-/// offered as entries, those of its own data centre if it has enough of them. \p Nonce
-/// picks when there are more than an answer may hold.
+/// offered as entries, those of its own data centre if it has enough of them.
+/// \p Nonce picks when there are more than an answer may hold.
 std::vector<std::string> callerAddresses(const fleet_version &Version,
                                          std::string_view DataCentre,
                                          std::uint64_t Nonce);
--- a/src/tools/endiverailctl/main.cpp
+++ b/src/tools/endiverailctl/main.cpp
@@ -2,6 +2,7 @@
 #include "http/blocking_client.h"
 #include "operator/fleet_file.h"
 #include "operator/publishing.h"
+#include "operator/request_story.h"
 #include "operator/time_line_view.h"
 #include "program/program.h"
 
@@ -21,7 +22,8 @@
 DEFINE_string(key, "customer.key", "accept: file with the customer's key");
 DEFINE_string(author, "", "publish: who proposes the change");
 DEFINE_string(reason, "", "reject: why");
-DEFINE_string(format, "text", "timeline: text, json or html");
+DEFINE_string(format, "text",
+              "timeline: text, json or html; explain: text or json");
 DEFINE_string(service, "", "timeline: events of this service only");
 DEFINE_string(kind, "", "timeline: events of this kind only");
 DEFINE_string(process, "", "timeline: events of this process only");
@@ -43,6 +45,7 @@
     "where\n"
     "  addresses SERVICE    which proxies callers of a service should use\n"
     "  timeline             events of all daemons, in order\n"
+    "  explain ID FILE...   what daemons' structured logs tell of a request\n"
     "  keygen FILE          writes a new customer key and prints its public "
     "half\n\n"
     "Exit codes: 0 done, 1 refused or failed, 2 wrong use.";
@@ -258,6 +261,18 @@
   return exit_code::Success;
 }
 
+result<exit_code> explain(words Words) {
+  std::vector<log_text> Logs;
+  for (const std::string &Name : Words.subspan(1)) {
+    BOOST_LEAF_AUTO(Text, readFile(Name));
+    Logs.push_back(
+        {std::filesystem::path(Name).filename().string(), std::move(Text)});
+  }
+  request_story Story = tellStory(Words[0], Logs);
+  std::cout << (FLAGS_format == "json" ? storyJson(Story) : storyText(Story));
+  return Story.Lines.empty() ? exit_code::Failure : exit_code::Success;
+}
+
 result<exit_code> keygen(words Words) {
   if (std::filesystem::exists(Words[0]))
     return fail(error_kind::BadSettings,
@@ -280,10 +295,15 @@
 };
 
 constexpr std::array Commands{
-    command{"check", 1, 1, check},       command{"publish", 1, 1, publish},
-    command{"accept", 0, 1, accept},     command{"reject", 1, 1, reject},
-    command{"status", 0, 0, status},     command{"addresses", 1, 1, addresses},
-    command{"timeline", 0, 0, timeLine}, command{"keygen", 1, 1, keygen},
+    command{"check", 1, 1, check},
+    command{"publish", 1, 1, publish},
+    command{"accept", 0, 1, accept},
+    command{"reject", 1, 1, reject},
+    command{"status", 0, 0, status},
+    command{"addresses", 1, 1, addresses},
+    command{"timeline", 0, 0, timeLine},
+    command{"keygen", 1, 1, keygen},
+    command{"explain", 2, SIZE_MAX, explain},
 };
 
 } // namespace
--- a/tests/auto/files/tst_host_list_codec.cpp
+++ b/tests/auto/files/tst_host_list_codec.cpp
@@ -1,3 +1,4 @@
+#include "base/text.h"
 #include "failure_check.h"
 #include "files/host_list_codec.h"
 
--- a/tests/auto/peer/peer_samples.h
+++ b/tests/auto/peer/peer_samples.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "failure_check.h"
-#include "peer/peer_codec.h"
 #include "files/service_file.h"
+#include "peer/peer_codec.h"
 
 namespace endiverail::test {
 
--- a/tests/auto/process/tst_pool_scheduler.cpp
+++ b/tests/auto/process/tst_pool_scheduler.cpp
@@ -245,6 +245,21 @@
   CHECK(Used.contains("b"));
 }
 
+TEST_CASE_METHOD(pool_fixture, "a server that hangs is avoided, whatever it "
+                               "accepts") {
+  for (int Count = 0; Count < 3; ++Count) {
+    Scheduler.observe("a", attempt_signal::Accepted, Now);
+    Scheduler.observe("a", attempt_signal::Slow, Now);
+    Scheduler.observe("a", attempt_signal::Accepted, Now);
+  }
+  CHECK(Scheduler.isSlow("a", Now));
+  for (int Count = 0; Count < 18; ++Count)
+    CHECK(place() != "a");
+  for (int Count = 0; Count < 6; ++Count)
+    Scheduler.observe("a", attempt_signal::Good, Now);
+  CHECK_FALSE(Scheduler.isSlow("a", Now));
+}
+
 TEST_CASE_METHOD(pool_fixture, "a leaving server gets nothing new") {
   Servers[0].State = server_state::Leaving;
   Scheduler.configure(Definition, Servers, Now);
