Tell work from waiting, paths from servers, and save retries for bursts

Change: times are divided by the slots ahead, a pool is shut out up to four fifths, unreachable servers are a process's own matter, retries are saved for bursts within the operator's bound.

--- a/src/libs/files/store_daemon_settings.cpp
+++ b/src/libs/files/store_daemon_settings.cpp
@@ -16,18 +16,17 @@
 retry_terms readRetryTerms(checked_object &Budget) {
   /// Entries of the users' deployments: four in each of three to five data
   /// centres. Daemons beyond them serve stray callers only.
-  constexpr double MostEntries = 20;
+  constexpr double MostEntries = 16;
   /// Left for daemons whose view of the fleet differs.
   constexpr double Margin = 0.8;
   double Share = Budget.requiredReal("share_of_requests", 0, 10);
   double Extra = Budget.requiredReal("extra", 0, 1e6);
-  double Window = Budget.requiredReal("window_s", 0.001, 3'600);
   retry_terms Terms;
   Terms.Initial = 1;
-  Terms.Most = std::max(1.0, Margin * Extra / MostEntries / 2);
+  // What is saved may be spent within one window by all of them together.
+  Terms.Most = std::max(1.0, Margin * Extra / MostEntries);
   Terms.PerSuccess = 0;
   Terms.PerRequest = Margin * Share;
-  Terms.PerSecond = Margin * Extra / MostEntries / 2 / Window;
   return Terms;
 }
 
--- a/src/libs/process/active_request.h
+++ b/src/libs/process/active_request.h
@@ -32,6 +32,15 @@
   /// the fleet used there.
   double Doubt = 0;
   std::size_t SlotsUsed = 0;
+  std::size_t Slots = 0;
+
+  /// How many times its usual work a request may be expected to take there,
+  /// as it waits behind those that have the slots.
+  double waitFactor() const {
+    return Slots == 0 || SlotsUsed <= Slots
+               ? 1.0
+               : static_cast<double>(SlotsUsed) / static_cast<double>(Slots);
+  }
 };
 
 /// An attempt that runs now.
--- a/src/libs/process/pool_scheduler.cpp
+++ b/src/libs/process/pool_scheduler.cpp
@@ -33,6 +33,9 @@
 /// From this chance of failure on a server that has failed last gets nothing
 /// that may not be repeated; below, one request at a time finds out.
 constexpr double Doubted = 0.5;
+/// Share of a pool that may be shut out for failing: a pool that fails as a
+/// whole serves more callers than none.
+constexpr double MostFailing = 0.8;
 /// Share of the target time for which a request without a server is held: a
 /// refusal that comes later costs the caller the time for another try.
 constexpr int HoldDivisor = 8;
@@ -107,7 +110,7 @@
 
 std::optional<request_id> pool_scheduler::submit(waiting_request Request,
                                                  steady_time Now) {
-  Retries.onRequest(Request.Rank, Now);
+  Retries.onRequest(Request.Rank);
   // The queue lets a request go when its usual time no longer fits.
   Request.Deadline =
       std::min(Request.Deadline, Now + holdTime(Request) + Request.UsualTime);
@@ -127,7 +130,8 @@
   auto Usable = std::ranges::count_if(Servers, &pooled_server::usable);
   auto Failing = std::ranges::count_if(
       Servers, [](const pooled_server &S) { return S.usable() && S.Failing; });
-  return 2 * Failing > Usable;
+  return static_cast<double>(Failing) >
+         MostFailing * static_cast<double>(Usable);
 }
 
 std::size_t pool_scheduler::roomFor(const waiting_request &Request,
@@ -166,7 +170,8 @@
 bool pool_scheduler::mayTake(const waiting_request &Request,
                              const pooled_server &Server,
                              steady_time Now) const {
-  return Server.usable() && Server.used() < roomFor(Request, Server, Now) &&
+  return Server.usable() && Server.Path.sick(Now) < Doubted &&
+         Server.used() < roomFor(Request, Server, Now) &&
          std::ranges::find(Request.Avoid, Server.Address) ==
              Request.Avoid.end();
 }
@@ -176,7 +181,8 @@
 pool_scheduler::chooseIdleServer(const waiting_request &Request,
                                  steady_time Now) {
   auto IsIdle = [&](const pooled_server &Server) {
-    return Server.usable() && Now > Server.LastUsed + IdleAfter;
+    return Server.usable() && Server.Path.sick(Now) < Doubted &&
+           Now > Server.LastUsed + IdleAfter;
   };
   auto Usable = std::ranges::count_if(Servers, &pooled_server::usable);
   auto Idle = std::ranges::count_if(Servers, IsIdle);
@@ -225,8 +231,9 @@
     ++Server->InUse;
     Server->LastUsed = Now;
     noteStart(Now);
-    return slot_assignment{Request.Id, Server->Address, Server->Instance,
-                           Server->Belief.sick(Now), Server->used()};
+    return slot_assignment{Request.Id,       Server->Address,
+                           Server->Instance, Server->Belief.sick(Now),
+                           Server->used(),   Server->Slots};
   }
   return std::nullopt;
 }
@@ -265,6 +272,8 @@
     return Server->Belief.observeAnswer(Now);
   case attempt_signal::Accepted:
     Server->Failing = false;
+    if (Server->InUse > 0)
+      Server->Path.observe(false, Now);
     Server->Shedding.observe(false, Now);
     return Server->Belief.observe(false, Now);
   case attempt_signal::Slow:
@@ -272,6 +281,8 @@
   case attempt_signal::Failed:
     Server->Failing = true;
     return Server->Belief.observe(true, Now);
+  case attempt_signal::Unreachable:
+    return Server->Path.observe(true, Now);
   case attempt_signal::Erred:
     return Server->Belief.observeError(Now);
   case attempt_signal::Shed:
--- a/src/libs/process/pool_scheduler.h
+++ b/src/libs/process/pool_scheduler.h
@@ -90,6 +90,8 @@
     server_belief Belief;
     server_belief Shedding{ShedTerms};
     server_belief Slowness{SlowTerms};
+    /// Of the path from this process: others may reach the server.
+    server_belief Path{PathTerms};
     /// Its last answer was a failure.
     bool Failing = false;
     /// When a request was last seen there.
--- a/src/libs/process/retry_budget.h
+++ b/src/libs/process/retry_budget.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "base/time.h"
 #include "version/rank.h"
 
 #include <algorithm>
@@ -14,8 +13,6 @@
   double Most = 20;
   double PerSuccess = 0.1;
   double PerRequest = 0;
-  /// Shared by all ranks.
-  double PerSecond = 0;
 };
 
 /// Bounds retries to a share of recent work, for each rank on its own, so that
@@ -28,7 +25,7 @@
 
   void setTerms(retry_terms NewTerms) { Terms = NewTerms; }
 
-  void onRequest(rank Rank, steady_time Now);
+  void onRequest(rank Rank);
   void onSuccess(rank Rank);
 
   /// Takes one retry, or refuses.
@@ -43,8 +40,6 @@
 
   retry_terms Terms;
   per_rank<double> Tokens{};
-  double Shared = 0;
-  steady_time LastRequest;
 };
 
 } // namespace endiverail
--- a/src/libs/process/server_belief.h
+++ b/src/libs/process/server_belief.h
@@ -26,6 +26,11 @@
 inline constexpr failure_terms SlowTerms{0.03, 0.7, milliseconds(30'000),
                                          milliseconds(6'000)};
 
+/// Paths to servers that are down or cut off. A connection that is refused or
+/// lost is rare otherwise.
+inline constexpr failure_terms PathTerms{0.005, 0.8, milliseconds(60'000),
+                                         milliseconds(6'000)};
+
 /// The chance of being sick that a server has which joins a known pool.
 inline constexpr double SickWhenNew = 0.05;
 
--- a/src/libs/process/server_evidence.h
+++ b/src/libs/process/server_evidence.h
@@ -17,6 +17,8 @@
   Slow,
   /// An error, a cut answer, a time-out or no connection.
   Failed,
+  /// No connection: the server is down, or the path from here is.
+  Unreachable,
   /// An error after the usual work: healthy servers give some as well.
   Erred,
   /// Refused for lack of capacity: says nothing of its health.
--- a/src/libs/process/service_scheduler.cpp
+++ b/src/libs/process/service_scheduler.cpp
@@ -288,7 +288,7 @@
     return;
   }
   // An owner compares with its pool, so an error counts whenever it comes.
-  if (Signal == attempt_signal::Erred)
+  if (Signal == attempt_signal::Erred || Signal == attempt_signal::Unreachable)
     Signal = attempt_signal::Failed;
   Server->Evidence.observe(Signal, baselineFor(*Server, Now), Now);
   bool Good = Signal == attempt_signal::Good;
--- a/src/libs/process/service_scheduler.h
+++ b/src/libs/process/service_scheduler.h
@@ -26,6 +26,7 @@
   /// The chance that it fails, and the slots used there, as known.
   double Doubt = 0;
   std::size_t SlotsUsed = 0;
+  std::size_t Slots = 0;
 };
 
 /// How a backend server stands with its owner.
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -514,7 +514,7 @@
       startAttempt(Requests.at(Assignment->Request),
                    {Assignment->Server, attempt_route::Slot, "",
                     std::move(Assignment->Instance), Assignment->Doubt,
-                    Assignment->SlotsUsed},
+                    Assignment->SlotsUsed, Assignment->Slots},
                    Now);
     if constexpr (ejecting_scheduler<Policy>)
       if (auto Trial = Scheduler.nextTrial();
@@ -677,9 +677,11 @@
                  errorSignal(Active, Attempt, Now), Now);
       return std::nullopt;
     }
+    // What it waited for slots says nothing of its work.
+    auto Worked = std::chrono::duration<double>(Now - Attempt.Started) /
+                  Attempt.Target.waitFactor();
     State.times(*Active.Request.Kind)
-        .add(std::chrono::duration_cast<microseconds>(Now - Attempt.Started),
-             Now);
+        .add(std::chrono::duration_cast<microseconds>(Worked), Now);
     noteAccepted(Active, Now);
     if (Attempt.SlowReports == 0)
       noteSignal(State, Attempt.Target.Server, attempt_signal::Good, Now);
@@ -737,6 +739,8 @@
                                steady_time Now) {
     if (Failure.Kind == error_kind::BackendShed)
       return attempt_signal::Shed;
+    if (Failure.Kind == error_kind::BackendUnreachable)
+      return attempt_signal::Unreachable;
     return Failure.Kind == error_kind::BackendError
                ? errorSignal(Active, Attempt, Now)
                : attempt_signal::Failed;
@@ -1007,11 +1011,13 @@
   /// Time after which an attempt counts as slow. Where nobody else may find out
   /// about a hanging server, its requests tell early.
   milliseconds patienceOf(const active_request &Active) {
-    constexpr int SlowPercent = 250;
+    constexpr double SlowFactor = 2.5;
     answer_times &Times = stateOf(Active).times(*Active.Request.Kind);
-    return sharing_scheduler<Policy>
-               ? std::min(Times.patience(), Times.usual() * SlowPercent / 100)
-               : Times.patience();
+    if (!sharing_scheduler<Policy>)
+      return Times.patience();
+    auto Slow = std::chrono::duration_cast<milliseconds>(
+        Times.usual() * SlowFactor * Active.Attempt->Target.waitFactor());
+    return std::min(Times.patience(), Slow);
   }
 
   void giveUpAttempt(active_request &Active, steady_time Now) {
