--- a/src/libs/daemon/store_control_thread.h
+++ b/src/libs/daemon/store_control_thread.h
@@ -83,7 +83,7 @@
 
   // The transport reports here.
 
-  std::optional<error_kind> onHead(attempt_id Id, backend_head Head) {
+  std::optional<error_kind> onHead(attempt_id Id, const backend_head &Head) {
     Calls.at(Id).Status = Head.Status;
     return std::nullopt;
   }
--- a/src/libs/daemon/store_daemon.h
+++ b/src/libs/daemon/store_daemon.h
@@ -104,7 +104,7 @@
         Answers(Answers) {}
 
   request_owner onRequest(const caller_ticket &Ticket,
-                          received_request Request) {
+                          const received_request &Request) {
     std::string_view Target = Request.Frame.Target;
     if (auto Question = Edge::dialect::addressQuestion(Target))
       answerAddresses(Ticket, *Question);
--- a/src/libs/process/pool_scheduler.cpp
+++ b/src/libs/process/pool_scheduler.cpp
@@ -80,7 +80,7 @@
     } else if (Known->Instance != Entry.Instance ||
                Known->Started != Entry.Started) {
       std::size_t StillRunning = Known->InUse;
-      *Known = {};
+      *Known = pooled_server{};
       Known->InUse = StillRunning;
       Known->LastUsed = Now;
     }
--- a/src/libs/process/server_belief.h
+++ b/src/libs/process/server_belief.h
@@ -39,8 +39,8 @@
 /// seen. Without answers it returns to the long-term share of sick time.
 class server_belief {
 public:
-  explicit server_belief(failure_terms Terms = {}, double Sick = SickWhenNew)
-      : Terms(Terms), Sick(Sick) {}
+  server_belief() = default;
+  explicit server_belief(failure_terms Terms) : Terms(Terms) {}
 
   /// A server of which nothing is known.
   static server_belief unknown() {
@@ -66,7 +66,7 @@
   void update(double LikelihoodRatio, steady_time Now);
 
   failure_terms Terms;
-  double Sick;
+  double Sick = SickWhenNew;
   steady_time Updated;
 };
 
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -40,7 +40,7 @@
   key_settings Keys;
   std::uint64_t Seed = 1;
   /// Where this process runs.
-  std::string DataCentre;
+  std::string DataCentre{};
   /// What one process may spend of the fleet's retries.
   retry_terms Retries{};
   /// Answers up to this size are passed on whole, so that one that is cut can
