Make a message for each kind of news

Cause: the linter saw a message used after it was moved when a notice held two kinds, which none does. Change: one message a kind. Ruled out: a fault in use, as a notice is a variant.

--- a/src/libs/process/store_control_state.cpp
+++ b/src/libs/process/store_control_state.cpp
@@ -289,20 +289,21 @@
 
 void store_control_state::onNotice(const control_notice &Notice,
                                    store_control_actions &Out) {
-  peer_message Message;
   if (const auto *Report = std::get_if<work_report>(&Notice)) {
+    peer_message News;
+    News.Work.push_back(*Report);
     // Only those that callers are led to need to know how the pools stand.
-    Message.Work.push_back(*Report);
-    sendNews(std::move(Message), Entries, Out);
+    sendNews(std::move(News), Entries, Out);
   }
   if (const auto *Death = std::get_if<server_death>(&Notice)) {
     event_line("server_died", event_level::Warning)
         .with("service", Death->Service)
         .with("server", Death->Server)
         .with("fingerprint", Death->Fingerprint);
-    Message.Deaths.push_back(*Death);
+    peer_message News;
+    News.Deaths.push_back(*Death);
     Out.emplace_back(tell_traffic_threads{*Death});
-    sendNews(std::move(Message), otherMembers(), Out);
+    sendNews(std::move(News), otherMembers(), Out);
   }
 }
 
