--- a/tests/auto/daemon/tst_callers.cpp
+++ b/tests/auto/daemon/tst_callers.cpp
@@ -130,30 +130,6 @@
   CHECK(Answer.ends_with("\r\n\r\n" + answerContent("id", 0, 100)));
 }
 
-TEST_CASE_METHOD(fleet_fixture, "a graceful end cuts nothing off") {
-  makeReady();
-  order({{"target", "server"}, {"pool", "shop"}, {"fault", "slow"}});
-  std::atomic<int> Whole = 0;
-  std::vector<std::thread> Callers;
-  for (int Count = 0; Count < 12; ++Count)
-    Callers.emplace_back([&, Count] {
-      std::string Id = "drain-" + std::to_string(Count);
-      std::string Answer =
-          raw(0, request(Count % 2 ? "GET" : "POST",
-                         Count % 2 ? "/shop/items/1?bytes=500000"
-                                   : "/shop/orders?bytes=500000",
-                         Id));
-      Whole += Answer.ends_with("\r\n\r\n" + answerContent(Id, 0, 500'000));
-    });
-  poll(nullptr, 0, 30);
-  Daemons[0]->drain();
-  Daemons[0].reset();
-  for (std::thread &Caller : Callers)
-    Caller.join();
-  CHECK(Whole == 12);
-  CHECK(eventually([&] { return status(1)["members"].size() == 2; }));
-}
-
 TEST_CASE_METHOD(fleet_fixture, "a graceful end hands the keys over") {
   makeReady();
   auto [Prefix, Issuer] = keyPrefix();
--- /dev/null
+++ b/tests/auto/daemon/tst_graceful_end.cpp
@@ -0,0 +1,43 @@
+#include "fleet_fixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+#include <thread>
+
+using namespace endiverail;
+using namespace endiverail::test;
+
+namespace {
+
+bool says(const std::string &Answer, const char *Status, const char *Outcome) {
+  return Answer.starts_with("HTTP/1.1 " + std::string(Status)) &&
+         Answer.find("Endiverail-Outcome: " + std::string(Outcome)) !=
+             std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE_METHOD(fleet_fixture, "a graceful end cuts nothing off") {
+  makeReady();
+  order({{"target", "server"}, {"pool", "shop"}, {"fault", "slow"}});
+  std::atomic<int> Whole = 0;
+  std::vector<std::thread> Callers;
+  for (int Count = 0; Count < 12; ++Count)
+    Callers.emplace_back([&, Count] {
+      std::string Id = "drain-" + std::to_string(Count);
+      std::string Answer =
+          raw(0, request(Count % 2 ? "GET" : "POST",
+                         Count % 2 ? "/shop/items/1?bytes=500000"
+                                   : "/shop/orders?bytes=500000",
+                         Id));
+      Whole += Answer.ends_with("\r\n\r\n" + answerContent(Id, 0, 500'000));
+    });
+  poll(nullptr, 0, 30);
+  Daemons[0]->drain();
+  Daemons[0].reset();
+  for (std::thread &Caller : Callers)
+    Caller.join();
+  CHECK(Whole == 12);
+  CHECK(eventually([&] { return status(1)["members"].size() == 2; }));
+}
