Let no caller's own timeout end an answer in the case of the graceful end

Cause, traced by printing each answer with its time: the kind's own timeout of 3 s. Beside a parallel build and three busy processes 14 of 14 runs failed; each answer that was not whole was either 504 backend-timeout or broken off when its 3 s were over. The instrumented fixture then needs 1.9 to 2.2 s for the twelve answers, with the drain (2.2 s) and without it (1.9 to 2.1 s), so any more load passes the timeout, which ends a request by design.

Ruled out: the connect timeout (before), callers that are not connected when the drain begins (all 14 runs show heads of answers or 504, no empty ones).

Change: the kind's timeout in this case is 9 s, below the drain timeout of 10 s, so that only the drain can take an answer away. The check, the twelve whole answers, stays.

--- a/tests/auto/daemon/fleet_fixture.h
+++ b/tests/auto/daemon/fleet_fixture.h
@@ -71,13 +71,14 @@
     return valueFrom([&] { return proxy_daemon::create(settings(Index)); });
   }
 
-  static std::string serviceText(std::size_t Floor = 2) {
-    auto Kind = [](const char *Name, const char *Method, const char *Path,
+  static std::string serviceText(std::size_t Floor = 2,
+                                 milliseconds Timeout = milliseconds(3'000)) {
+    auto Kind = [&](const char *Name, const char *Method, const char *Path,
                    bool Idempotent) {
       return nlohmann::json{
           {"name", Name},       {"method", Method},         {"path", Path},
           {"rank", "urgent"},   {"idempotent", Idempotent}, {"target_ms", 300},
-          {"timeout_ms", 3'000}};
+          {"timeout_ms", Timeout.count()}};
     };
     return nlohmann::json{{"service", "shop"},
                           {"pool_size", ServerCount},
@@ -119,8 +120,8 @@
     return false;
   }
 
-  void makeReady() {
-    publish(serviceText());
+  void makeReady(const std::string &Text = serviceText()) {
+    publish(Text);
     for (std::size_t Index = 0; Index < Daemons.size(); ++Index)
       REQUIRE(eventually([&] {
         return get(Index, "/endiverail/health").Status == 200 &&
--- a/tests/auto/daemon/tst_graceful_end.cpp
+++ b/tests/auto/daemon/tst_graceful_end.cpp
@@ -19,7 +19,11 @@
 } // namespace
 
 TEST_CASE_METHOD(fleet_fixture, "a graceful end cuts nothing off") {
-  makeReady();
+  // Shorter than the fixture's drain timeout and long enough for an
+  // instrumented build on a busy machine: a caller that misses its answer has
+  // been cut off by the drain and not by its own timeout.
+  constexpr milliseconds Timeout{9'000};
+  makeReady(serviceText(2, Timeout));
   order({{"target", "server"}, {"pool", "shop"}, {"fault", "slow"}});
   std::atomic<int> Whole = 0;
   std::vector<std::thread> Callers;
