Write answers past Pistache's queue, which can give them to another caller

Cause: Pistache queues a write by descriptor number, and closes the descriptor of a caller that leaves although the write holds the peer (a program of forty lines showed the number in use again at once). If the next caller's connection gets the number before the queue is emptied, it gets the answer. The comment in connection_io.h, that holding the peer holds the number, was wrong.

Ruled out: the fence by ticket (it looks at the connection, which was the right one when the answer was handed over), connections to servers (the id in the answer's head is compared), descriptors of the traffic thread.

Change: the connection thread sends what the socket takes itself and is told when it takes more; nothing is queued by number.

--- a/src/libs/http/connection_io.cpp
+++ b/src/libs/http/connection_io.cpp
@@ -4,16 +4,19 @@
 #include <sys/timerfd.h>
 #include <unistd.h>
 
-#include <exception>
+#include <cerrno>
 
 namespace endiverail::detail {
 
-void writeTo(const std::shared_ptr<Pistache::Tcp::Peer> &Peer,
-             std::string Bytes, std::function<void()> Written) {
-  std::size_t Size = Bytes.size();
-  Peer->send(Pistache::RawBuffer(std::move(Bytes), Size), MSG_NOSIGNAL)
-      .then([Peer, Written = std::move(Written)](ssize_t) { Written(); },
-            [Peer](const std::exception_ptr &) { breakConnection(*Peer); });
+std::optional<std::size_t> sendSome(const Pistache::Tcp::Peer &Peer,
+                                    std::string_view Bytes) {
+  ssize_t Sent = ::send(Peer.fd(), Bytes.data(), Bytes.size(),
+                        MSG_NOSIGNAL | MSG_DONTWAIT);
+  if (Sent >= 0)
+    return static_cast<std::size_t>(Sent);
+  if (errno == EAGAIN || errno == EINTR)
+    return 0;
+  return std::nullopt;
 }
 
 void breakConnection(const Pistache::Tcp::Peer &Peer) {
--- a/src/libs/http/connection_io.h
+++ b/src/libs/http/connection_io.h
@@ -3,20 +3,19 @@
 #include "base/time.h"
 
 #include <pistache/peer.h>
-#include <pistache/transport.h>
 
-#include <functional>
-#include <memory>
+#include <cstddef>
 #include <optional>
-#include <string>
+#include <string_view>
 
 namespace endiverail::detail {
 
-/// Writes \p Bytes to \p Peer; \p Written is called on the connection's thread
-/// once they have left. Pistache addresses writes by descriptor number: the
-/// write holds the peer, and with it the number, until it is done.
-void writeTo(const std::shared_ptr<Pistache::Tcp::Peer> &Peer,
-             std::string Bytes, std::function<void()> Written);
+/// Sends what the socket takes of \p Bytes now and returns how much that was;
+/// nothing when the connection is broken. Pistache's own queue is not used: it
+/// addresses writes by descriptor number, which may belong to the next caller
+/// by the time that the queue is emptied.
+std::optional<std::size_t> sendSome(const Pistache::Tcp::Peer &Peer,
+                                    std::string_view Bytes);
 
 /// Closes both directions; Pistache then reports the disconnection.
 void breakConnection(const Pistache::Tcp::Peer &Peer);
--- a/src/libs/http/connection_worker.h
+++ b/src/libs/http/connection_worker.h
@@ -12,10 +12,12 @@
 #include <concepts>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <future>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <variant>
@@ -78,8 +80,15 @@
     return Count.load(std::memory_order_relaxed);
   }
 
+  /// Asks to be told when a connection's descriptor takes bytes again.
+  using writable_watch = std::function<void(int Descriptor, bool Wanted)>;
+  void setWritableWatch(writable_watch Watch) {
+    WatchWritable = std::move(Watch);
+  }
+
   void onConnected(const std::shared_ptr<Pistache::Tcp::Peer> &Peer) {
     auto Added = Connections.try_emplace(Peer->getID(), Peer, Settings.Limits);
+    ByDescriptor[Peer->fd()] = Peer->getID();
     Count.store(Connections.size(), std::memory_order_relaxed);
     expectBy(Added.first->second, Settings.ReceiveTimeout);
   }
@@ -106,6 +115,7 @@
     caller_ticket Ticket = ticket(Entry);
     request_owner Owner = Entry.Owner;
     bool Owed = Entry.State.inProgress();
+    ByDescriptor.erase(Entry.Peer->fd());
     Connections.erase(Found);
     Count.store(Connections.size(), std::memory_order_relaxed);
     if (Owed)
@@ -113,6 +123,12 @@
     tellIfClosed();
   }
 
+  void onWritable(int Descriptor) {
+    auto Id = ByDescriptor.find(Descriptor);
+    if (Id != ByDescriptor.end())
+      sendUnsent(Connections.at(Id->second));
+  }
+
   void onInbox() {
     for (worker_message &Message : Inbox.takeAll())
       std::visit([&](auto &Part) { take(Part); }, Message);
@@ -136,6 +152,13 @@
 private:
   static constexpr milliseconds LingerTime{2'000};
 
+  struct unsent_text {
+    std::string Text;
+    /// Bytes of the answer's body that its sink is told of once it has left.
+    std::size_t PieceBytes = 0;
+    std::size_t Sent = 0;
+  };
+
   struct entry {
     entry(std::shared_ptr<Pistache::Tcp::Peer> Peer, framing_limits Limits)
         : Peer(std::move(Peer)), State(Limits) {}
@@ -151,9 +174,9 @@
     bool NoBody = false;
     bool Closing = false;
     body_framing Framing = body_framing::None;
-    /// Texts that wait for the one before them to leave.
-    std::deque<std::pair<std::string, std::size_t>> Unsent;
-    bool Sending = false;
+    /// What the socket has not taken yet, in order.
+    std::deque<unsent_text> Unsent;
+    bool AwaitsWritable = false;
     bool AnswerEnded = false;
   };
 
@@ -295,7 +318,7 @@
       return;
     Entry->AnswerEnded = true;
     if (Entry->Framing == body_framing::Chunked && !Entry->NoBody)
-      send(*Entry, std::string(LastChunk), 0);
+      return send(*Entry, std::string(LastChunk), 0);
     finishIfSent(*Entry);
   }
 
@@ -322,38 +345,41 @@
       close(*Entry);
   }
 
-  /// One text at a time: the next one goes when the one before has left, so
-  /// that a caller that stalls holds no more than what is queued for it.
+  /// What the socket does not take now leaves as the caller reads; a caller
+  /// that stalls holds no more than what is queued for it.
   void send(entry &Entry, std::string Text, std::size_t PieceBytes) {
-    Entry.Unsent.emplace_back(std::move(Text), PieceBytes);
-    sendNext(Entry);
+    Entry.Unsent.push_back({std::move(Text), PieceBytes});
+    if (!Entry.AwaitsWritable)
+      sendUnsent(Entry);
   }
 
-  void sendNext(entry &Entry) {
-    if (Entry.Sending || Entry.Unsent.empty())
-      return;
-    Entry.Sending = true;
-    auto [Text, PieceBytes] = std::move(Entry.Unsent.front());
-    Entry.Unsent.pop_front();
-    std::uint64_t Id = Entry.Peer->getID();
-    writeTo(Entry.Peer, std::move(Text),
-            [this, Id, PieceBytes = PieceBytes] { onSent(Id, PieceBytes); });
+  void sendUnsent(entry &Entry) {
+    while (!Entry.Unsent.empty()) {
+      unsent_text &First = Entry.Unsent.front();
+      auto Sent = sendSome(*Entry.Peer,
+                           std::string_view(First.Text).substr(First.Sent));
+      // The disconnection is reported as for any other connection.
+      if (!Sent)
+        return breakConnection(*Entry.Peer);
+      First.Sent += *Sent;
+      if (First.Sent < First.Text.size())
+        return awaitWritable(Entry, true);
+      std::size_t PieceBytes = First.PieceBytes;
+      Entry.Unsent.pop_front();
+      if (PieceBytes != 0)
+        To.onWritten(Entry.Owner, ticket(Entry), PieceBytes);
+    }
+    awaitWritable(Entry, false);
+    finishIfSent(Entry);
   }
 
-  void onSent(std::uint64_t Id, std::size_t PieceBytes) {
-    auto Found = Connections.find(Id);
-    if (Found == Connections.end())
-      return;
-    entry &Entry = Found->second;
-    Entry.Sending = false;
-    if (PieceBytes != 0)
-      To.onWritten(Entry.Owner, ticket(Entry), PieceBytes);
-    sendNext(Entry);
-    finishIfSent(Entry);
+  void awaitWritable(entry &Entry, bool Wanted) {
+    if (std::exchange(Entry.AwaitsWritable, Wanted) != Wanted)
+      WatchWritable(Entry.Peer->fd(), Wanted);
   }
 
   void finishIfSent(entry &Entry) {
-    if (!Entry.AnswerEnded || Entry.Sending || !Entry.Unsent.empty())
+    if (!Entry.AnswerEnded || !Entry.Unsent.empty())
       return;
     if (!Entry.KeepAlive) {
       closeGently(Entry);
@@ -375,6 +401,8 @@
   mailbox<worker_message> Inbox;
   timer_descriptor Timer;
   std::unordered_map<std::uint64_t, entry> Connections;
+  std::unordered_map<int, std::uint64_t> ByDescriptor;
+  writable_watch WatchWritable;
   std::atomic<std::size_t> Count = 0;
   bool KeepNone = false;
   std::optional<std::promise<void>> Closed;
--- a/src/libs/http/front_end.h
+++ b/src/libs/http/front_end.h
@@ -63,6 +63,13 @@
     Transport::registerPoller(Poller);
     addDescriptor(Poller, Worker->inboxDescriptor());
     addDescriptor(Poller, Worker->timerDescriptor());
+    Worker->setWritableWatch([this](int Descriptor, bool Wanted) {
+      using Pistache::Polling::NotifyOn;
+      reactor()->modifyFd(key(), Descriptor,
+                          Wanted ? NotifyOn::Read | NotifyOn::Write
+                                 : NotifyOn::Read,
+                          Pistache::Polling::Mode::Edge);
+    });
   }
 
   void onReady(const Pistache::Aio::FdSet &Ready) override {
@@ -73,13 +80,22 @@
       else if (Entry.getTag() == tagOf(Worker->timerDescriptor()))
         Worker->onTimer(steadyNow());
       else
-        Others.push_back(copyOf(Entry));
+        onConnectionReady(Entry, Others);
     }
     if (!Others.empty())
       Transport::onReady(Pistache::Aio::FdSet(std::move(Others)));
   }
 
 private:
+  /// Pistache knows nothing of what waits to be written.
+  void onConnectionReady(const Pistache::Aio::FdSet::Entry &Entry,
+                         std::vector<Pistache::Polling::Event> &Others) {
+    if (Entry.isWritable())
+      Worker->onWritable(static_cast<int>(Entry.getTag().value()));
+    if (Entry.isReadable() || !Entry.isWritable())
+      Others.push_back(withoutWritable(Entry));
+  }
+
   static Pistache::Polling::Tag tagOf(int Descriptor) {
     return Pistache::Polling::Tag(static_cast<std::uint64_t>(Descriptor));
   }
@@ -92,13 +108,11 @@
   }
 
   static Pistache::Polling::Event
-  copyOf(const Pistache::Aio::FdSet::Entry &Entry) {
+  withoutWritable(const Pistache::Aio::FdSet::Entry &Entry) {
     using Pistache::Polling::NotifyOn;
     Pistache::Polling::Event Event(Entry.getTag());
     if (Entry.isReadable())
       Event.flags.setFlag(NotifyOn::Read);
-    if (Entry.isWritable())
-      Event.flags.setFlag(NotifyOn::Write);
     if (Entry.isHangup())
       Event.flags.setFlag(NotifyOn::Hangup);
     return Event;
--- a/tests/auto/http/tst_front_end.cpp
+++ b/tests/auto/http/tst_front_end.cpp
@@ -6,6 +6,7 @@
 
 #include <condition_variable>
 #include <mutex>
+#include <thread>
 
 using namespace endiverail;
 using namespace endiverail::test;
@@ -343,3 +344,83 @@
       valueOf(front_end<holding_sink>::create(Settings, Sink, Memory));
   CHECK(failureOf([&] { return Second->start(); }) == error_kind::BadSettings);
 }
+
+namespace {
+
+/// Holds up the connection thread at requests whose path begins with /hold,
+/// until the test lets it go on.
+class pausing_sink {
+public:
+  request_owner onRequest(const caller_ticket &Ticket,
+                          received_request Request) {
+    std::string Target = Request.Frame.Target;
+    Requests.onRequest(Ticket, std::move(Request));
+    if (!Target.starts_with("/hold"))
+      return 0;
+    std::unique_lock Lock(Mutex);
+    Changed.wait_for(Lock, 20s, [&] { return Passes > 0; });
+    --Passes;
+    return 0;
+  }
+  void onWritten(request_owner, const caller_ticket &, std::size_t) {}
+  void onCallerGone(request_owner, const caller_ticket &) {}
+
+  void letGoOn() {
+    std::lock_guard Lock(Mutex);
+    ++Passes;
+    Changed.notify_all();
+  }
+
+  holding_sink Requests;
+
+private:
+  std::mutex Mutex;
+  std::condition_variable Changed;
+  int Passes = 0;
+};
+
+/// Long enough for the listening thread to accept a connection.
+void awaitAccept() { std::this_thread::sleep_for(100ms); }
+
+} // namespace
+
+// Pistache queues writes by descriptor number and closes the descriptor of a
+// caller that leaves before it empties that queue.
+TEST_CASE("an answer to a caller that leaves goes to nobody who comes next") {
+  pausing_sink Sink;
+  memory_budget Memory{150'000};
+  front_end_settings Settings;
+  Settings.Address = "127.0.0.1";
+  Settings.Limits = {4'096, 100'000};
+  auto Front = valueOf(front_end<pausing_sink>::create(Settings, Sink, Memory));
+  REQUIRE(Front->start());
+  auto Connect = [&] { return raw_connection::to(Front->port()); };
+  // Kept for the caller's end of the last connection, so that its other end
+  // gets the number that the leaving caller's had.
+  int LowNumber = dup(STDERR_FILENO);
+  raw_connection First = Connect();
+  raw_connection Second = Connect();
+  raw_connection Leaving = Connect();
+  Leaving.send("GET /leaving HTTP/1.1\r\n\r\n");
+  caller_ticket Ticket = Sink.Requests.take().Ticket;
+  First.send("GET /hold/1 HTTP/1.1\r\n\r\n");
+  Sink.Requests.take();
+  // The thread meets these events together, in this order.
+  postWhole(*Front, Ticket, answer_head{}, "for the one who leaves");
+  Leaving.closeNow();
+  Second.send("GET /hold/2 HTTP/1.1\r\n\r\n");
+  raw_connection Third = Connect();
+  awaitAccept();
+  Sink.letGoOn();
+  Sink.Requests.take();
+  close(LowNumber);
+  raw_connection Next = Connect();
+  awaitAccept();
+  Sink.letGoOn();
+
+  Next.send("GET /next HTTP/1.1\r\n\r\n");
+  taken_request Request = Sink.Requests.take();
+  CHECK(Request.Request.Frame.Target == "/next");
+  postWhole(*Front, Request.Ticket, answer_head{}, "for the next");
+  CHECK(hasBody(Next.readAnswer(), "for the next"));
+}
