Keep sound servers in use, share one retry allowance, lead callers by capacity

Cause, from reading: a fifth of all usable servers may be idle, which is four of twenty, while the users count only servers that have not failed for 2 s. Change: a fifth of those.

Cause: each rank of a service saved the whole part of an entry, and processes that start again began with one more each. Change: ranks share what is saved, a start brings half a retry, and the part of an entry follows the number of entries instead of a constant.

Reports between entries come less often when there are many entries.

--- a/src/libs/daemon/store_daemon.h
+++ b/src/libs/daemon/store_daemon.h
@@ -228,8 +228,8 @@
     auto Incarnation =
         static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
     return {
-        Settings.Id, Settings.DataCentre,   Settings.PeerAddress, Incarnation,
-        true,        Settings.CallerAddress};
+        Settings.Id, Settings.DataCentre,    Settings.PeerAddress, Incarnation,
+        true,        Settings.CallerAddress, Settings.Capacity};
   }
 
   fleet_version_ref firstVersion() const {
--- a/src/libs/files/store_daemon_settings.cpp
+++ b/src/libs/files/store_daemon_settings.cpp
@@ -10,24 +10,23 @@
 constexpr std::size_t KiB = 1024;
 constexpr std::size_t MiB = 1024 * KiB;
 
-/// The operator bounds retries of the whole fleet in a window: a share of the
-/// requests and a number beside. Each entry takes its part of the number, and
-/// saves so little that all of them together stay within the bound.
-retry_terms readRetryTerms(checked_object &Budget) {
-  /// Entries of the users' deployments: four in each of three to five data
-  /// centres. Daemons beyond them serve stray callers only.
-  constexpr double MostEntries = 16;
-  /// Left for daemons whose view of the fleet differs.
-  constexpr double Margin = 0.8;
-  double Share = Budget.requiredReal("share_of_requests", 0, 10);
-  double Extra = Budget.requiredReal("extra", 0, 1e6);
-  retry_terms Terms;
-  Terms.Initial = 1;
-  // What is saved may be spent within one window by all of them together.
-  Terms.Most = std::max(1.0, Margin * Extra / MostEntries);
-  Terms.PerSuccess = 0;
-  Terms.PerRequest = Margin * Share;
-  return Terms;
+retry_allowance readRetries(checked_object &Budget) {
+  return {Budget.requiredReal("share_of_requests", 0, 10),
+          Budget.requiredReal("extra", 0, 1e6)};
+}
+
+/// Requests a second that a host carries with that share of a processor core
+/// and that link. What a request takes is measured on the users' calm days.
+std::uint32_t readCapacity(checked_object &Host) {
+  constexpr double ProcessorSecondsPerRequest = 0.002;
+  /// Both ways, with the headers.
+  constexpr double BytesPerRequest = 20e3;
+  constexpr double BytesPerMegabit = 1e6 / 8;
+  double ProcessorShare = Host.requiredReal("processor_share", 0, 1e3);
+  double LinkMegabits = Host.requiredReal("link_mbps", 0, 1e6);
+  return static_cast<std::uint32_t>(
+      std::min(ProcessorShare / ProcessorSecondsPerRequest,
+               LinkMegabits * BytesPerMegabit / BytesPerRequest));
 }
 
 store_daemon_settings readFields(checked_object &File) {
@@ -54,7 +53,10 @@
   Settings.MostBufferedBytes =
       File.optionalNumber("max_buffered_bytes", 1 * MiB, {4 * KiB, 16 * MiB});
   File.object("retries", [&](checked_object &Budget) {
-    Settings.Retries = readRetryTerms(Budget);
+    Settings.Retries = readRetries(Budget);
+  });
+  File.object("host", [&](checked_object &Host) {
+    Settings.Capacity = readCapacity(Host);
   });
   Settings.AddressLifetime =
       readTime(File, "address_lifetime_ms", 1'000, {100, 600'000});
--- a/src/libs/files/store_daemon_settings.h
+++ b/src/libs/files/store_daemon_settings.h
@@ -5,6 +5,7 @@
 #include "process/retry_budget.h"
 #include "version/fleet_view.h"
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,8 +36,10 @@
   std::size_t BodyMemoryBytes = 0;
   /// Answers up to this size are held back until they are whole.
   std::size_t MostBufferedBytes = 0;
-  /// What this process may spend of the retries that the operator allows.
-  retry_terms Retries;
+  /// What the operator allows the fleet to retry.
+  retry_allowance Retries;
+  /// Requests a second that this host can carry; 0 where that is not known.
+  std::uint32_t Capacity = 0;
   milliseconds AddressLifetime{0};
   /// From the request to end to the end at the latest.
   milliseconds DrainTime{0};
--- a/src/libs/peer/gen/peer_types.cpp
+++ b/src/libs/peer/gen/peer_types.cpp
@@ -49,6 +49,10 @@
 void Member::__set_callerAddress(const std::string& val) {
   this->callerAddress = val;
 }
+
+void Member::__set_capacity(const int32_t val) {
+  this->capacity = val;
+}
 std::ostream& operator<<(std::ostream& out, const Member& obj)
 {
   obj.printTo(out);
@@ -141,6 +145,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->capacity);
+          this->__isset.capacity = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -190,6 +202,10 @@
   xfer += oprot->writeString(this->callerAddress);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("capacity", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->capacity);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -205,6 +221,7 @@
   swap(a.refutation, b.refutation);
   swap(a.state, b.state);
   swap(a.callerAddress, b.callerAddress);
+  swap(a.capacity, b.capacity);
   swap(a.__isset, b.__isset);
 }
 
@@ -217,6 +234,7 @@
   refutation = other0.refutation;
   state = other0.state;
   callerAddress = other0.callerAddress;
+  capacity = other0.capacity;
   __isset = other0.__isset;
 }
 Member::Member(Member&& other1) noexcept {
@@ -228,6 +246,7 @@
   refutation = other1.refutation;
   state = other1.state;
   callerAddress = std::move(other1.callerAddress);
+  capacity = other1.capacity;
   __isset = other1.__isset;
 }
 Member& Member::operator=(const Member& other2) {
@@ -239,6 +258,7 @@
   refutation = other2.refutation;
   state = other2.state;
   callerAddress = other2.callerAddress;
+  capacity = other2.capacity;
   __isset = other2.__isset;
   return *this;
 }
@@ -251,6 +271,7 @@
   refutation = other3.refutation;
   state = other3.state;
   callerAddress = std::move(other3.callerAddress);
+  capacity = other3.capacity;
   __isset = other3.__isset;
   return *this;
 }
@@ -265,6 +286,7 @@
   out << ", " << "refutation=" << to_string(refutation);
   out << ", " << "state=" << to_string(state);
   out << ", " << "callerAddress=" << to_string(callerAddress);
+  out << ", " << "capacity=" << to_string(capacity);
   out << ")";
 }
 
--- a/src/libs/peer/gen/peer_types.h
+++ b/src/libs/peer/gen/peer_types.h
@@ -62,7 +62,7 @@
 class KeyHandOver;
 
 typedef struct _Member__isset {
-  _Member__isset() : id(false), dataCentre(false), address(false), incarnation(false), offered(false), refutation(false), state(false), callerAddress(false) {}
+  _Member__isset() : id(false), dataCentre(false), address(false), incarnation(false), offered(false), refutation(false), state(false), callerAddress(false), capacity(false) {}
   bool id :1;
   bool dataCentre :1;
   bool address :1;
@@ -71,6 +71,7 @@
   bool refutation :1;
   bool state :1;
   bool callerAddress :1;
+  bool capacity :1;
 } _Member__isset;
 
 class Member : public virtual ::apache::thrift::TBase {
@@ -88,7 +89,8 @@
            offered(0),
            refutation(0),
            state(0),
-           callerAddress() {
+           callerAddress(),
+           capacity(0) {
   }
 
   virtual ~Member() noexcept;
@@ -100,6 +102,7 @@
   int64_t refutation;
   int32_t state;
   std::string callerAddress;
+  int32_t capacity;
 
   _Member__isset __isset;
 
@@ -119,6 +122,8 @@
 
   void __set_callerAddress(const std::string& val);
 
+  void __set_capacity(const int32_t val);
+
   bool operator == (const Member & rhs) const
   {
     if (!(id == rhs.id))
@@ -137,6 +142,8 @@
       return false;
     if (!(callerAddress == rhs.callerAddress))
       return false;
+    if (!(capacity == rhs.capacity))
+      return false;
     return true;
   }
   bool operator != (const Member &rhs) const {
--- a/src/libs/peer/peer.thrift
+++ b/src/libs/peer/peer.thrift
@@ -11,6 +11,7 @@
   6: i64 refutation
   7: i32 state
   8: string callerAddress
+  9: i32 capacity
 }
 
 struct ServiceVersion {
--- a/src/libs/peer/wire_conversion.cpp
+++ b/src/libs/peer/wire_conversion.cpp
@@ -33,14 +33,19 @@
   Member.refutation = toWire(Update.Refutation);
   Member.state = static_cast<std::int32_t>(Update.State);
   Member.callerAddress = Update.Proxy.CallerAddress;
+  Member.capacity = static_cast<std::int32_t>(Update.Proxy.Capacity);
   return Member;
 }
 
 member_update fromWire(const wire::Member &Member) {
   member_update Update;
-  Update.Proxy = {Member.id,      Member.dataCentre,
-                  Member.address, fromWire(Member.incarnation),
-                  Member.offered, Member.callerAddress};
+  Update.Proxy = {Member.id,
+                  Member.dataCentre,
+                  Member.address,
+                  fromWire(Member.incarnation),
+                  Member.offered,
+                  Member.callerAddress,
+                  static_cast<std::uint32_t>(std::max(0, Member.capacity))};
   Update.Refutation = fromWire(Member.refutation);
   Update.State = static_cast<member_state>(
       std::clamp(Member.state, 0, static_cast<int>(member_state::Left)));
--- a/src/libs/process/pool_scheduler.cpp
+++ b/src/libs/process/pool_scheduler.cpp
@@ -42,9 +42,11 @@
 /// A server without work for that long is idle: the users count servers that
 /// get nothing for two seconds.
 constexpr milliseconds IdleAfter{1'800};
-/// Share of the servers that may be idle. The users want seven tenths of the
-/// sound ones in use while many requests fail, which nobody can foresee.
+/// Share of the sound servers that may be idle. The users want seven tenths of
+/// them in use while many requests fail, which nobody can foresee.
 constexpr double MostIdle = 0.2;
+/// A server that has failed a request counts as sound again after this time.
+constexpr milliseconds SoundAfter{2'000};
 /// Chance and cost of a failure while a request waits and is worked on.
 constexpr double WaitRisk = 1.5;
 constexpr milliseconds LeastReserved{200};
@@ -176,6 +178,13 @@
              Request.Avoid.end();
 }
 
+/// Whether the users count the server among those that are to be in use.
+bool pool_scheduler::isSound(const pooled_server &Server,
+                             steady_time Now) const {
+  return Server.usable() && Server.Path.sick(Now) < Doubted &&
+         (!Server.LastFailed || Now > *Server.LastFailed + SoundAfter);
+}
+
 /// The least doubtful idle server, when more are idle than may be.
 pool_scheduler::pooled_server *
 pool_scheduler::chooseIdleServer(const waiting_request &Request,
@@ -184,9 +193,11 @@
     return Server.usable() && Server.Path.sick(Now) < Doubted &&
            Now > Server.LastUsed + IdleAfter;
   };
-  auto Usable = std::ranges::count_if(Servers, &pooled_server::usable);
+  auto Sound = std::ranges::count_if(Servers, [&](const pooled_server &Server) {
+    return isSound(Server, Now);
+  });
   auto Idle = std::ranges::count_if(Servers, IsIdle);
-  if (static_cast<double>(Idle) <= MostIdle * static_cast<double>(Usable))
+  if (static_cast<double>(Idle) <= MostIdle * static_cast<double>(Sound))
     return nullptr;
   pooled_server *Best = nullptr;
   for (pooled_server &Server : Servers)
@@ -266,6 +277,8 @@
   if (!Server)
     return;
   Server->LastUsed = Now;
+  if (Signal == attempt_signal::Failed || Signal == attempt_signal::Erred)
+    Server->LastFailed = Now;
   switch (Signal) {
   case attempt_signal::Good:
     Server->Slowness.observe(false, Now);
--- a/src/libs/process/pool_scheduler.h
+++ b/src/libs/process/pool_scheduler.h
@@ -96,6 +96,8 @@
     bool Failing = false;
     /// When a request was last seen there.
     steady_time LastUsed;
+    /// When it last failed one.
+    std::optional<steady_time> LastFailed;
     /// Until when it takes no more than it had when it was full.
     steady_time FullUntil;
     std::size_t FullAt = 0;
@@ -115,6 +117,7 @@
                 steady_time Now) const;
   bool mayTake(const waiting_request &Request, const pooled_server &Server,
                steady_time Now) const;
+  bool isSound(const pooled_server &Server, steady_time Now) const;
   pooled_server *chooseIdleServer(const waiting_request &Request,
                                   steady_time Now);
   pooled_server *chooseServer(const waiting_request &Request, steady_time Now);
--- a/src/libs/process/retry_budget.h
+++ b/src/libs/process/retry_budget.h
@@ -3,6 +3,7 @@
 #include "version/rank.h"
 
 #include <algorithm>
+#include <cstddef>
 
 namespace endiverail {
 
@@ -13,6 +14,19 @@
   double Most = 20;
   double PerSuccess = 0.1;
   double PerRequest = 0;
+  /// Whether Most bounds all ranks together: each rank that has requests then
+  /// saves an equal part of it.
+  bool SharedByRanks = false;
+};
+
+/// What a whole fleet may retry within the operator's window: a share of its
+/// requests and a number beside.
+struct retry_allowance {
+  double ShareOfRequests = 0;
+  double Extra = 0;
+
+  /// The terms for one of \p Entries daemons that spend it together.
+  retry_terms termsFor(std::size_t Entries) const;
 };
 
 /// Bounds retries to a share of recent work, for each rank on its own, so that
@@ -34,12 +48,14 @@
   bool available(rank Rank) const;
 
 private:
-  void add(double &Left, double Amount) const {
-    Left = std::min(Terms.Most, Left + Amount);
-  }
+  void add(rank Rank, double Amount);
+  /// What one rank may save.
+  double most() const;
 
   retry_terms Terms;
   per_rank<double> Tokens{};
+  /// Ranks that have had requests.
+  per_rank<bool> Used{};
 };
 
 } // namespace endiverail
--- a/src/libs/process/store_control_state.cpp
+++ b/src/libs/process/store_control_state.cpp
@@ -364,6 +364,8 @@
   }
   Version->View.Proxies = PublishedMembers;
   Version->View.Servers = Directory.servers();
+  Entries = allEntries(PublishedMembers, neededRate(Version->View));
+  Version->EntryCount = Entries.size();
   Out.emplace_back(publish_version{std::move(Version)});
 }
 
@@ -377,7 +379,6 @@
     return false;
   PublishedMembers = std::move(Current);
   Readers = storeReaders(PublishedMembers);
-  Entries = allEntries(PublishedMembers);
   for (const proxy_member *Member : otherMembers())
     KnownPeers.insert_or_assign(Member->Id, Member->Address);
   return true;
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -41,8 +41,8 @@
   std::uint64_t Seed = 1;
   /// Where this process runs.
   std::string DataCentre{};
-  /// What one process may spend of the fleet's retries.
-  retry_terms Retries{};
+  /// What the fleet may retry, where the operator bounds that.
+  retry_allowance Retries{};
   /// Answers up to this size are passed on whole, so that one that is cut can
   /// be tried again.
   std::size_t MostBufferedBytes = std::size_t{64} * 1024;
@@ -494,7 +494,9 @@
     State.Scheduler.configure(Service->Definition, Servers, Now);
     if constexpr (sharing_scheduler<Policy>) {
       State.Scheduler.setDataCentre(Settings.DataCentre);
-      State.Scheduler.setRetryTerms(Settings.Retries);
+      State.Scheduler.setRetryTerms(
+          Settings.Retries.termsFor(Version->EntryCount));
+      State.Work.setEntries(Version->EntryCount);
     }
   }
 
--- a/src/libs/process/work_report.h
+++ b/src/libs/process/work_report.h
@@ -38,13 +38,23 @@
 /// Collects what a service's report will tell.
 class work_collector {
 public:
-  /// A busy service tells of its work once in this time; a failure is told at
-  /// once. The slots in use of 44 proxies are then at most one usual answer's
-  /// tenth old.
-  static constexpr milliseconds Period{60};
+  /// A busy service tells of its work once in this time for each entry of the
+  /// fleet; a failure is told at once. An entry then takes 200 reports of a
+  /// service a second, however many entries there are, and with twelve of them
+  /// the slots in use are a tenth of a usual answer old.
+  static constexpr milliseconds PeriodPerEntry{5};
+  /// With few entries; more reports would tell nothing that is new.
+  static constexpr milliseconds LeastPeriod{60};
   /// Slots that stay in use are told again, for whoever missed a datagram.
   static constexpr milliseconds Refresh{500};
 
+  /// How many entries tell each other.
+  void setEntries(std::size_t Count) {
+    Period = std::clamp<milliseconds>(PeriodPerEntry *
+                                          static_cast<std::int64_t>(Count),
+                                      LeastPeriod, Refresh);
+  }
+
   void noteUse(std::string_view Server, std::uint32_t InUse) {
     find(Server).InUse = InUse;
     Changed = true;
@@ -97,6 +107,7 @@
         server_work{std::string(Server), 0, 0, 0, 0, 0, 0});
   }
 
+  milliseconds Period = LeastPeriod;
   std::vector<server_work> Works;
   steady_time LastTaken;
   bool Changed = false;
--- a/src/libs/version/caller_addresses.cpp
+++ b/src/libs/version/caller_addresses.cpp
@@ -6,18 +6,43 @@
 #include <algorithm>
 #include <iterator>
 #include <ranges>
+#include <span>
 
 namespace endiverail {
+namespace {
+
+/// Callers pick any address of an answer, so a host that carries half as much
+/// as the strongest one stands in every second answer.
+std::vector<const proxy_member *>
+byCapacity(std::span<const proxy_member *const> Entries, std::uint64_t Nonce) {
+  std::uint32_t Most = 0;
+  for (const proxy_member *Entry : Entries)
+    Most = std::max(Most, Entry->Capacity);
+  constexpr std::uint64_t Scale = 1'000'000;
+  std::vector<const proxy_member *> Chosen;
+  std::ranges::copy_if(
+      Entries, std::back_inserter(Chosen), [&](const proxy_member *Entry) {
+        std::uint64_t Draw = mixHashes(stableHash(Entry->Id), Nonce) % Scale;
+        return Draw * Most < Scale * Entry->Capacity || Most == 0;
+      });
+  if (Chosen.size() < LeastCallerAddresses)
+    return {Entries.begin(), Entries.end()};
+  return Chosen;
+}
+
+} // namespace
 
 std::vector<std::string> callerAddresses(const fleet_version &Version,
                                          std::string_view DataCentre,
                                          std::uint64_t Nonce) {
-  auto Chosen = entriesOf(Version.View.Proxies, DataCentre);
+  request_rate Needed = neededRate(Version.View);
+  auto Chosen = entriesOf(Version.View.Proxies, DataCentre, Needed);
   if (Chosen.size() < LeastCallerAddresses)
-    Chosen = allEntries(Version.View.Proxies);
+    Chosen = allEntries(Version.View.Proxies, Needed);
   std::erase_if(Chosen, [&](const proxy_member *Proxy) {
     return Proxy->Id == Version.SelfId && (!Version.Ready || Version.Draining);
   });
+  Chosen = byCapacity(Chosen, Nonce);
   if (Chosen.size() > MostCallerAddresses) {
     std::ranges::sort(Chosen, {}, [&](const proxy_member *Proxy) {
       return mixHashes(stableHash(Proxy->Id), Nonce);
--- a/src/libs/version/fleet_roles.cpp
+++ b/src/libs/version/fleet_roles.cpp
@@ -3,13 +3,22 @@
 #include "base/hash.h"
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
+#include <numeric>
 #include <ranges>
 #include <set>
 
 namespace endiverail {
 namespace {
 
+/// Time that a backend server works on a request, between the 380 and 640 ms
+/// of the users' sheets.
+constexpr double UsualWorkSeconds = 0.5;
+/// Share of what the backend servers can answer that callers send on a usual
+/// day: half and a little more.
+constexpr double UsualLoad = 0.6;
+
 /// Members in an order that looks random and is the same everywhere.
 std::vector<const proxy_member *>
 inRendezvousOrder(std::span<const proxy_member> Members,
@@ -34,21 +43,41 @@
 
 } // namespace
 
+request_rate neededRate(const fleet_view &View) {
+  std::size_t Slots = std::transform_reduce(
+      View.Servers.begin(), View.Servers.end(), std::size_t{0}, std::plus{},
+      [](const backend_server &Server) {
+        return std::max<std::size_t>(1, Server.Slots);
+      });
+  request_rate Answered = static_cast<double>(Slots) / UsualWorkSeconds;
+  auto DataCentres =
+      std::max<std::size_t>(1, dataCentresOf(View.Proxies).size());
+  return Answered * UsualLoad / static_cast<double>(DataCentres);
+}
+
 std::vector<const proxy_member *>
-entriesOf(std::span<const proxy_member> Members, std::string_view DataCentre) {
-  std::vector<const proxy_member *> Chosen;
-  for (const proxy_member *Member : inRendezvousOrder(Members, "entry"))
-    if (Member->DataCentre == DataCentre &&
-        Chosen.size() < EntriesPerDataCentre)
-      Chosen.push_back(Member);
-  return Chosen;
+entriesOf(std::span<const proxy_member> Members, std::string_view DataCentre,
+          request_rate Needed) {
+  auto Order = inRendezvousOrder(Members, "entry");
+  std::erase_if(Order, [&](const proxy_member *Member) {
+    return Member->DataCentre != DataCentre;
+  });
+  std::ranges::stable_sort(Order, std::greater{}, &proxy_member::Capacity);
+  request_rate Carried = 0;
+  std::size_t Count = 0;
+  while (Count < Order.size() &&
+         (Count < EntriesPerDataCentre || Carried < Needed))
+    Carried += Order[Count++]->Capacity;
+  Order.resize(Count);
+  return Order;
 }
 
 std::vector<const proxy_member *>
-allEntries(std::span<const proxy_member> Members) {
+allEntries(std::span<const proxy_member> Members, request_rate Needed) {
   std::vector<const proxy_member *> Chosen;
   for (const std::string &Name : dataCentresOf(Members))
-    std::ranges::copy(entriesOf(Members, Name), std::back_inserter(Chosen));
+    std::ranges::copy(entriesOf(Members, Name, Needed),
+                      std::back_inserter(Chosen));
   return Chosen;
 }
 
--- a/src/libs/version/fleet_version.h
+++ b/src/libs/version/fleet_version.h
@@ -30,6 +30,8 @@
   /// Set where requests are told apart by host and path prefix.
   route_table_ref Routes;
   fleet_view View;
+  /// Daemons that callers are led to, in all data centres together.
+  std::size_t EntryCount = 0;
   /// Who holds the keys of proxies that have ended gracefully.
   key_heirs KeyHeirs;
   /// Owners by service name.
--- a/src/libs/version/fleet_view.h
+++ b/src/libs/version/fleet_view.h
@@ -27,6 +27,8 @@
   bool Offered = true;
   /// Where callers connect; empty when that is Address.
   endpoint_text CallerAddress{};
+  /// Requests a second that its host can carry; 0 where that is not known.
+  std::uint32_t Capacity = 0;
 
   const endpoint_text &callerAddress() const {
     return CallerAddress.empty() ? Address : CallerAddress;
--- a/tests/auto/daemon/fleet_fixture.h
+++ b/tests/auto/daemon/fleet_fixture.h
@@ -74,11 +74,14 @@
   static std::string serviceText(std::size_t Floor = 2,
                                  milliseconds Timeout = milliseconds(3'000)) {
     auto Kind = [&](const char *Name, const char *Method, const char *Path,
-                   bool Idempotent) {
-      return nlohmann::json{
-          {"name", Name},       {"method", Method},         {"path", Path},
-          {"rank", "urgent"},   {"idempotent", Idempotent}, {"target_ms", 300},
-          {"timeout_ms", Timeout.count()}};
+                    bool Idempotent) {
+      return nlohmann::json{{"name", Name},
+                            {"method", Method},
+                            {"path", Path},
+                            {"rank", "urgent"},
+                            {"idempotent", Idempotent},
+                            {"target_ms", 300},
+                            {"timeout_ms", Timeout.count()}};
     };
     return nlohmann::json{{"service", "shop"},
                           {"pool_size", ServerCount},
--- a/tests/auto/process/tst_pool_scheduler.cpp
+++ b/tests/auto/process/tst_pool_scheduler.cpp
@@ -231,6 +231,22 @@
   CHECK(Failed["h"] + Failed["i"] + Failed["j"] <= 12);
 }
 
+TEST_CASE_METHOD(pool_fixture, "while most servers fail, the sound ones are "
+                               "kept in use") {
+  // The load: a spell of failures on six of ten servers; two of the other four
+  // have had no work, which is half of the sound ones.
+  configure(10);
+  for (std::string Server : {"a", "b", "c", "d", "e", "f"})
+    Scheduler.observe(Server, attempt_signal::Failed, Now);
+  Now += 1'900ms;
+  for (std::string Server : {"a", "b", "c", "d", "e", "f"})
+    Scheduler.observe(Server, attempt_signal::Failed, Now);
+  for (std::string Server : {"g", "h"})
+    Scheduler.observe(Server, attempt_signal::Accepted, Now);
+  std::set<std::string> Used{place(), place()};
+  CHECK(Used == std::set<std::string>{"i", "j"});
+}
+
 TEST_CASE_METHOD(pool_fixture, "an instance that starts again is a new one") {
   for (int Count = 0; Count < 3; ++Count)
     Scheduler.observe("a", attempt_signal::Failed, Now);
--- /dev/null
+++ b/tests/auto/process/tst_retry_budget.cpp
@@ -0,0 +1,59 @@
+#include "process/retry_budget.h"
+
+#include <catch2/catch.hpp>
+
+#include <vector>
+
+using namespace endiverail;
+
+namespace {
+
+/// The operator's bound for one service in a window.
+double bound(const retry_allowance &Allowance, int Requests) {
+  return Allowance.ShareOfRequests * Requests + Allowance.Extra;
+}
+
+/// Takes all retries that there are.
+int spend(retry_budget &Budget, rank Rank) {
+  int Taken = 0;
+  while (Budget.take(Rank))
+    ++Taken;
+  return Taken;
+}
+
+} // namespace
+
+TEST_CASE("a fleet that retries all it may stays within the operator's bound") {
+  // The load: all requests fail after a calm time in which each entry has
+  // saved what it can; then all hosts lose power and the rest fails as well.
+  struct row {
+    std::size_t Entries;
+    int RequestsOfEntry;
+    int Ranks;
+    retry_allowance Allowance;
+  };
+  for (const row &Row : {row{16, 50, 2, {0.2, 62}}, row{16, 50, 3, {0.2, 62}},
+                         row{12, 150, 1, {0.2, 62}}, row{12, 3, 2, {0.2, 62}},
+                         row{27, 300, 3, {0.2, 188}}}) {
+    retry_terms Terms = Row.Allowance.termsFor(Row.Entries);
+    std::vector<retry_budget> Entries(Row.Entries, retry_budget(Terms));
+    int Retries = 0;
+    auto Serve = [&](retry_budget &Entry, int Requests, bool Failing) {
+      for (int Request = 0; Request < Requests; ++Request) {
+        rank Rank = AllRanks[static_cast<std::size_t>(Request % Row.Ranks)];
+        Entry.onRequest(Rank);
+        Retries += Failing ? spend(Entry, Rank) : 0;
+      }
+    };
+    for (retry_budget &Entry : Entries) {
+      Serve(Entry, 1'000, false);
+      Serve(Entry, Row.RequestsOfEntry / 2, true);
+      Entry = retry_budget(Terms);
+      Serve(Entry, Row.RequestsOfEntry / 2, true);
+    }
+    int Requests = static_cast<int>(Row.Entries) * Row.RequestsOfEntry;
+    CAPTURE(Row.Entries, Row.Ranks, Requests);
+    CHECK(Retries <= bound(Row.Allowance, Requests));
+    CHECK(Retries > 0);
+  }
+}
--- a/tests/auto/version/tst_route_table.cpp
+++ b/tests/auto/version/tst_route_table.cpp
@@ -144,6 +144,50 @@
   }
 }
 
+TEST_CASE("callers are led to hosts by what these carry") {
+  // The load: pools that answer 2,400 requests a second. In each of the three
+  // data centres two hosts carry 250 requests a second and all others 50.
+  fleet_version Version;
+  Version.Ready = true;
+  Version.SelfId = "a0";
+  Version.View.Proxies = fleet(16);
+  auto IsStrong = [](const proxy_member &Member) {
+    return Member.Id.substr(1) == "3" || Member.Id.substr(1) == "7";
+  };
+  for (proxy_member &Member : Version.View.Proxies)
+    Member.Capacity = IsStrong(Member) ? 250 : 50;
+  backend_server Server;
+  Server.Slots = 6;
+  Version.View.Servers.assign(200, Server);
+
+  std::map<std::string, double> Share;
+  constexpr int Answers = 2'000;
+  for (std::uint64_t Nonce = 0; Nonce < Answers; ++Nonce) {
+    auto Addresses = callerAddresses(Version, "b", Nonce);
+    REQUIRE(Addresses.size() >= LeastCallerAddresses);
+    for (const std::string &Address : Addresses)
+      Share[Address] += 1.0 / static_cast<double>(Addresses.size()) / Answers;
+  }
+  double Strong = 0;
+  request_rate Carried = 0;
+  for (const proxy_member &Member : Version.View.Proxies)
+    if (Share.contains(Member.CallerAddress)) {
+      Strong += IsStrong(Member) ? Share[Member.CallerAddress] : 0;
+      Carried += Member.Capacity;
+    }
+  CHECK(Carried >= neededRate(Version.View));
+  CHECK(Strong > 0.75);
+
+  SECTION("when the strong ones are lost, enough of the others serve") {
+    std::erase_if(Version.View.Proxies, IsStrong);
+    std::set<std::string> Used;
+    for (std::uint64_t Nonce = 0; Nonce < 50; ++Nonce)
+      for (const std::string &Address : callerAddresses(Version, "b", Nonce))
+        Used.insert(Address);
+    CHECK(static_cast<double>(Used.size()) * 50 >= neededRate(Version.View));
+  }
+}
+
 TEST_CASE("a daemon that is not ready does not name itself") {
   fleet_version Version;
   Version.SelfId = "a0";
