--- a/src/libs/daemon/store_control_thread.h
+++ b/src/libs/daemon/store_control_thread.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection/answer_message.h"
 #include "connection/backend_attempt.h"
 #include "log/event_line.h"
 #include "peer/datagram_socket.h"
@@ -25,26 +26,36 @@
 /// The thread says good-bye to the peers and ends.
 struct end_store_control {};
 
+/// A peer asks for a copy of what this daemon knows.
+struct copy_question {
+  caller_ticket Ticket;
+};
+
 using store_control_message =
-    std::variant<control_notice, begin_store_drain, end_store_control>;
+    std::variant<control_notice, copy_question, begin_store_drain,
+                 end_store_control>;
+
+/// Where peers ask for a copy.
+inline constexpr std::string_view CopyPath = "/fleet/copy";
 
 /// The one thread that owns the control state of a daemon that follows a
 /// store. It feeds what comes in to the decisions and carries out what they
 /// return. What carries its calls, how they are encoded and what leads to the
 /// traffic threads vary by template.
 template <template <typename> typename TransportOf, store_protocol Protocol,
-          typename Traffic>
+          typename Traffic, answer_sink Sink>
 class store_control_thread {
 public:
   store_control_thread(poller Poller, event_descriptor Event,
                        datagram_socket Socket, endpoint_text Store,
                        std::string FleetSecret, store_control_state State,
                        process_metrics &Metrics,
-                       published<fleet_version> &Versions, Traffic &ToTraffic)
+                       published<fleet_version> &Versions, Traffic &ToTraffic,
+                       Sink &ToPeers)
       : Poller(std::move(Poller)), Inbox(std::move(Event)),
         Socket(std::move(Socket)), Store(std::move(Store)),
         State(std::move(State)), Metrics(Metrics), Versions(Versions),
-        ToTraffic(ToTraffic), Codec(std::move(FleetSecret)),
+        ToTraffic(ToTraffic), ToPeers(ToPeers), Codec(std::move(FleetSecret)),
         Transport(this->Poller, *this) {
     this->Poller.watch(Inbox.descriptor(), true, false);
     this->Poller.watch(this->Socket.descriptor(), true, false);
@@ -107,7 +118,7 @@
 
 private:
   struct outgoing_call {
-    store_call Made;
+    std::variant<list_newest, read_records, put_record, fetch_copy> Made;
     encoded_call Encoded;
     std::string Answer;
     int Status = 0;
@@ -153,6 +164,16 @@
     State.onNotice(Notice, Actions);
   }
 
+  void take(const copy_question &Question, steady_time Now,
+            store_control_actions &) {
+    auto Copy = State.copyForPeer(Now);
+    if (!Copy)
+      return postError(ToPeers, Question.Ticket, error_kind::NotReady, "");
+    std::string Bytes = Codec.encode(*Copy);
+    BytesSent += Bytes.size();
+    postWhole(ToPeers, Question.Ticket, answer_head{}, std::move(Bytes));
+  }
+
   void take(const begin_store_drain &, steady_time,
             store_control_actions &Actions) {
     State.drain(Actions);
@@ -205,20 +226,32 @@
                      static_cast<double>(BytesSent));
     Metrics.setGauge("control_bytes_received_total",
                      static_cast<double>(BytesReceived));
-    Metrics.setGauge("store_calls_total", static_cast<double>(NextCall - 1));
+    Metrics.setGauge("store_calls_total", static_cast<double>(StoreCalls));
   }
 
   void act(start_store_call &Start) {
     attempt_id Id = NextCall++;
     outgoing_call &Call = Calls[Id];
-    Call.Made = std::move(Start.Call);
-    Call.Encoded = Protocol::encode(Call.Made);
+    ++StoreCalls;
+    std::visit([&](auto &Made) { Call.Made = std::move(Made); }, Start.Call);
     const auto *Read = std::get_if<read_records>(&Call.Made);
-    milliseconds Timeout = CallTimeout + (Read ? Read->Wait : milliseconds(0));
-    // Reads may be sent again by the library on their own; a write may too,
-    // as it sets a key to the same value each time.
+    startCall(Id, Store, CallTimeout + (Read ? Read->Wait : milliseconds(0)));
+  }
+
+  void act(const fetch_copy &Fetch) {
+    attempt_id Id = NextCall++;
+    outgoing_call &Call = Calls[Id];
+    Call.Made = Fetch;
+    Call.Encoded = {"GET", std::string(CopyPath), ""};
+    startCall(Id, Fetch.From, CallTimeout);
+  }
+
+  /// Calls may be sent again by the library on their own: a write sets a key
+  /// to the same value each time.
+  void startCall(attempt_id Id, std::string_view To, milliseconds Timeout) {
+    const outgoing_call &Call = Calls.at(Id);
     Transport.start({Id,
-                     Store,
+                     To,
                      Call.Encoded.Method,
                      Call.Encoded.Target,
                      {},
@@ -250,6 +283,34 @@
     State.onPut(Call.Status == Success, steadyNow());
   }
 
+  void finish(const fetch_copy &Fetch, const outgoing_call &Call,
+              store_control_actions &Actions) {
+    steady_time Now = steadyNow();
+    handleFailure(
+        [&]() -> result<void> {
+          BOOST_LEAF_CHECK(checkAnswered(Call));
+          BOOST_LEAF_AUTO(Copy, Codec.decodeCopy(Call.Answer));
+          BOOST_LEAF_AUTO(Decoded,
+                          Protocol::decodeConfiguration(Copy.Configuration));
+          State.onCopy(Copy, std::move(Decoded), Now, Actions);
+          return {};
+        },
+        [&](const failure &Failure) {
+          event_line("copy_failed", event_level::Warning)
+              .with("peer", Fetch.From)
+              .with("detail", Failure.Detail);
+          State.onCopyFailed(Now);
+        });
+  }
+
+  static result<void> checkAnswered(const outgoing_call &Call) {
+    if (Call.Status == Success)
+      return {};
+    return fail(error_kind::StoreUnavailable,
+                Call.Status == 0 ? "no answer"
+                                 : "status " + std::to_string(Call.Status));
+  }
+
   void finish(const list_newest &List, const outgoing_call &Call,
               store_control_actions &Actions) {
     finishRead(List.Topic, Call, Protocol::decodeNewest, Actions);
@@ -268,11 +329,7 @@
     steady_time Now = steadyNow();
     handleFailure(
         [&]() -> result<void> {
-          if (Call.Status != Success)
-            return fail(error_kind::StoreUnavailable,
-                        Call.Status == 0
-                            ? "no answer"
-                            : "status " + std::to_string(Call.Status));
+          BOOST_LEAF_CHECK(checkAnswered(Call));
           BOOST_LEAF_AUTO(Page, DecodePage(Call.Answer));
           for (const keyed_record &Record : Page.Records)
             takeRecord(Topic, Record, Now);
@@ -315,7 +372,7 @@
     if (Record.Key != Protocol::configurationKey() || !Record.Value)
       return {};
     BOOST_LEAF_AUTO(Decoded, Protocol::decodeConfiguration(*Record.Value));
-    State.onConfiguration(std::move(Decoded));
+    State.onConfiguration(std::move(Decoded), *Record.Value);
     return {};
   }
 
@@ -338,10 +395,12 @@
   process_metrics &Metrics;
   published<fleet_version> &Versions;
   Traffic &ToTraffic;
+  Sink &ToPeers;
   peer_codec Codec;
   TransportOf<store_control_thread> Transport;
   std::map<attempt_id, outgoing_call> Calls;
   attempt_id NextCall = 1;
+  std::uint64_t StoreCalls = 0;
   std::uint64_t BytesSent = 0;
   std::uint64_t BytesReceived = 0;
   bool Finished = false;
--- a/src/libs/daemon/store_daemon.h
+++ b/src/libs/daemon/store_daemon.h
@@ -10,6 +10,7 @@
 #include "version/caller_addresses.h"
 
 #include <atomic>
+#include <functional>
 #include <future>
 #include <memory>
 #include <string>
@@ -160,6 +161,32 @@
   std::atomic<std::uint64_t> Nonces = randomSeed();
 };
 
+/// Peers' questions for a copy, which the control thread answers.
+class peer_dispatch {
+public:
+  explicit peer_dispatch(answer_route &Answers) : Answers(Answers) {}
+
+  void open(std::function<void(copy_question)> ToControl) {
+    Ask = std::move(ToControl);
+  }
+
+  request_owner onRequest(const caller_ticket &Ticket,
+                          const received_request &Request) {
+    if (Request.Frame.Target == CopyPath)
+      Ask(copy_question{Ticket});
+    else
+      postError(Answers, Ticket, error_kind::UnknownRoute, "");
+    return NoTrafficThread;
+  }
+
+  void onWritten(request_owner, const caller_ticket &, std::size_t) {}
+  void onCallerGone(request_owner, const caller_ticket &) {}
+
+private:
+  answer_route &Answers;
+  std::function<void(copy_question)> Ask;
+};
+
 } // namespace detail
 
 /// A whole daemon that takes its configuration and backend servers from a
@@ -188,6 +215,7 @@
     RequestDoor.shutdown();
     ReadyDoor.shutdown();
     DirectoryDoor.shutdown();
+    PeerDoor.shutdown();
   }
 
   /// Ends gracefully: tells peers and callers, serves on while callers may
@@ -209,7 +237,7 @@
                      pool_scheduler, typename Edge::dialect>;
   using traffic_list = traffic_threads<traffic_of_store>;
   using control = store_control_thread<curl_transport, typename Edge::protocol,
-                                       traffic_list>;
+                                       traffic_list, answer_route>;
   using requests = detail::request_dispatch<Edge, traffic_list>;
   using questions = detail::question_dispatch<Edge>;
 
@@ -221,7 +249,8 @@
         Memory(Settings.BodyMemoryBytes),
         Requests(Versions, Traffic, RequestAnswers),
         ReadyQuestions(Settings, Versions, Metrics, ReadyAnswers),
-        DirectoryQuestions(Settings, Versions, Metrics, DirectoryAnswers) {}
+        DirectoryQuestions(Settings, Versions, Metrics, DirectoryAnswers),
+        PeerQuestions(PeerAnswers) {}
 
   static proxy_member selfOf(const store_daemon_settings &Settings) {
     // Hosts keep nothing, so the time of the start tells incarnations apart.
@@ -248,6 +277,8 @@
                               ReadyAnswers));
     BOOST_LEAF_CHECK(openDoor(DirectoryDoor, Settings.DirectoryAddress,
                               DirectoryQuestions, DirectoryAnswers));
+    BOOST_LEAF_CHECK(
+        openDoor(PeerDoor, Settings.PeerAddress, PeerQuestions, PeerAnswers));
     Traffic.start();
     ControlThread = std::jthread([this] { Control->run(); });
     return {};
@@ -279,7 +310,10 @@
     Control = std::make_unique<control>(
         std::move(Poller), std::move(Event), std::move(Socket), Settings.Store,
         Settings.FleetSecret, store_control_state(std::move(Controls)), Metrics,
-        Versions, Traffic);
+        Versions, Traffic, PeerAnswers);
+    PeerQuestions.open([this](copy_question Question) {
+      Control->post(store_control_message(Question));
+    });
     Notices.open([this](control_notice Notice) {
       Control->post(store_control_message(std::move(Notice)));
     });
@@ -307,15 +341,18 @@
   answer_route RequestAnswers;
   answer_route ReadyAnswers;
   answer_route DirectoryAnswers;
+  answer_route PeerAnswers;
   notice_route Notices;
   traffic_list Traffic;
   std::unique_ptr<control> Control;
   requests Requests;
   questions ReadyQuestions;
   questions DirectoryQuestions;
+  detail::peer_dispatch PeerQuestions;
   front_door<requests> RequestDoor;
   front_door<questions> ReadyDoor;
   front_door<questions> DirectoryDoor;
+  front_door<detail::peer_dispatch> PeerDoor;
   std::jthread ControlThread;
 };
 
--- a/src/libs/peer/gen/peer_types.cpp
+++ b/src/libs/peer/gen/peer_types.cpp
@@ -2427,6 +2427,171 @@
 }
 
 
+FleetCopy::~FleetCopy() noexcept {
+}
+
+
+void FleetCopy::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void FleetCopy::__set_configuration(const std::string& val) {
+  this->configuration = val;
+}
+
+void FleetCopy::__set_servers(const std::vector<ServerStatement> & val) {
+  this->servers = val;
+}
+std::ostream& operator<<(std::ostream& out, const FleetCopy& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FleetCopy::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->configuration);
+          this->__isset.configuration = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->servers.clear();
+            uint32_t _size98;
+            ::apache::thrift::protocol::TType _etype101;
+            xfer += iprot->readListBegin(_etype101, _size98);
+            this->servers.resize(_size98);
+            uint32_t _i102;
+            for (_i102 = 0; _i102 < _size98; ++_i102)
+            {
+              xfer += this->servers[_i102].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FleetCopy::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FleetCopy");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("configuration", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->configuration);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
+    std::vector<ServerStatement> ::const_iterator _iter103;
+    for (_iter103 = this->servers.begin(); _iter103 != this->servers.end(); ++_iter103)
+    {
+      xfer += (*_iter103).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FleetCopy &a, FleetCopy &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.configuration, b.configuration);
+  swap(a.servers, b.servers);
+  swap(a.__isset, b.__isset);
+}
+
+FleetCopy::FleetCopy(const FleetCopy& other104) {
+  version = other104.version;
+  configuration = other104.configuration;
+  servers = other104.servers;
+  __isset = other104.__isset;
+}
+FleetCopy::FleetCopy(FleetCopy&& other105) noexcept {
+  version = other105.version;
+  configuration = std::move(other105.configuration);
+  servers = std::move(other105.servers);
+  __isset = other105.__isset;
+}
+FleetCopy& FleetCopy::operator=(const FleetCopy& other106) {
+  version = other106.version;
+  configuration = other106.configuration;
+  servers = other106.servers;
+  __isset = other106.__isset;
+  return *this;
+}
+FleetCopy& FleetCopy::operator=(FleetCopy&& other107) noexcept {
+  version = other107.version;
+  configuration = std::move(other107.configuration);
+  servers = std::move(other107.servers);
+  __isset = other107.__isset;
+  return *this;
+}
+void FleetCopy::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FleetCopy(";
+  out << "version=" << to_string(version);
+  out << ", " << "configuration=" << to_string(configuration);
+  out << ", " << "servers=" << to_string(servers);
+  out << ")";
+}
+
+
 PullRequest::~PullRequest() noexcept {
 }
 
@@ -2478,14 +2643,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->have.clear();
-            uint32_t _size98;
-            ::apache::thrift::protocol::TType _etype101;
-            xfer += iprot->readListBegin(_etype101, _size98);
-            this->have.resize(_size98);
-            uint32_t _i102;
-            for (_i102 = 0; _i102 < _size98; ++_i102)
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->have.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
             {
-              xfer += this->have[_i102].read(iprot);
+              xfer += this->have[_i112].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2538,10 +2703,10 @@
   xfer += oprot->writeFieldBegin("have", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->have.size()));
-    std::vector<ServiceVersion> ::const_iterator _iter103;
-    for (_iter103 = this->have.begin(); _iter103 != this->have.end(); ++_iter103)
+    std::vector<ServiceVersion> ::const_iterator _iter113;
+    for (_iter113 = this->have.begin(); _iter113 != this->have.end(); ++_iter113)
     {
-      xfer += (*_iter103).write(oprot);
+      xfer += (*_iter113).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2573,34 +2738,34 @@
   swap(a.__isset, b.__isset);
 }
 
-PullRequest::PullRequest(const PullRequest& other104) {
-  have = other104.have;
-  only = other104.only;
-  hostListRevision = other104.hostListRevision;
-  wantMembers = other104.wantMembers;
-  __isset = other104.__isset;
+PullRequest::PullRequest(const PullRequest& other114) {
+  have = other114.have;
+  only = other114.only;
+  hostListRevision = other114.hostListRevision;
+  wantMembers = other114.wantMembers;
+  __isset = other114.__isset;
 }
-PullRequest::PullRequest(PullRequest&& other105) noexcept {
-  have = std::move(other105.have);
-  only = other105.only;
-  hostListRevision = other105.hostListRevision;
-  wantMembers = other105.wantMembers;
-  __isset = other105.__isset;
+PullRequest::PullRequest(PullRequest&& other115) noexcept {
+  have = std::move(other115.have);
+  only = other115.only;
+  hostListRevision = other115.hostListRevision;
+  wantMembers = other115.wantMembers;
+  __isset = other115.__isset;
 }
-PullRequest& PullRequest::operator=(const PullRequest& other106) {
-  have = other106.have;
-  only = other106.only;
-  hostListRevision = other106.hostListRevision;
-  wantMembers = other106.wantMembers;
-  __isset = other106.__isset;
+PullRequest& PullRequest::operator=(const PullRequest& other116) {
+  have = other116.have;
+  only = other116.only;
+  hostListRevision = other116.hostListRevision;
+  wantMembers = other116.wantMembers;
+  __isset = other116.__isset;
   return *this;
 }
-PullRequest& PullRequest::operator=(PullRequest&& other107) noexcept {
-  have = std::move(other107.have);
-  only = other107.only;
-  hostListRevision = other107.hostListRevision;
-  wantMembers = other107.wantMembers;
-  __isset = other107.__isset;
+PullRequest& PullRequest::operator=(PullRequest&& other117) noexcept {
+  have = std::move(other117.have);
+  only = other117.only;
+  hostListRevision = other117.hostListRevision;
+  wantMembers = other117.wantMembers;
+  __isset = other117.__isset;
   return *this;
 }
 void PullRequest::printTo(std::ostream& out) const {
@@ -2774,42 +2939,42 @@
   swap(a.__isset, b.__isset);
 }
 
-Acceptance::Acceptance(const Acceptance& other108) {
-  content = other108.content;
-  parent = other108.parent;
-  version = other108.version;
-  signer = other108.signer;
-  signature = other108.signature;
-  firstOffset = other108.firstOffset;
-  __isset = other108.__isset;
-}
-Acceptance::Acceptance(Acceptance&& other109) noexcept {
-  content = std::move(other109.content);
-  parent = std::move(other109.parent);
-  version = other109.version;
-  signer = std::move(other109.signer);
-  signature = std::move(other109.signature);
-  firstOffset = other109.firstOffset;
-  __isset = other109.__isset;
-}
-Acceptance& Acceptance::operator=(const Acceptance& other110) {
-  content = other110.content;
-  parent = other110.parent;
-  version = other110.version;
-  signer = other110.signer;
-  signature = other110.signature;
-  firstOffset = other110.firstOffset;
-  __isset = other110.__isset;
+Acceptance::Acceptance(const Acceptance& other118) {
+  content = other118.content;
+  parent = other118.parent;
+  version = other118.version;
+  signer = other118.signer;
+  signature = other118.signature;
+  firstOffset = other118.firstOffset;
+  __isset = other118.__isset;
+}
+Acceptance::Acceptance(Acceptance&& other119) noexcept {
+  content = std::move(other119.content);
+  parent = std::move(other119.parent);
+  version = other119.version;
+  signer = std::move(other119.signer);
+  signature = std::move(other119.signature);
+  firstOffset = other119.firstOffset;
+  __isset = other119.__isset;
+}
+Acceptance& Acceptance::operator=(const Acceptance& other120) {
+  content = other120.content;
+  parent = other120.parent;
+  version = other120.version;
+  signer = other120.signer;
+  signature = other120.signature;
+  firstOffset = other120.firstOffset;
+  __isset = other120.__isset;
   return *this;
 }
-Acceptance& Acceptance::operator=(Acceptance&& other111) noexcept {
-  content = std::move(other111.content);
-  parent = std::move(other111.parent);
-  version = other111.version;
-  signer = std::move(other111.signer);
-  signature = std::move(other111.signature);
-  firstOffset = other111.firstOffset;
-  __isset = other111.__isset;
+Acceptance& Acceptance::operator=(Acceptance&& other121) noexcept {
+  content = std::move(other121.content);
+  parent = std::move(other121.parent);
+  version = other121.version;
+  signer = std::move(other121.signer);
+  signature = std::move(other121.signature);
+  firstOffset = other121.firstOffset;
+  __isset = other121.__isset;
   return *this;
 }
 void Acceptance::printTo(std::ostream& out) const {
@@ -2934,30 +3099,30 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryHost::EntryHost(const EntryHost& other112) {
-  id = other112.id;
-  dataCentre = other112.dataCentre;
-  address = other112.address;
-  __isset = other112.__isset;
+EntryHost::EntryHost(const EntryHost& other122) {
+  id = other122.id;
+  dataCentre = other122.dataCentre;
+  address = other122.address;
+  __isset = other122.__isset;
 }
-EntryHost::EntryHost(EntryHost&& other113) noexcept {
-  id = std::move(other113.id);
-  dataCentre = std::move(other113.dataCentre);
-  address = std::move(other113.address);
-  __isset = other113.__isset;
+EntryHost::EntryHost(EntryHost&& other123) noexcept {
+  id = std::move(other123.id);
+  dataCentre = std::move(other123.dataCentre);
+  address = std::move(other123.address);
+  __isset = other123.__isset;
 }
-EntryHost& EntryHost::operator=(const EntryHost& other114) {
-  id = other114.id;
-  dataCentre = other114.dataCentre;
-  address = other114.address;
-  __isset = other114.__isset;
+EntryHost& EntryHost::operator=(const EntryHost& other124) {
+  id = other124.id;
+  dataCentre = other124.dataCentre;
+  address = other124.address;
+  __isset = other124.__isset;
   return *this;
 }
-EntryHost& EntryHost::operator=(EntryHost&& other115) noexcept {
-  id = std::move(other115.id);
-  dataCentre = std::move(other115.dataCentre);
-  address = std::move(other115.address);
-  __isset = other115.__isset;
+EntryHost& EntryHost::operator=(EntryHost&& other125) noexcept {
+  id = std::move(other125.id);
+  dataCentre = std::move(other125.dataCentre);
+  address = std::move(other125.address);
+  __isset = other125.__isset;
   return *this;
 }
 void EntryHost::printTo(std::ostream& out) const {
@@ -3096,34 +3261,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Server::Server(const Server& other116) {
-  address = other116.address;
-  pool = other116.pool;
-  dataCentre = other116.dataCentre;
-  leaving = other116.leaving;
-  __isset = other116.__isset;
-}
-Server::Server(Server&& other117) noexcept {
-  address = std::move(other117.address);
-  pool = std::move(other117.pool);
-  dataCentre = std::move(other117.dataCentre);
-  leaving = other117.leaving;
-  __isset = other117.__isset;
-}
-Server& Server::operator=(const Server& other118) {
-  address = other118.address;
-  pool = other118.pool;
-  dataCentre = other118.dataCentre;
-  leaving = other118.leaving;
-  __isset = other118.__isset;
+Server::Server(const Server& other126) {
+  address = other126.address;
+  pool = other126.pool;
+  dataCentre = other126.dataCentre;
+  leaving = other126.leaving;
+  __isset = other126.__isset;
+}
+Server::Server(Server&& other127) noexcept {
+  address = std::move(other127.address);
+  pool = std::move(other127.pool);
+  dataCentre = std::move(other127.dataCentre);
+  leaving = other127.leaving;
+  __isset = other127.__isset;
+}
+Server& Server::operator=(const Server& other128) {
+  address = other128.address;
+  pool = other128.pool;
+  dataCentre = other128.dataCentre;
+  leaving = other128.leaving;
+  __isset = other128.__isset;
   return *this;
 }
-Server& Server::operator=(Server&& other119) noexcept {
-  address = std::move(other119.address);
-  pool = std::move(other119.pool);
-  dataCentre = std::move(other119.dataCentre);
-  leaving = other119.leaving;
-  __isset = other119.__isset;
+Server& Server::operator=(Server&& other129) noexcept {
+  address = std::move(other129.address);
+  pool = std::move(other129.pool);
+  dataCentre = std::move(other129.dataCentre);
+  leaving = other129.leaving;
+  __isset = other129.__isset;
   return *this;
 }
 void Server::printTo(std::ostream& out) const {
@@ -3212,14 +3377,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entryHosts.clear();
-            uint32_t _size120;
-            ::apache::thrift::protocol::TType _etype123;
-            xfer += iprot->readListBegin(_etype123, _size120);
-            this->entryHosts.resize(_size120);
-            uint32_t _i124;
-            for (_i124 = 0; _i124 < _size120; ++_i124)
+            uint32_t _size130;
+            ::apache::thrift::protocol::TType _etype133;
+            xfer += iprot->readListBegin(_etype133, _size130);
+            this->entryHosts.resize(_size130);
+            uint32_t _i134;
+            for (_i134 = 0; _i134 < _size130; ++_i134)
             {
-              xfer += this->entryHosts[_i124].read(iprot);
+              xfer += this->entryHosts[_i134].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3232,14 +3397,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size125;
-            ::apache::thrift::protocol::TType _etype128;
-            xfer += iprot->readListBegin(_etype128, _size125);
-            this->servers.resize(_size125);
-            uint32_t _i129;
-            for (_i129 = 0; _i129 < _size125; ++_i129)
+            uint32_t _size135;
+            ::apache::thrift::protocol::TType _etype138;
+            xfer += iprot->readListBegin(_etype138, _size135);
+            this->servers.resize(_size135);
+            uint32_t _i139;
+            for (_i139 = 0; _i139 < _size135; ++_i139)
             {
-              xfer += this->servers[_i129].read(iprot);
+              xfer += this->servers[_i139].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3252,14 +3417,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->goneEntryHosts.clear();
-            uint32_t _size130;
-            ::apache::thrift::protocol::TType _etype133;
-            xfer += iprot->readListBegin(_etype133, _size130);
-            this->goneEntryHosts.resize(_size130);
-            uint32_t _i134;
-            for (_i134 = 0; _i134 < _size130; ++_i134)
+            uint32_t _size140;
+            ::apache::thrift::protocol::TType _etype143;
+            xfer += iprot->readListBegin(_etype143, _size140);
+            this->goneEntryHosts.resize(_size140);
+            uint32_t _i144;
+            for (_i144 = 0; _i144 < _size140; ++_i144)
             {
-              xfer += iprot->readString(this->goneEntryHosts[_i134]);
+              xfer += iprot->readString(this->goneEntryHosts[_i144]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3272,14 +3437,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->goneServers.clear();
-            uint32_t _size135;
-            ::apache::thrift::protocol::TType _etype138;
-            xfer += iprot->readListBegin(_etype138, _size135);
-            this->goneServers.resize(_size135);
-            uint32_t _i139;
-            for (_i139 = 0; _i139 < _size135; ++_i139)
+            uint32_t _size145;
+            ::apache::thrift::protocol::TType _etype148;
+            xfer += iprot->readListBegin(_etype148, _size145);
+            this->goneServers.resize(_size145);
+            uint32_t _i149;
+            for (_i149 = 0; _i149 < _size145; ++_i149)
             {
-              xfer += iprot->readString(this->goneServers[_i139]);
+              xfer += iprot->readString(this->goneServers[_i149]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3316,10 +3481,10 @@
   xfer += oprot->writeFieldBegin("entryHosts", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entryHosts.size()));
-    std::vector<EntryHost> ::const_iterator _iter140;
-    for (_iter140 = this->entryHosts.begin(); _iter140 != this->entryHosts.end(); ++_iter140)
+    std::vector<EntryHost> ::const_iterator _iter150;
+    for (_iter150 = this->entryHosts.begin(); _iter150 != this->entryHosts.end(); ++_iter150)
     {
-      xfer += (*_iter140).write(oprot);
+      xfer += (*_iter150).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3328,10 +3493,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<Server> ::const_iterator _iter141;
-    for (_iter141 = this->servers.begin(); _iter141 != this->servers.end(); ++_iter141)
+    std::vector<Server> ::const_iterator _iter151;
+    for (_iter151 = this->servers.begin(); _iter151 != this->servers.end(); ++_iter151)
     {
-      xfer += (*_iter141).write(oprot);
+      xfer += (*_iter151).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3340,10 +3505,10 @@
   xfer += oprot->writeFieldBegin("goneEntryHosts", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->goneEntryHosts.size()));
-    std::vector<std::string> ::const_iterator _iter142;
-    for (_iter142 = this->goneEntryHosts.begin(); _iter142 != this->goneEntryHosts.end(); ++_iter142)
+    std::vector<std::string> ::const_iterator _iter152;
+    for (_iter152 = this->goneEntryHosts.begin(); _iter152 != this->goneEntryHosts.end(); ++_iter152)
     {
-      xfer += oprot->writeString((*_iter142));
+      xfer += oprot->writeString((*_iter152));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3352,10 +3517,10 @@
   xfer += oprot->writeFieldBegin("goneServers", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->goneServers.size()));
-    std::vector<std::string> ::const_iterator _iter143;
-    for (_iter143 = this->goneServers.begin(); _iter143 != this->goneServers.end(); ++_iter143)
+    std::vector<std::string> ::const_iterator _iter153;
+    for (_iter153 = this->goneServers.begin(); _iter153 != this->goneServers.end(); ++_iter153)
     {
-      xfer += oprot->writeString((*_iter143));
+      xfer += oprot->writeString((*_iter153));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3377,42 +3542,42 @@
   swap(a.__isset, b.__isset);
 }
 
-HostsChange::HostsChange(const HostsChange& other144) {
-  fromRevision = other144.fromRevision;
-  toRevision = other144.toRevision;
-  entryHosts = other144.entryHosts;
-  servers = other144.servers;
-  goneEntryHosts = other144.goneEntryHosts;
-  goneServers = other144.goneServers;
-  __isset = other144.__isset;
-}
-HostsChange::HostsChange(HostsChange&& other145) noexcept {
-  fromRevision = other145.fromRevision;
-  toRevision = other145.toRevision;
-  entryHosts = std::move(other145.entryHosts);
-  servers = std::move(other145.servers);
-  goneEntryHosts = std::move(other145.goneEntryHosts);
-  goneServers = std::move(other145.goneServers);
-  __isset = other145.__isset;
-}
-HostsChange& HostsChange::operator=(const HostsChange& other146) {
-  fromRevision = other146.fromRevision;
-  toRevision = other146.toRevision;
-  entryHosts = other146.entryHosts;
-  servers = other146.servers;
-  goneEntryHosts = other146.goneEntryHosts;
-  goneServers = other146.goneServers;
-  __isset = other146.__isset;
+HostsChange::HostsChange(const HostsChange& other154) {
+  fromRevision = other154.fromRevision;
+  toRevision = other154.toRevision;
+  entryHosts = other154.entryHosts;
+  servers = other154.servers;
+  goneEntryHosts = other154.goneEntryHosts;
+  goneServers = other154.goneServers;
+  __isset = other154.__isset;
+}
+HostsChange::HostsChange(HostsChange&& other155) noexcept {
+  fromRevision = other155.fromRevision;
+  toRevision = other155.toRevision;
+  entryHosts = std::move(other155.entryHosts);
+  servers = std::move(other155.servers);
+  goneEntryHosts = std::move(other155.goneEntryHosts);
+  goneServers = std::move(other155.goneServers);
+  __isset = other155.__isset;
+}
+HostsChange& HostsChange::operator=(const HostsChange& other156) {
+  fromRevision = other156.fromRevision;
+  toRevision = other156.toRevision;
+  entryHosts = other156.entryHosts;
+  servers = other156.servers;
+  goneEntryHosts = other156.goneEntryHosts;
+  goneServers = other156.goneServers;
+  __isset = other156.__isset;
   return *this;
 }
-HostsChange& HostsChange::operator=(HostsChange&& other147) noexcept {
-  fromRevision = other147.fromRevision;
-  toRevision = other147.toRevision;
-  entryHosts = std::move(other147.entryHosts);
-  servers = std::move(other147.servers);
-  goneEntryHosts = std::move(other147.goneEntryHosts);
-  goneServers = std::move(other147.goneServers);
-  __isset = other147.__isset;
+HostsChange& HostsChange::operator=(HostsChange&& other157) noexcept {
+  fromRevision = other157.fromRevision;
+  toRevision = other157.toRevision;
+  entryHosts = std::move(other157.entryHosts);
+  servers = std::move(other157.servers);
+  goneEntryHosts = std::move(other157.goneEntryHosts);
+  goneServers = std::move(other157.goneServers);
+  __isset = other157.__isset;
   return *this;
 }
 void HostsChange::printTo(std::ostream& out) const {
@@ -3500,14 +3665,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size148;
-            ::apache::thrift::protocol::TType _etype151;
-            xfer += iprot->readListBegin(_etype151, _size148);
-            this->records.resize(_size148);
-            uint32_t _i152;
-            for (_i152 = 0; _i152 < _size148; ++_i152)
+            uint32_t _size158;
+            ::apache::thrift::protocol::TType _etype161;
+            xfer += iprot->readListBegin(_etype161, _size158);
+            this->records.resize(_size158);
+            uint32_t _i162;
+            for (_i162 = 0; _i162 < _size158; ++_i162)
             {
-              xfer += this->records[_i152].read(iprot);
+              xfer += this->records[_i162].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3528,14 +3693,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entryHosts.clear();
-            uint32_t _size153;
-            ::apache::thrift::protocol::TType _etype156;
-            xfer += iprot->readListBegin(_etype156, _size153);
-            this->entryHosts.resize(_size153);
-            uint32_t _i157;
-            for (_i157 = 0; _i157 < _size153; ++_i157)
+            uint32_t _size163;
+            ::apache::thrift::protocol::TType _etype166;
+            xfer += iprot->readListBegin(_etype166, _size163);
+            this->entryHosts.resize(_size163);
+            uint32_t _i167;
+            for (_i167 = 0; _i167 < _size163; ++_i167)
             {
-              xfer += this->entryHosts[_i157].read(iprot);
+              xfer += this->entryHosts[_i167].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3548,14 +3713,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size158;
-            ::apache::thrift::protocol::TType _etype161;
-            xfer += iprot->readListBegin(_etype161, _size158);
-            this->servers.resize(_size158);
-            uint32_t _i162;
-            for (_i162 = 0; _i162 < _size158; ++_i162)
+            uint32_t _size168;
+            ::apache::thrift::protocol::TType _etype171;
+            xfer += iprot->readListBegin(_etype171, _size168);
+            this->servers.resize(_size168);
+            uint32_t _i172;
+            for (_i172 = 0; _i172 < _size168; ++_i172)
             {
-              xfer += this->servers[_i162].read(iprot);
+              xfer += this->servers[_i172].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3568,14 +3733,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size163;
-            ::apache::thrift::protocol::TType _etype166;
-            xfer += iprot->readListBegin(_etype166, _size163);
-            this->members.resize(_size163);
-            uint32_t _i167;
-            for (_i167 = 0; _i167 < _size163; ++_i167)
+            uint32_t _size173;
+            ::apache::thrift::protocol::TType _etype176;
+            xfer += iprot->readListBegin(_etype176, _size173);
+            this->members.resize(_size173);
+            uint32_t _i177;
+            for (_i177 = 0; _i177 < _size173; ++_i177)
             {
-              xfer += this->members[_i167].read(iprot);
+              xfer += this->members[_i177].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3588,14 +3753,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->deaths.clear();
-            uint32_t _size168;
-            ::apache::thrift::protocol::TType _etype171;
-            xfer += iprot->readListBegin(_etype171, _size168);
-            this->deaths.resize(_size168);
-            uint32_t _i172;
-            for (_i172 = 0; _i172 < _size168; ++_i172)
+            uint32_t _size178;
+            ::apache::thrift::protocol::TType _etype181;
+            xfer += iprot->readListBegin(_etype181, _size178);
+            this->deaths.resize(_size178);
+            uint32_t _i182;
+            for (_i182 = 0; _i182 < _size178; ++_i182)
             {
-              xfer += this->deaths[_i172].read(iprot);
+              xfer += this->deaths[_i182].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3608,14 +3773,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heirs.clear();
-            uint32_t _size173;
-            ::apache::thrift::protocol::TType _etype176;
-            xfer += iprot->readListBegin(_etype176, _size173);
-            this->heirs.resize(_size173);
-            uint32_t _i177;
-            for (_i177 = 0; _i177 < _size173; ++_i177)
+            uint32_t _size183;
+            ::apache::thrift::protocol::TType _etype186;
+            xfer += iprot->readListBegin(_etype186, _size183);
+            this->heirs.resize(_size183);
+            uint32_t _i187;
+            for (_i187 = 0; _i187 < _size183; ++_i187)
             {
-              xfer += this->heirs[_i177].read(iprot);
+              xfer += this->heirs[_i187].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3628,14 +3793,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->pathFaults.clear();
-            uint32_t _size178;
-            ::apache::thrift::protocol::TType _etype181;
-            xfer += iprot->readListBegin(_etype181, _size178);
-            this->pathFaults.resize(_size178);
-            uint32_t _i182;
-            for (_i182 = 0; _i182 < _size178; ++_i182)
+            uint32_t _size188;
+            ::apache::thrift::protocol::TType _etype191;
+            xfer += iprot->readListBegin(_etype191, _size188);
+            this->pathFaults.resize(_size188);
+            uint32_t _i192;
+            for (_i192 = 0; _i192 < _size188; ++_i192)
             {
-              xfer += this->pathFaults[_i182].read(iprot);
+              xfer += this->pathFaults[_i192].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3672,10 +3837,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<Acceptance> ::const_iterator _iter183;
-    for (_iter183 = this->records.begin(); _iter183 != this->records.end(); ++_iter183)
+    std::vector<Acceptance> ::const_iterator _iter193;
+    for (_iter193 = this->records.begin(); _iter193 != this->records.end(); ++_iter193)
     {
-      xfer += (*_iter183).write(oprot);
+      xfer += (*_iter193).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3688,10 +3853,10 @@
   xfer += oprot->writeFieldBegin("entryHosts", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entryHosts.size()));
-    std::vector<EntryHost> ::const_iterator _iter184;
-    for (_iter184 = this->entryHosts.begin(); _iter184 != this->entryHosts.end(); ++_iter184)
+    std::vector<EntryHost> ::const_iterator _iter194;
+    for (_iter194 = this->entryHosts.begin(); _iter194 != this->entryHosts.end(); ++_iter194)
     {
-      xfer += (*_iter184).write(oprot);
+      xfer += (*_iter194).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3700,10 +3865,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<Server> ::const_iterator _iter185;
-    for (_iter185 = this->servers.begin(); _iter185 != this->servers.end(); ++_iter185)
+    std::vector<Server> ::const_iterator _iter195;
+    for (_iter195 = this->servers.begin(); _iter195 != this->servers.end(); ++_iter195)
     {
-      xfer += (*_iter185).write(oprot);
+      xfer += (*_iter195).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3712,10 +3877,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter186;
-    for (_iter186 = this->members.begin(); _iter186 != this->members.end(); ++_iter186)
+    std::vector<Member> ::const_iterator _iter196;
+    for (_iter196 = this->members.begin(); _iter196 != this->members.end(); ++_iter196)
     {
-      xfer += (*_iter186).write(oprot);
+      xfer += (*_iter196).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3724,10 +3889,10 @@
   xfer += oprot->writeFieldBegin("deaths", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deaths.size()));
-    std::vector<Death> ::const_iterator _iter187;
-    for (_iter187 = this->deaths.begin(); _iter187 != this->deaths.end(); ++_iter187)
+    std::vector<Death> ::const_iterator _iter197;
+    for (_iter197 = this->deaths.begin(); _iter197 != this->deaths.end(); ++_iter197)
     {
-      xfer += (*_iter187).write(oprot);
+      xfer += (*_iter197).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3736,10 +3901,10 @@
   xfer += oprot->writeFieldBegin("heirs", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->heirs.size()));
-    std::vector<KeyHeir> ::const_iterator _iter188;
-    for (_iter188 = this->heirs.begin(); _iter188 != this->heirs.end(); ++_iter188)
+    std::vector<KeyHeir> ::const_iterator _iter198;
+    for (_iter198 = this->heirs.begin(); _iter198 != this->heirs.end(); ++_iter198)
     {
-      xfer += (*_iter188).write(oprot);
+      xfer += (*_iter198).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3748,10 +3913,10 @@
   xfer += oprot->writeFieldBegin("pathFaults", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->pathFaults.size()));
-    std::vector<PathFault> ::const_iterator _iter189;
-    for (_iter189 = this->pathFaults.begin(); _iter189 != this->pathFaults.end(); ++_iter189)
+    std::vector<PathFault> ::const_iterator _iter199;
+    for (_iter199 = this->pathFaults.begin(); _iter199 != this->pathFaults.end(); ++_iter199)
     {
-      xfer += (*_iter189).write(oprot);
+      xfer += (*_iter199).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3781,54 +3946,54 @@
   swap(a.__isset, b.__isset);
 }
 
-PullReply::PullReply(const PullReply& other190) {
-  records = other190.records;
-  hostListRevision = other190.hostListRevision;
-  entryHosts = other190.entryHosts;
-  servers = other190.servers;
-  members = other190.members;
-  deaths = other190.deaths;
-  heirs = other190.heirs;
-  pathFaults = other190.pathFaults;
-  hostsChange = other190.hostsChange;
-  __isset = other190.__isset;
-}
-PullReply::PullReply(PullReply&& other191) noexcept {
-  records = std::move(other191.records);
-  hostListRevision = other191.hostListRevision;
-  entryHosts = std::move(other191.entryHosts);
-  servers = std::move(other191.servers);
-  members = std::move(other191.members);
-  deaths = std::move(other191.deaths);
-  heirs = std::move(other191.heirs);
-  pathFaults = std::move(other191.pathFaults);
-  hostsChange = std::move(other191.hostsChange);
-  __isset = other191.__isset;
-}
-PullReply& PullReply::operator=(const PullReply& other192) {
-  records = other192.records;
-  hostListRevision = other192.hostListRevision;
-  entryHosts = other192.entryHosts;
-  servers = other192.servers;
-  members = other192.members;
-  deaths = other192.deaths;
-  heirs = other192.heirs;
-  pathFaults = other192.pathFaults;
-  hostsChange = other192.hostsChange;
-  __isset = other192.__isset;
+PullReply::PullReply(const PullReply& other200) {
+  records = other200.records;
+  hostListRevision = other200.hostListRevision;
+  entryHosts = other200.entryHosts;
+  servers = other200.servers;
+  members = other200.members;
+  deaths = other200.deaths;
+  heirs = other200.heirs;
+  pathFaults = other200.pathFaults;
+  hostsChange = other200.hostsChange;
+  __isset = other200.__isset;
+}
+PullReply::PullReply(PullReply&& other201) noexcept {
+  records = std::move(other201.records);
+  hostListRevision = other201.hostListRevision;
+  entryHosts = std::move(other201.entryHosts);
+  servers = std::move(other201.servers);
+  members = std::move(other201.members);
+  deaths = std::move(other201.deaths);
+  heirs = std::move(other201.heirs);
+  pathFaults = std::move(other201.pathFaults);
+  hostsChange = std::move(other201.hostsChange);
+  __isset = other201.__isset;
+}
+PullReply& PullReply::operator=(const PullReply& other202) {
+  records = other202.records;
+  hostListRevision = other202.hostListRevision;
+  entryHosts = other202.entryHosts;
+  servers = other202.servers;
+  members = other202.members;
+  deaths = other202.deaths;
+  heirs = other202.heirs;
+  pathFaults = other202.pathFaults;
+  hostsChange = other202.hostsChange;
+  __isset = other202.__isset;
   return *this;
 }
-PullReply& PullReply::operator=(PullReply&& other193) noexcept {
-  records = std::move(other193.records);
-  hostListRevision = other193.hostListRevision;
-  entryHosts = std::move(other193.entryHosts);
-  servers = std::move(other193.servers);
-  members = std::move(other193.members);
-  deaths = std::move(other193.deaths);
-  heirs = std::move(other193.heirs);
-  pathFaults = std::move(other193.pathFaults);
-  hostsChange = std::move(other193.hostsChange);
-  __isset = other193.__isset;
+PullReply& PullReply::operator=(PullReply&& other203) noexcept {
+  records = std::move(other203.records);
+  hostListRevision = other203.hostListRevision;
+  entryHosts = std::move(other203.entryHosts);
+  servers = std::move(other203.servers);
+  members = std::move(other203.members);
+  deaths = std::move(other203.deaths);
+  heirs = std::move(other203.heirs);
+  pathFaults = std::move(other203.pathFaults);
+  hostsChange = std::move(other203.hostsChange);
+  __isset = other203.__isset;
   return *this;
 }
 void PullReply::printTo(std::ostream& out) const {
@@ -3939,26 +4104,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Header::Header(const Header& other194) {
-  name = other194.name;
-  value = other194.value;
-  __isset = other194.__isset;
+Header::Header(const Header& other204) {
+  name = other204.name;
+  value = other204.value;
+  __isset = other204.__isset;
 }
-Header::Header(Header&& other195) noexcept {
-  name = std::move(other195.name);
-  value = std::move(other195.value);
-  __isset = other195.__isset;
+Header::Header(Header&& other205) noexcept {
+  name = std::move(other205.name);
+  value = std::move(other205.value);
+  __isset = other205.__isset;
 }
-Header& Header::operator=(const Header& other196) {
-  name = other196.name;
-  value = other196.value;
-  __isset = other196.__isset;
+Header& Header::operator=(const Header& other206) {
+  name = other206.name;
+  value = other206.value;
+  __isset = other206.__isset;
   return *this;
 }
-Header& Header::operator=(Header&& other197) noexcept {
-  name = std::move(other197.name);
-  value = std::move(other197.value);
-  __isset = other197.__isset;
+Header& Header::operator=(Header&& other207) noexcept {
+  name = std::move(other207.name);
+  value = std::move(other207.value);
+  __isset = other207.__isset;
   return *this;
 }
 void Header::printTo(std::ostream& out) const {
@@ -4061,14 +4226,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size198;
-            ::apache::thrift::protocol::TType _etype201;
-            xfer += iprot->readListBegin(_etype201, _size198);
-            this->headers.resize(_size198);
-            uint32_t _i202;
-            for (_i202 = 0; _i202 < _size198; ++_i202)
+            uint32_t _size208;
+            ::apache::thrift::protocol::TType _etype211;
+            xfer += iprot->readListBegin(_etype211, _size208);
+            this->headers.resize(_size208);
+            uint32_t _i212;
+            for (_i212 = 0; _i212 < _size208; ++_i212)
             {
-              xfer += this->headers[_i202].read(iprot);
+              xfer += this->headers[_i212].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4121,10 +4286,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter203;
-    for (_iter203 = this->headers.begin(); _iter203 != this->headers.end(); ++_iter203)
+    std::vector<Header> ::const_iterator _iter213;
+    for (_iter213 = this->headers.begin(); _iter213 != this->headers.end(); ++_iter213)
     {
-      xfer += (*_iter203).write(oprot);
+      xfer += (*_iter213).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4150,42 +4315,42 @@
   swap(a.__isset, b.__isset);
 }
 
-RememberedKey::RememberedKey(const RememberedKey& other204) {
-  name = other204.name;
-  issuer = other204.issuer;
-  status = other204.status;
-  outcome = other204.outcome;
-  headers = other204.headers;
-  body = other204.body;
-  __isset = other204.__isset;
-}
-RememberedKey::RememberedKey(RememberedKey&& other205) noexcept {
-  name = std::move(other205.name);
-  issuer = std::move(other205.issuer);
-  status = other205.status;
-  outcome = other205.outcome;
-  headers = std::move(other205.headers);
-  body = std::move(other205.body);
-  __isset = other205.__isset;
-}
-RememberedKey& RememberedKey::operator=(const RememberedKey& other206) {
-  name = other206.name;
-  issuer = other206.issuer;
-  status = other206.status;
-  outcome = other206.outcome;
-  headers = other206.headers;
-  body = other206.body;
-  __isset = other206.__isset;
+RememberedKey::RememberedKey(const RememberedKey& other214) {
+  name = other214.name;
+  issuer = other214.issuer;
+  status = other214.status;
+  outcome = other214.outcome;
+  headers = other214.headers;
+  body = other214.body;
+  __isset = other214.__isset;
+}
+RememberedKey::RememberedKey(RememberedKey&& other215) noexcept {
+  name = std::move(other215.name);
+  issuer = std::move(other215.issuer);
+  status = other215.status;
+  outcome = other215.outcome;
+  headers = std::move(other215.headers);
+  body = std::move(other215.body);
+  __isset = other215.__isset;
+}
+RememberedKey& RememberedKey::operator=(const RememberedKey& other216) {
+  name = other216.name;
+  issuer = other216.issuer;
+  status = other216.status;
+  outcome = other216.outcome;
+  headers = other216.headers;
+  body = other216.body;
+  __isset = other216.__isset;
   return *this;
 }
-RememberedKey& RememberedKey::operator=(RememberedKey&& other207) noexcept {
-  name = std::move(other207.name);
-  issuer = std::move(other207.issuer);
-  status = other207.status;
-  outcome = other207.outcome;
-  headers = std::move(other207.headers);
-  body = std::move(other207.body);
-  __isset = other207.__isset;
+RememberedKey& RememberedKey::operator=(RememberedKey&& other217) noexcept {
+  name = std::move(other217.name);
+  issuer = std::move(other217.issuer);
+  status = other217.status;
+  outcome = other217.outcome;
+  headers = std::move(other217.headers);
+  body = std::move(other217.body);
+  __isset = other217.__isset;
   return *this;
 }
 void RememberedKey::printTo(std::ostream& out) const {
@@ -4276,14 +4441,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rights.clear();
-            uint32_t _size208;
-            ::apache::thrift::protocol::TType _etype211;
-            xfer += iprot->readListBegin(_etype211, _size208);
-            this->rights.resize(_size208);
-            uint32_t _i212;
-            for (_i212 = 0; _i212 < _size208; ++_i212)
+            uint32_t _size218;
+            ::apache::thrift::protocol::TType _etype221;
+            xfer += iprot->readListBegin(_etype221, _size218);
+            this->rights.resize(_size218);
+            uint32_t _i222;
+            for (_i222 = 0; _i222 < _size218; ++_i222)
             {
-              xfer += this->rights[_i212].read(iprot);
+              xfer += this->rights[_i222].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4312,14 +4477,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keys.clear();
-            uint32_t _size213;
-            ::apache::thrift::protocol::TType _etype216;
-            xfer += iprot->readListBegin(_etype216, _size213);
-            this->keys.resize(_size213);
-            uint32_t _i217;
-            for (_i217 = 0; _i217 < _size213; ++_i217)
+            uint32_t _size223;
+            ::apache::thrift::protocol::TType _etype226;
+            xfer += iprot->readListBegin(_etype226, _size223);
+            this->keys.resize(_size223);
+            uint32_t _i227;
+            for (_i227 = 0; _i227 < _size223; ++_i227)
             {
-              xfer += this->keys[_i217].read(iprot);
+              xfer += this->keys[_i227].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4356,10 +4521,10 @@
   xfer += oprot->writeFieldBegin("rights", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rights.size()));
-    std::vector<KeyHeir> ::const_iterator _iter218;
-    for (_iter218 = this->rights.begin(); _iter218 != this->rights.end(); ++_iter218)
+    std::vector<KeyHeir> ::const_iterator _iter228;
+    for (_iter228 = this->rights.begin(); _iter228 != this->rights.end(); ++_iter228)
     {
-      xfer += (*_iter218).write(oprot);
+      xfer += (*_iter228).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4376,10 +4541,10 @@
   xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keys.size()));
-    std::vector<RememberedKey> ::const_iterator _iter219;
-    for (_iter219 = this->keys.begin(); _iter219 != this->keys.end(); ++_iter219)
+    std::vector<RememberedKey> ::const_iterator _iter229;
+    for (_iter229 = this->keys.begin(); _iter229 != this->keys.end(); ++_iter229)
     {
-      xfer += (*_iter219).write(oprot);
+      xfer += (*_iter229).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4401,42 +4566,42 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyHandOver::KeyHandOver(const KeyHandOver& other220) {
-  giver = other220.giver;
-  heir = other220.heir;
-  rights = other220.rights;
-  part = other220.part;
-  parts = other220.parts;
-  keys = other220.keys;
-  __isset = other220.__isset;
-}
-KeyHandOver::KeyHandOver(KeyHandOver&& other221) noexcept {
-  giver = std::move(other221.giver);
-  heir = std::move(other221.heir);
-  rights = std::move(other221.rights);
-  part = other221.part;
-  parts = other221.parts;
-  keys = std::move(other221.keys);
-  __isset = other221.__isset;
-}
-KeyHandOver& KeyHandOver::operator=(const KeyHandOver& other222) {
-  giver = other222.giver;
-  heir = other222.heir;
-  rights = other222.rights;
-  part = other222.part;
-  parts = other222.parts;
-  keys = other222.keys;
-  __isset = other222.__isset;
+KeyHandOver::KeyHandOver(const KeyHandOver& other230) {
+  giver = other230.giver;
+  heir = other230.heir;
+  rights = other230.rights;
+  part = other230.part;
+  parts = other230.parts;
+  keys = other230.keys;
+  __isset = other230.__isset;
+}
+KeyHandOver::KeyHandOver(KeyHandOver&& other231) noexcept {
+  giver = std::move(other231.giver);
+  heir = std::move(other231.heir);
+  rights = std::move(other231.rights);
+  part = other231.part;
+  parts = other231.parts;
+  keys = std::move(other231.keys);
+  __isset = other231.__isset;
+}
+KeyHandOver& KeyHandOver::operator=(const KeyHandOver& other232) {
+  giver = other232.giver;
+  heir = other232.heir;
+  rights = other232.rights;
+  part = other232.part;
+  parts = other232.parts;
+  keys = other232.keys;
+  __isset = other232.__isset;
   return *this;
 }
-KeyHandOver& KeyHandOver::operator=(KeyHandOver&& other223) noexcept {
-  giver = std::move(other223.giver);
-  heir = std::move(other223.heir);
-  rights = std::move(other223.rights);
-  part = other223.part;
-  parts = other223.parts;
-  keys = std::move(other223.keys);
-  __isset = other223.__isset;
+KeyHandOver& KeyHandOver::operator=(KeyHandOver&& other233) noexcept {
+  giver = std::move(other233.giver);
+  heir = std::move(other233.heir);
+  rights = std::move(other233.rights);
+  part = other233.part;
+  parts = other233.parts;
+  keys = std::move(other233.keys);
+  __isset = other233.__isset;
   return *this;
 }
 void KeyHandOver::printTo(std::ostream& out) const {
--- a/src/libs/peer/gen/peer_types.h
+++ b/src/libs/peer/gen/peer_types.h
@@ -43,6 +43,8 @@
 
 class Datagram;
 
+class FleetCopy;
+
 class PullRequest;
 
 class Acceptance;
@@ -902,6 +904,64 @@
 
 std::ostream& operator<<(std::ostream& out, const Datagram& obj);
 
+typedef struct _FleetCopy__isset {
+  _FleetCopy__isset() : version(false), configuration(false), servers(false) {}
+  bool version :1;
+  bool configuration :1;
+  bool servers :1;
+} _FleetCopy__isset;
+
+class FleetCopy : public virtual ::apache::thrift::TBase {
+ public:
+
+  FleetCopy(const FleetCopy&);
+  FleetCopy(FleetCopy&&) noexcept;
+  FleetCopy& operator=(const FleetCopy&);
+  FleetCopy& operator=(FleetCopy&&) noexcept;
+  FleetCopy() noexcept
+            : version(0),
+              configuration() {
+  }
+
+  virtual ~FleetCopy() noexcept;
+  int64_t version;
+  std::string configuration;
+  std::vector<ServerStatement>  servers;
+
+  _FleetCopy__isset __isset;
+
+  void __set_version(const int64_t val);
+
+  void __set_configuration(const std::string& val);
+
+  void __set_servers(const std::vector<ServerStatement> & val);
+
+  bool operator == (const FleetCopy & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(configuration == rhs.configuration))
+      return false;
+    if (!(servers == rhs.servers))
+      return false;
+    return true;
+  }
+  bool operator != (const FleetCopy &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FleetCopy & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FleetCopy &a, FleetCopy &b);
+
+std::ostream& operator<<(std::ostream& out, const FleetCopy& obj);
+
 typedef struct _PullRequest__isset {
   _PullRequest__isset() : have(false), only(false), hostListRevision(false), wantMembers(false) {}
   bool have :1;
--- a/src/libs/peer/peer.thrift
+++ b/src/libs/peer/peer.thrift
@@ -97,6 +97,12 @@
   20: i64 serversDigest
 }
 
+struct FleetCopy {
+  1: i64 version
+  2: binary configuration
+  3: list<ServerStatement> servers
+}
+
 struct PullRequest {
   1: list<ServiceVersion> have
   2: bool only
--- a/src/libs/peer/peer_codec.cpp
+++ b/src/libs/peer/peer_codec.cpp
@@ -194,4 +194,19 @@
                        converted<remembered_key>(Wire.keys, FromWire)};
 }
 
+std::string peer_codec::encode(const fleet_copy &Copy) const {
+  wire::FleetCopy Wire;
+  Wire.version = toWire(Copy.Version);
+  Wire.configuration = Copy.Configuration;
+  Wire.servers = converted<wire::ServerStatement>(Copy.Servers, ToWire);
+  return pack(FleetSecret, "fleet-copy", Wire);
+}
+
+result<fleet_copy> peer_codec::decodeCopy(std::string_view Bytes) const {
+  BOOST_LEAF_AUTO(Wire,
+                  unpack<wire::FleetCopy>(FleetSecret, "fleet-copy", Bytes));
+  return fleet_copy{fromWire(Wire.version), std::move(Wire.configuration),
+                    converted<server_statement>(Wire.servers, FromWire)};
+}
+
 } // namespace endiverail
--- a/src/libs/peer/peer_codec.h
+++ b/src/libs/peer/peer_codec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "process/control_message.h"
+#include "process/copy_seeker.h"
 
 #include <string>
 #include <string_view>
@@ -20,11 +21,13 @@
   std::string encode(const pull_request &Request) const;
   std::string encode(const pull_reply &Reply) const;
   std::string encode(const key_hand_over &HandOver) const;
+  std::string encode(const fleet_copy &Copy) const;
 
   result<peer_message> decodeMessage(std::string_view Bytes) const;
   result<pull_request> decodeRequest(std::string_view Bytes) const;
   result<pull_reply> decodeReply(std::string_view Bytes) const;
   result<key_hand_over> decodeHandOver(std::string_view Bytes) const;
+  result<fleet_copy> decodeCopy(std::string_view Bytes) const;
 
 private:
   std::string FleetSecret;
--- a/src/libs/process/server_directory.cpp
+++ b/src/libs/process/server_directory.cpp
@@ -18,6 +18,11 @@
   return Left == Right;
 }
 
+milliseconds coldLeft(const server_entry &Entry, steady_time Now) {
+  return std::chrono::duration_cast<milliseconds>(
+      std::max(Entry.Server.ColdUntil - Now, steady_time::duration(0)));
+}
+
 } // namespace
 
 bool server_directory::inGrace(steady_time Now) const {
@@ -50,9 +55,7 @@
   if (!accept(Id, Entry, inGrace(Now)))
     return;
   Changed = true;
-  auto ColdLeft = std::chrono::duration_cast<milliseconds>(
-      std::max(Entry.Server.ColdUntil - Now, steady_time::duration(0)));
-  Statements.push_back({std::string(Id), Entry, ColdLeft, false});
+  Statements.push_back({std::string(Id), Entry, coldLeft(Entry, Now), false});
 }
 
 void server_directory::learn(const server_statement &Statement,
@@ -72,6 +75,15 @@
   Changed = accept(Statement.Id, Entry, false) || Changed;
 }
 
+std::vector<server_statement>
+server_directory::allStatements(steady_time Now) const {
+  std::vector<server_statement> All;
+  for (const auto &[Id, Known] : Servers)
+    if (Known.Present)
+      All.push_back({Id, Known.Entry, coldLeft(Known.Entry, Now), false});
+  return All;
+}
+
 std::uint64_t server_directory::digest() const {
   std::uint64_t Digest = 0;
   for (const auto &[Id, Known] : Servers)
--- a/src/libs/process/server_directory.h
+++ b/src/libs/process/server_directory.h
@@ -44,6 +44,8 @@
   std::vector<server_statement> takeStatements() {
     return std::exchange(Statements, {});
   }
+  /// All servers that are there, for a daemon that knows none.
+  std::vector<server_statement> allStatements(steady_time Now) const;
   /// Equal for directories that hold the same servers in the same states.
   std::uint64_t digest() const;
 
--- a/src/libs/process/store_control_state.cpp
+++ b/src/libs/process/store_control_state.cpp
@@ -36,6 +36,7 @@
       ServersFollower(store_topic::BackendServers, Settings.Servers,
                       Settings.Seed + 2),
       MembersFollower(store_topic::Members, MembersTerms, Settings.Seed + 3),
+      Seeker(Settings.Self.DataCentre, Settings.Seed + 5),
       Random(Settings.Seed + 4) {
   Members.suggest(Settings.Seeds);
 }
@@ -62,6 +63,15 @@
          Now > std::max(LastReaderNews, Started) + ReaderSilence;
 }
 
+/// Few follow the configuration at the store; the others copy it from peers.
+bool store_control_state::readsConfiguration(steady_time Now) const {
+  if (!Configuration || Seeker.hasGivenUp(version()))
+    return true;
+  if (Now < Started + SettlingTime)
+    return false;
+  return isReader() || Now > std::max(LastReaderNews, Started) + ReaderSilence;
+}
+
 void store_control_state::tick(steady_time Now, store_control_actions &Out) {
   if (Started == steady_time{})
     Started = Now;
@@ -84,7 +94,10 @@
       Directory.beginListing();
     Out.emplace_back(start_store_call{std::move(*Call)});
   };
-  StartDue(ConfigurationFollower);
+  if (readsConfiguration(Now))
+    StartDue(ConfigurationFollower);
+  if (auto Source = Seeker.next(completeVersion(), Now))
+    Out.emplace_back(fetch_copy{std::move(*Source)});
   if (readsServers(Now)) {
     if (ServersFollower.listed() &&
         Now > ServersFollower.lastAnswer() + LongestGap &&
@@ -105,12 +118,20 @@
     if (At)
       Next = std::min(Next, *At);
   };
-  Consider(ConfigurationFollower.nextWake());
+  auto SilenceEnds =
+      std::max(LastReaderNews, Started) + ReaderSilence + milliseconds(1);
+  if (auto Due = ConfigurationFollower.nextWake()) {
+    bool Reads = !Configuration || Seeker.hasGivenUp(version());
+    steady_time From = Reads        ? *Due
+                       : isReader() ? Started + SettlingTime
+                                    : SilenceEnds;
+    Consider(std::max(*Due, From));
+  }
+  Consider(Seeker.nextWake(completeVersion()));
   if (isReader() || !ServersKnown)
     Consider(ServersFollower.nextWake());
   else if (auto Due = ServersFollower.nextWake())
-    Consider(std::max(*Due, std::max(LastReaderNews, Started) + ReaderSilence +
-                                milliseconds(1)));
+    Consider(std::max(*Due, SilenceEnds));
   if (Registered)
     Consider(MembersFollower.nextWake());
   else if (!PutOut)
@@ -131,7 +152,8 @@
   Members.suggest(std::span(&Chosen->second, 1));
 }
 
-void store_control_state::onConfiguration(published_configuration Newer) {
+void store_control_state::onConfiguration(published_configuration Newer,
+                                          std::string_view Value) {
   if (Configuration && Newer.Version <= Configuration->Version)
     return;
   event_line("configuration_in_force")
@@ -139,7 +161,42 @@
       .with("before", version())
       .with("routes", Newer.Routes->routes().size());
   Configuration = std::move(Newer);
+  ConfigurationValue = Value;
   Changed = true;
+  Announcing = isReader();
+}
+
+std::optional<fleet_copy>
+store_control_state::copyForPeer(steady_time Now) const {
+  if (!ready())
+    return std::nullopt;
+  return fleet_copy{version(), ConfigurationValue,
+                    Directory.allStatements(Now)};
+}
+
+void store_control_state::onCopy(const fleet_copy &Copy,
+                                 published_configuration Decoded,
+                                 steady_time Now, store_control_actions &Out) {
+  Seeker.onCopy();
+  event_line("copy_taken")
+      .with("version", Copy.Version)
+      .with("before", version())
+      .with("servers", Copy.Servers.size());
+  onConfiguration(std::move(Decoded), Copy.Configuration);
+  // Who has read the servers knows them at least as well.
+  if (!ServersKnown) {
+    for (const server_statement &Statement : Copy.Servers)
+      Directory.learn(Statement, Now);
+    ServersKnown = true;
+    Changed = true;
+  }
+  tick(Now, Out);
+}
+
+void store_control_state::onCopyFailed(steady_time Now) {
+  Seeker.onFailure(Now);
+  if (Seeker.hasGivenUp(version()))
+    ConfigurationFollower.restart(Now);
 }
 
 void store_control_state::onServer(std::string_view Id,
@@ -228,8 +285,14 @@
   std::vector<outgoing_gossip> Gossip;
   Members.receive(Message.Gossip, Now, Gossip);
   sendGossip(Gossip, Out);
-  if (Message.Digest.Configuration > version())
-    hurryConfiguration(Now, Out);
+  if (Message.Digest.Configuration > completeVersion()) {
+    auto Sender = std::ranges::find(PublishedMembers, Message.Gossip.SenderId,
+                                    &proxy_member::Id);
+    if (Sender != PublishedMembers.end())
+      Seeker.onTold(*Sender, Message.Digest.Configuration, Now);
+    if (isReader())
+      hurryConfiguration(Now, Out);
+  }
   learnServers(Message, Now);
   for (const work_report &Report : Message.Work)
     Out.emplace_back(
@@ -367,6 +430,8 @@
   Entries = allEntries(PublishedMembers, neededRate(Version->View));
   Version->EntryCount = Entries.size();
   Out.emplace_back(publish_version{std::move(Version)});
+  if (std::exchange(Announcing, false))
+    sendNews({}, otherMembers(), Out);
 }
 
 bool store_control_state::takeMemberChanges() {
--- a/src/libs/process/store_control_state.h
+++ b/src/libs/process/store_control_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "process/control_message.h"
+#include "process/copy_seeker.h"
 #include "process/keyed_store.h"
 #include "process/server_directory.h"
 #include "process/swim.h"
@@ -24,6 +25,10 @@
 struct start_store_call {
   store_call Call;
 };
+/// A peer is to be asked for a copy of what it knows; the end is to be told.
+struct fetch_copy {
+  endpoint_text From;
+};
 /// All other members are to hear of it at once.
 struct send_to_members {
   std::vector<endpoint_text> To;
@@ -37,8 +42,9 @@
   store_topic Topic = store_topic::Configuration;
 };
 using store_control_action =
-    std::variant<start_store_call, abandon_store_calls, send_datagram,
-                 send_to_members, tell_traffic_threads, publish_version>;
+    std::variant<start_store_call, abandon_store_calls, fetch_copy,
+                 send_datagram, send_to_members, tell_traffic_threads,
+                 publish_version>;
 using store_control_actions = std::vector<store_control_action>;
 
 struct store_control_settings {
@@ -46,10 +52,10 @@
   /// Peer addresses to begin with while the store can't be read.
   std::vector<endpoint_text> Seeds;
   std::uint64_t Seed = 1;
-  /// The configuration changes rarely and has to be in force at once, so a
-  /// read waits at the store, for nearly as long as the store lets it. Who
-  /// misses an answer hears of the newer version from others.
-  follow_terms Configuration{milliseconds(50), milliseconds(25'000)};
+  /// The configuration has to be in force within two seconds, so a read waits
+  /// at the store. It does not wait long: its answer may be lost without a sign,
+  /// and few daemons read.
+  follow_terms Configuration{milliseconds(50), milliseconds(700)};
   /// Servers state themselves all the time, so reads come at a pace: a leaving
   /// server is known within a third of the two seconds that it may take.
   follow_terms Servers{milliseconds(500), milliseconds(0)};
@@ -67,7 +73,8 @@
 
   // What the store has told, in the order of the records of a page. onPage
   // comes after all records of the page.
-  void onConfiguration(published_configuration Configuration);
+  void onConfiguration(published_configuration Configuration,
+                       std::string_view Value);
   void onServer(std::string_view Id, const server_entry &Entry,
                 steady_time Now);
   void onServerRemoved(std::string_view Id, steady_time Now);
@@ -80,6 +87,14 @@
                     store_control_actions &Out);
   void onPut(bool Succeeded, steady_time Now);
 
+  /// What this daemon knows, for a peer that lacks it; nothing until it is
+  /// ready.
+  std::optional<fleet_copy> copyForPeer(steady_time Now) const;
+  /// A peer has handed over what it knows.
+  void onCopy(const fleet_copy &Copy, published_configuration Decoded,
+              steady_time Now, store_control_actions &Out);
+  void onCopyFailed(steady_time Now);
+
   void onDatagram(const peer_message &Message, steady_time Now,
                   store_control_actions &Out);
   void onNotice(const control_notice &Notice, store_control_actions &Out);
@@ -108,6 +123,9 @@
   static constexpr milliseconds MostDifference{1'500};
   /// Between two hurried reads of the configuration.
   static constexpr milliseconds HurryPause{300};
+  /// Right after its start a daemon takes itself for a reader, as it knows no
+  /// other member; it begins to follow the configuration after that time.
+  static constexpr milliseconds SettlingTime{1'500};
   static constexpr std::size_t StatementsPerDatagram = 60;
   static constexpr milliseconds PutRetry{500};
   /// Between pings of a member that is believed lost.
@@ -117,6 +135,9 @@
   void noteStore(bool Answers, steady_time Now, store_control_actions &Out);
   bool isReader() const;
   bool readsServers(steady_time Now) const;
+  bool readsConfiguration(steady_time Now) const;
+  /// The version beyond which copies are of use.
+  std::uint64_t completeVersion() const { return ready() ? version() : 0; }
   void hurryConfiguration(steady_time Now, store_control_actions &Out);
   void learnServers(const peer_message &Message, steady_time Now);
   void tellServers(store_control_actions &Out);
@@ -138,6 +159,11 @@
   topic_follower MembersFollower;
   server_directory Directory;
   std::optional<published_configuration> Configuration;
+  /// Its record's value.
+  std::string ConfigurationValue;
+  copy_seeker Seeker;
+  /// The other members are to hear of the configuration.
+  bool Announcing = false;
   /// All peer addresses that were ever told of, by host.
   std::map<std::string, endpoint_text, std::less<>> KnownPeers;
   std::mt19937_64 Random;
--- a/src/libs/version/fleet_roles.cpp
+++ b/src/libs/version/fleet_roles.cpp
@@ -83,6 +83,7 @@
 
 std::vector<std::string> storeReaders(std::span<const proxy_member> Members) {
   auto Order = inRendezvousOrder(Members, "reader");
+  std::ranges::stable_sort(Order, std::greater{}, &proxy_member::Capacity);
   std::vector<std::string> Readers;
   std::set<std::string_view> DataCentres;
   for (const proxy_member *Member : Order)
