--- a/src/libs/daemon/daemon_parts.h
+++ b/src/libs/daemon/daemon_parts.h
@@ -97,6 +97,7 @@
   }
   void post(answer_message Message) { Front->post(std::move(Message)); }
   std::size_t connections() const { return Front->connections(); }
+  void setLimits(const request_limits &Limits) { Front->setLimits(Limits); }
   void announceClose() { Front->announceClose(); }
   bool closeWhenIdle(milliseconds Timeout) {
     return Front->closeWhenIdle(Timeout);
--- a/src/libs/daemon/store_control_thread.h
+++ b/src/libs/daemon/store_control_thread.h
@@ -11,6 +11,7 @@
 #include "process/published.h"
 #include "process/store_control_state.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -61,6 +62,11 @@
     this->Poller.watch(this->Socket.descriptor(), true, false);
   }
 
+  /// Called on this thread with each new limits of callers' requests.
+  void setLimitsObserver(std::function<void(const request_limits &)> Observer) {
+    OnLimits = std::move(Observer);
+  }
+
   /// Hands over a message. Safe on any thread.
   void post(store_control_message Message) { Inbox.post(std::move(Message)); }
 
@@ -213,6 +219,10 @@
 
   void act(const publish_version &Publish) {
     Versions.store(Publish.Version);
+    if (Publish.Version->Limits && Limits != Publish.Version->Limits) {
+      Limits = Publish.Version->Limits;
+      OnLimits(*Limits);
+    }
     ToTraffic.tellAll(version_changed{Publish.Version});
     Metrics.setGauge("members",
                      static_cast<double>(Publish.Version->View.Proxies.size()));
@@ -233,6 +243,7 @@
     attempt_id Id = NextCall++;
     outgoing_call &Call = Calls[Id];
     ++StoreCalls;
+    Call.Encoded = Protocol::encode(Start.Call);
     std::visit([&](auto &Made) { Call.Made = std::move(Made); }, Start.Call);
     const auto *Read = std::get_if<read_records>(&Call.Made);
     startCall(Id, Store, CallTimeout + (Read ? Read->Wait : milliseconds(0)));
@@ -401,6 +412,8 @@
   std::map<attempt_id, outgoing_call> Calls;
   attempt_id NextCall = 1;
   std::uint64_t StoreCalls = 0;
+  std::optional<request_limits> Limits;
+  std::function<void(const request_limits &)> OnLimits;
   std::uint64_t BytesSent = 0;
   std::uint64_t BytesReceived = 0;
   bool Finished = false;
--- a/src/libs/daemon/store_daemon.h
+++ b/src/libs/daemon/store_daemon.h
@@ -314,6 +314,9 @@
     PeerQuestions.open([this](copy_question Question) {
       Control->post(store_control_message(Question));
     });
+    Control->setLimitsObserver([this](const request_limits &Limits) {
+      RequestDoor.setLimits(Limits);
+    });
     Notices.open([this](control_notice Notice) {
       Control->post(store_control_message(std::move(Notice)));
     });
--- a/src/libs/http/connection_worker.h
+++ b/src/libs/http/connection_worker.h
@@ -29,6 +29,8 @@
   std::uint16_t Port = 0;
   std::size_t Workers = 1;
   framing_limits Limits;
+  /// From a request's first byte to the end of its head.
+  milliseconds HeadTimeout{10'000};
   /// From a request's first byte to its last.
   milliseconds ReceiveTimeout{10'000};
   /// Between requests of a connection.
@@ -55,6 +57,12 @@
 
 /// From now on answers tell callers to close their connections.
 struct announce_close {};
+/// New limits for connections that come, new timeouts for all.
+struct change_limits {
+  framing_limits Framing;
+  milliseconds HeadTimeout{0};
+  milliseconds IdleTimeout{0};
+};
 /// Each connection is closed as soon as it is owed nothing; the promise is
 /// kept when none is left.
 struct close_when_idle {
@@ -62,7 +70,7 @@
 };
 using worker_message =
     std::variant<answer_begin, answer_piece, answer_end, answer_break,
-                 announce_close, close_when_idle>;
+                 change_limits, announce_close, close_when_idle>;
 
 /// All callers' connections of one connection thread. Only that thread calls
 /// it, but for post().
@@ -90,7 +98,7 @@
     auto Added = Connections.try_emplace(Peer->getID(), Peer, Settings.Limits);
     ByDescriptor[Peer->fd()] = Peer->getID();
     Count.store(Connections.size(), std::memory_order_relaxed);
-    expectBy(Added.first->second, Settings.ReceiveTimeout);
+    expectBy(Added.first->second, Settings.HeadTimeout);
   }
 
   void onInput(std::uint64_t Id, std::string_view Bytes) {
@@ -102,7 +110,7 @@
     handleFailure([&]() -> result<void> { return Entry.State.receive(Bytes); },
                   [&](const failure &Failure) { refuse(Entry, Failure); });
     if (FirstBytes)
-      expectBy(Entry, Settings.ReceiveTimeout);
+      expectHead(Entry);
     takeRequests(Entry);
   }
 
@@ -168,6 +176,8 @@
     request_owner Owner = 0;
     std::size_t ReservedBytes = 0;
     steady_time ExpectedBy;
+    /// When the whole request has to be there.
+    steady_time RequestBy;
     bool ContinueSent = false;
     bool KeepAlive = true;
     bool ReadsChunks = true;
@@ -190,6 +200,11 @@
       Timer.arm(Entry.ExpectedBy);
   }
 
+  void expectHead(entry &Entry) {
+    Entry.RequestBy = steadyNow() + Settings.ReceiveTimeout;
+    expectBy(Entry, Settings.HeadTimeout);
+  }
+
   void timeOut(entry &Entry) {
     if (Entry.Closing)
       breakConnection(*Entry.Peer);
@@ -222,6 +237,7 @@
           BOOST_LEAF_AUTO(Awaited, Entry.State.awaitedFrame());
           if (!Awaited)
             return {};
+          Entry.ExpectedBy = Entry.RequestBy;
           BOOST_LEAF_CHECK(reserveMemory(Entry, Awaited->BodyBytes));
           BOOST_LEAF_AUTO(Request, Entry.State.takeRequest());
           if (Request)
@@ -322,6 +338,12 @@
     finishIfSent(*Entry);
   }
 
+  void take(change_limits &Change) {
+    Settings.Limits = Change.Framing;
+    Settings.HeadTimeout = Change.HeadTimeout;
+    Settings.IdleTimeout = Change.IdleTimeout;
+  }
+
   void take(announce_close &) { KeepNone = true; }
 
   void take(close_when_idle &Close) {
@@ -389,8 +411,10 @@
       return;
     releaseMemory(Entry);
     Entry.State.finishAnswer();
-    expectBy(Entry, Entry.State.hasBytes() ? Settings.ReceiveTimeout
-                                           : Settings.IdleTimeout);
+    if (Entry.State.hasBytes())
+      expectHead(Entry);
+    else
+      expectBy(Entry, Settings.IdleTimeout);
     takeRequests(Entry);
   }
 
--- a/src/libs/http/front_end.h
+++ b/src/libs/http/front_end.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "http/connection_worker.h"
+#include "version/request_limits.h"
 
 #include <pistache/listener.h>
 #include <pistache/tcp.h>
 #include <pistache/transport.h>
 
+#include <algorithm>
 #include <exception>
 #include <memory>
 #include <ranges>
@@ -166,6 +168,18 @@
                Message);
   }
 
+  /// Takes new limits for what callers send from now on. The size limits hold
+  /// for connections that come, the timeouts for all.
+  void setLimits(const request_limits &Limits) {
+    framing_limits Framing = Settings.Limits;
+    Framing.HeadBytes = Limits.HeadBytes;
+    // A body must fit in the memory that the process has for bodies.
+    Framing.BodyBytes = std::min(Limits.BodyBytes, Settings.Limits.BodyBytes);
+    for (auto &Worker : Workers)
+      Worker->post(detail::change_limits{Framing, Limits.HeadTimeout,
+                                         Limits.IdleTimeout});
+  }
+
   /// Tells callers with each answer to close their connections.
   void announceClose() {
     for (auto &Worker : Workers)
--- a/src/libs/process/keyed_store.h
+++ b/src/libs/process/keyed_store.h
@@ -4,6 +4,7 @@
 #include "base/time.h"
 #include "version/configuration.h"
 #include "version/fleet_view.h"
+#include "version/request_limits.h"
 #include "version/route_table.h"
 
 #include <concepts>
@@ -81,14 +82,6 @@
   std::string Body;
 };
 
-/// Limits of callers' requests, as the configuration in force sets them.
-struct request_limits {
-  std::size_t HeadBytes = 0;
-  std::size_t BodyBytes = 0;
-  milliseconds HeadTimeout{0};
-  milliseconds IdleTimeout{0};
-};
-
 /// A whole configuration as it is published.
 struct published_configuration {
   std::uint64_t Version = 0;
--- a/src/libs/process/store_control_state.cpp
+++ b/src/libs/process/store_control_state.cpp
@@ -424,6 +424,7 @@
   if (Configuration) {
     Version->Configuration = Configuration->Services;
     Version->Routes = Configuration->Routes;
+    Version->Limits = Configuration->Limits;
   }
   Version->View.Proxies = PublishedMembers;
   Version->View.Servers = Directory.servers();
--- a/src/libs/version/fleet_version.h
+++ b/src/libs/version/fleet_version.h
@@ -4,12 +4,14 @@
 #include "version/fleet_view.h"
 #include "version/key_heirs.h"
 #include "version/ownership.h"
+#include "version/request_limits.h"
 #include "version/route_table.h"
 
 #include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -29,6 +31,8 @@
   configuration Configuration;
   /// Set where requests are told apart by host and path prefix.
   route_table_ref Routes;
+  /// Set where the configuration limits what callers may send.
+  std::optional<request_limits> Limits;
   fleet_view View;
   /// Daemons that callers are led to, in all data centres together.
   std::size_t EntryCount = 0;
--- a/tests/auto/http/tst_front_end.cpp
+++ b/tests/auto/http/tst_front_end.cpp
@@ -345,6 +345,34 @@
   CHECK(failureOf([&] { return Second->start(); }) == error_kind::BadSettings);
 }
 
+TEST_CASE_METHOD(front_fixture, "new limits hold for what comes after them") {
+  raw_connection Idle = connect();
+  Idle.send("GET /1 HTTP/1.1\r\n\r\n");
+  answer(Sink.take().Ticket, "one");
+  Idle.readAnswer();
+  Front->setLimits({200, 1'000, 300ms, 100ms});
+  // An answer that follows the limits has passed through the same mailbox.
+  Idle.send("GET /2 HTTP/1.1\r\n\r\n");
+  answer(Sink.take().Ticket, "two");
+  Idle.readAnswer();
+  SECTION("an idle connection is closed") { CHECK(Idle.readAll().empty()); }
+  SECTION("a longer head is refused") {
+    raw_connection Caller = connect();
+    Caller.send("GET /" + std::string(300, 'x') + " HTTP/1.1\r\n\r\n");
+    CHECK(Caller.readAll().starts_with("HTTP/1.1 431"));
+  }
+  SECTION("a longer body is refused") {
+    raw_connection Caller = connect();
+    Caller.send("POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n");
+    CHECK(Caller.readAll().starts_with("HTTP/1.1 413"));
+  }
+  SECTION("a head that comes too slowly is refused") {
+    raw_connection Caller = connect();
+    Caller.send("GET / HT");
+    CHECK(Caller.readAll().starts_with("HTTP/1.1 408"));
+  }
+}
+
 namespace {
 
 /// Holds up the connection thread at requests whose path begins with /hold,
--- a/tests/auto/raw_socket.h
+++ b/tests/auto/raw_socket.h
@@ -27,12 +27,13 @@
 public:
   explicit raw_connection(int Descriptor) : Descriptor(Descriptor) {}
 
-  static raw_connection to(std::uint16_t Port, int ReceiveBuffer = 0) {
+  static raw_connection to(std::uint16_t Port, int ReceiveBuffer = 0,
+                           const std::string &Host = "127.0.0.1") {
     int Descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     if (ReceiveBuffer > 0)
       setsockopt(Descriptor, SOL_SOCKET, SO_RCVBUF, &ReceiveBuffer,
                  sizeof(ReceiveBuffer));
-    sockaddr_in Address = loopback(Port);
+    sockaddr_in Address = loopback(Port, Host);
     if (connect(Descriptor, reinterpret_cast<sockaddr *>(&Address),
                 sizeof(Address)) != 0)
       throw std::runtime_error("connect failed");
