--- a/src/libs/process/store_control_state.h
+++ b/src/libs/process/store_control_state.h
@@ -53,8 +53,8 @@
   std::vector<endpoint_text> Seeds;
   std::uint64_t Seed = 1;
   /// The configuration has to be in force within two seconds, so a read waits
-  /// at the store. It does not wait long: its answer may be lost without a sign,
-  /// and few daemons read.
+  /// at the store. It does not wait long: its answer may be lost without a
+  /// sign, and few daemons read.
   follow_terms Configuration{milliseconds(50), milliseconds(700)};
   /// Servers state themselves all the time, so reads come at a pace: a leaving
   /// server is known within a third of the two seconds that it may take.
--- a/tests/auto/process/tst_pool_scheduler.cpp
+++ b/tests/auto/process/tst_pool_scheduler.cpp
@@ -266,8 +266,9 @@
   }
   // The users want seven tenths of the servers in use in any two seconds.
   CHECK(LeastUsed >= 84);
-  // With a fifth of the sound servers idle, as in small pools, r trials a second
-  // leave 36 - 1.8 r sick servers idle of 120 - 2 r sound ones: r is 8.6.
+  // With a fifth of the sound servers idle, as in small pools, r trials a
+  // second leave 36 - 1.8 r sick servers idle of 120 - 2 r sound ones: r
+  // is 8.6.
   CHECK(Failed < 8 * 8.6);
 }
 
