Count a server as used when a request reaches it, not when one ends

Cause, from reading: the time of last use was also set by the end of a long request, by an error after long work, and by every report of slots that others still use. The users count requests that reach a server, so a server counted as used here for up to the length of an answer, and half a second more, after its last request.

Change: only signs that come soon after a request has reached a server count. A test with the three cases failed in each before.

--- a/src/libs/process/pool_scheduler.cpp
+++ b/src/libs/process/pool_scheduler.cpp
@@ -325,8 +325,12 @@
   pooled_server *Server = find(Address);
   if (!Server)
     return;
-  Server->LastUsed = Now;
   Server->Untried = false;
+  // These come soon after a request has reached the server; the end of a long
+  // one is no new work.
+  if (Signal == attempt_signal::Accepted || Signal == attempt_signal::Failed ||
+      Signal == attempt_signal::Shed)
+    Server->LastUsed = Now;
   if (Signal == attempt_signal::Failed || Signal == attempt_signal::Erred)
     Server->LastFailed = Now;
   switch (Signal) {
@@ -373,11 +377,11 @@
   pooled_server *Server = find(Address);
   if (!Server)
     return;
+  if (Slots > Server->UsedElsewhere) {
+    Server->LastUsed = Now;
+    Server->Untried = false;
+  }
   Server->UsedElsewhere = Slots;
-  if (Slots == 0)
-    return;
-  Server->LastUsed = Now;
-  Server->Untried = false;
 }
 
 std::uint32_t pool_scheduler::inUseHere(std::string_view Address) const {
--- a/src/libs/process/pool_scheduler.h
+++ b/src/libs/process/pool_scheduler.h
@@ -104,7 +104,7 @@
     server_belief Path{PathTerms};
     /// Its last answer was a failure.
     bool Failing = false;
-    /// When a request was last seen there.
+    /// When a request was last seen to reach it.
     steady_time LastUsed;
     /// When it last failed one.
     std::optional<steady_time> LastFailed;
--- a/tests/auto/process/tst_pool_scheduler.cpp
+++ b/tests/auto/process/tst_pool_scheduler.cpp
@@ -324,6 +324,27 @@
   CHECK(MostAtOnce <= 2);
 }
 
+TEST_CASE_METHOD(pool_fixture, "a server that only ends old work is idle") {
+  // None of four servers may be idle for two seconds.
+  for (std::string Server : {"a", "b", "c", "d"})
+    Scheduler.observe(Server, attempt_signal::Accepted, Now);
+  Scheduler.setUsedElsewhere("a", 1, Now);
+  Now += 1'500ms;
+  for (std::string Server : {"b", "c", "d"})
+    Scheduler.observe(Server, attempt_signal::Accepted, Now);
+  SECTION("an answer to an earlier request") {
+    Scheduler.observe("a", attempt_signal::Good, Now);
+  }
+  SECTION("an error after long work") {
+    Scheduler.observe("a", attempt_signal::Erred, Now);
+  }
+  SECTION("slots that others still use") {
+    Scheduler.setUsedElsewhere("a", 1, Now);
+  }
+  Now += 400ms;
+  CHECK(place() == "a");
+}
+
 TEST_CASE_METHOD(pool_fixture, "a server that nobody has tried comes first") {
   configure(20);
   Now += 3s;
