Stop at four entries where it is not known what hosts carry

Found by reading the difference: without the capacity of hosts in the settings all daemons would have been entries, as none of them adds to what is carried. A section of the test of entries failed first.

--- a/src/libs/version/fleet_roles.cpp
+++ b/src/libs/version/fleet_roles.cpp
@@ -65,8 +65,11 @@
   std::ranges::stable_sort(Order, std::greater{}, &proxy_member::Capacity);
   request_rate Carried = 0;
   std::size_t Count = 0;
+  // Hosts of unknown capacity come last; more of them would not be known to
+  // carry more.
   while (Count < Order.size() &&
-         (Count < EntriesPerDataCentre || Carried < Needed))
+         (Count < EntriesPerDataCentre ||
+          (Carried < Needed && Order[Count]->Capacity > 0)))
     Carried += Order[Count++]->Capacity;
   Order.resize(Count);
   return Order;
--- a/tests/auto/version/tst_route_table.cpp
+++ b/tests/auto/version/tst_route_table.cpp
@@ -121,6 +121,10 @@
     CHECK(Address.starts_with("b"));
   CHECK(callerAddresses(Version, "b", 2) == Addresses);
 
+  SECTION("also when it is not known what hosts carry") {
+    Version.View.Servers.resize(500);
+    CHECK(callerAddresses(Version, "b", 1) == Addresses);
+  }
   SECTION("one that is lost is replaced") {
     std::erase_if(Version.View.Proxies, [&](const proxy_member &Member) {
       return Member.CallerAddress == Addresses.front();
