--- a/src/libs/daemon/control_thread.h
+++ b/src/libs/daemon/control_thread.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "connection/answer_message.h"
-#include "connection/backend_attempt.h"
 #include "daemon/operator_answers.h"
+#include "daemon/outgoing_calls.h"
 #include "files/daemon_settings.h"
 #include "files/host_list_codec.h"
 #include "files/log_codec.h"
@@ -18,7 +18,6 @@
 #include <spdlog/spdlog.h>
 
 #include <future>
-#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -73,7 +72,7 @@
         Socket(std::move(Socket)), Settings(Settings), State(std::move(State)),
         Events(Events), Metrics(Metrics), Versions(Versions), To(To),
         ToTraffic(ToTraffic), Codec(Settings.FleetSecret),
-        Transport(this->Poller, *this) {
+        Calls(this->Poller, *this) {
     this->Poller.watch(Inbox.descriptor(), true, false);
     this->Poller.watch(this->Socket.descriptor(), true, false);
   }
@@ -90,46 +89,29 @@
     else if (Ready.Descriptor == Inbox.descriptor())
       readInbox(Now);
     else
-      Transport.onReady(Ready);
+      Calls.onReady(Ready);
   }
 
   void onWake(steady_time Now) {
-    Transport.onWake(Now);
+    Calls.onWake(Now);
     control_actions Actions;
     State.tick(Now, Actions);
     perform(Actions);
   }
 
   std::optional<steady_time> nextWake() const {
-    auto Network = Transport.nextWake();
+    auto Network = Calls.nextWake();
     return Network ? std::min(*Network, State.nextWake()) : State.nextWake();
   }
 
   bool finished() const { return Finished; }
 
-  // The transport reports here.
-
-  std::optional<error_kind> onHead(attempt_id Id, const backend_head &Head) {
-    Calls.at(Id).Status = Head.Status;
-    return std::nullopt;
-  }
-
-  bool onPiece(attempt_id Id, std::string_view Piece) {
-    Calls.at(Id).Answer.append(Piece);
-    return true;
-  }
-
-  void onEnd(attempt_id Id, const attempt_end &End) {
-    outgoing_call Call = std::move(Calls.at(Id));
-    Calls.erase(Id);
-    call_end Ending{!End.Failure && Call.Status == 200,
-                    !End.Failure || End.Failure->ProvenNotRun};
+  /// A call has ended.
+  template <typename Purpose>
+  void onCallEnded(const ended_call<Purpose> &Call) {
     control_actions Actions;
-    std::visit(
-        [&](const auto &Purpose) {
-          finishCall(Purpose, Ending, Call.Answer, Actions);
-        },
-        Call.Purpose);
+    std::visit([&](const auto &For) { finishCall(For, Call, Actions); },
+               Call.For);
     perform(Actions);
   }
 
@@ -141,18 +123,9 @@
     endpoint_text Peer;
   };
   struct keys_part {};
-  struct call_end {
-    bool Succeeded = false;
-    /// When it did not succeed: nothing was done at the other side.
-    bool ProvenNotRun = false;
-  };
-  struct outgoing_call {
-    std::variant<log_read, hosts_read, log_append, peer_pull, keys_part>
-        Purpose;
-    std::string Body;
-    std::string Answer;
-    int Status = 0;
-  };
+  using call_purpose =
+      std::variant<log_read, hosts_read, log_append, peer_pull, keys_part>;
+  using finished_call = ended_call<call_purpose>;
 
   static constexpr milliseconds CallTimeout{2'000};
   static constexpr std::size_t MostDatagramsAtOnce = 256;
@@ -336,37 +309,33 @@
     ToTraffic.tellAll(version_changed{Publish.Version});
   }
 
-  template <typename Purpose>
-  void call(Purpose For, const endpoint_text &Server, std::string_view Method,
-            std::string_view Target, std::string_view Body) {
-    attempt_id Id = NextCall++;
-    outgoing_call &Call = Calls[Id];
-    Call.Purpose = std::move(For);
-    Call.Body = Body;
-    BytesSent += Call.Body.size();
+  void call(call_purpose For, const endpoint_text &Server,
+            std::string_view Method, std::string_view Target,
+            std::string Body) {
+    BytesSent += Body.size();
     // Nothing here may run twice by the library's own resending but reads.
-    connection_choice Connection =
-        Method == "GET" ? connection_choice::Reuse : connection_choice::Fresh;
-    Transport.start(
-        {Id, Server, Method, Target, {}, Call.Body, Connection, CallTimeout});
+    Calls.start(std::move(For), Server, Method, Target, std::move(Body),
+                Method == "GET" ? connection_choice::Reuse
+                                : connection_choice::Fresh,
+                CallTimeout);
   }
 
-  void finishCall(const log_read &, const call_end &End,
-                  std::string_view Answer, control_actions &Actions) {
-    BytesReceived += Answer.size();
+  void finishCall(const log_read &, const finished_call &Call,
+                  control_actions &Actions) {
+    BytesReceived += Call.Answer.size();
     finishRead(
-        End.Succeeded, [&] { return decodeLogPage(Answer); },
+        Call.succeeded(), [&] { return decodeLogPage(Call.Answer); },
         [&](const log_page &Page) {
           State.onLogPage(Page, steadyNow(), Actions);
         },
         [&] { State.onLogFailure(steadyNow(), Actions); });
   }
 
-  void finishCall(const hosts_read &, const call_end &End,
-                  std::string_view Answer, control_actions &Actions) {
-    BytesReceived += Answer.size();
+  void finishCall(const hosts_read &, const finished_call &Call,
+                  control_actions &Actions) {
+    BytesReceived += Call.Answer.size();
     finishRead(
-        End.Succeeded, [&] { return decodeHostList(Answer); },
+        Call.succeeded(), [&] { return decodeHostList(Call.Answer); },
         [&](const decoded_host_list &Decoded) {
           for (const std::string &Reason : Decoded.Skipped)
             spdlog::warn("hosts: skipped an entry: {}", Reason);
@@ -375,28 +344,28 @@
         [&] { State.onHostsFailure(steadyNow()); });
   }
 
-  void finishCall(const peer_pull &Pull, const call_end &End,
-                  std::string_view Answer, control_actions &Actions) {
-    BytesReceived += Answer.size();
+  void finishCall(const peer_pull &Pull, const finished_call &Call,
+                  control_actions &Actions) {
+    BytesReceived += Call.Answer.size();
     finishRead(
-        End.Succeeded, [&] { return Codec.decodeReply(Answer); },
+        Call.succeeded(), [&] { return Codec.decodeReply(Call.Answer); },
         [&](const pull_reply &Reply) {
           State.onPullReply(Pull.Peer, Reply, steadyNow(), Actions);
         },
         [&] { State.onPullFailure(Pull.Peer, steadyNow()); });
   }
 
-  void finishCall(const log_append &, const call_end &End, std::string_view,
+  void finishCall(const log_append &, const finished_call &Call,
                   control_actions &) {
-    State.onAppended(End.Succeeded, steadyNow());
+    State.onAppended(Call.succeeded(), steadyNow());
   }
 
-  void finishCall(const keys_part &, const call_end &End, std::string_view,
+  void finishCall(const keys_part &, const finished_call &Call,
                   control_actions &Actions) {
     key_delivery Delivery = key_delivery::Unknown;
-    if (End.Succeeded)
+    if (Call.succeeded())
       Delivery = key_delivery::Accepted;
-    else if (End.ProvenNotRun)
+    else if (Call.ProvenNotRun)
       Delivery = key_delivery::NotTaken;
     State.onKeysDelivered(Delivery, Actions);
     tellHandOverEnded();
@@ -430,9 +399,7 @@
   Sink &To;
   Traffic &ToTraffic;
   peer_codec Codec;
-  TransportOf<control_thread> Transport;
-  std::map<attempt_id, outgoing_call> Calls;
-  attempt_id NextCall = 1;
+  outgoing_calls<TransportOf, call_purpose, control_thread> Calls;
   std::uint64_t BytesSent = 0;
   std::uint64_t BytesReceived = 0;
   std::shared_ptr<std::promise<void>> HandOverEnded;
--- a/src/libs/daemon/store_control_thread.h
+++ b/src/libs/daemon/store_control_thread.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "connection/answer_message.h"
-#include "connection/backend_attempt.h"
+#include "daemon/outgoing_calls.h"
 #include "log/event_line.h"
 #include "peer/datagram_socket.h"
 #include "peer/peer_codec.h"
@@ -12,7 +12,6 @@
 #include "process/store_control_state.h"
 
 #include <functional>
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -57,7 +56,7 @@
         Socket(std::move(Socket)), Store(std::move(Store)),
         State(std::move(State)), Metrics(Metrics), Versions(Versions),
         ToTraffic(ToTraffic), ToPeers(ToPeers), Codec(std::move(FleetSecret)),
-        Transport(this->Poller, *this) {
+        Calls(this->Poller, *this) {
     this->Poller.watch(Inbox.descriptor(), true, false);
     this->Poller.watch(this->Socket.descriptor(), true, false);
   }
@@ -79,11 +78,11 @@
     else if (Ready.Descriptor == Inbox.descriptor())
       readInbox(Now);
     else
-      Transport.onReady(Ready);
+      Calls.onReady(Ready);
   }
 
   void onWake(steady_time Now) {
-    Transport.onWake(Now);
+    Calls.onWake(Now);
     if (Now < State.nextWake())
       return;
     store_control_actions Actions;
@@ -92,45 +91,27 @@
   }
 
   std::optional<steady_time> nextWake() const {
-    auto Network = Transport.nextWake();
+    auto Network = Calls.nextWake();
     return Network ? std::min(*Network, State.nextWake()) : State.nextWake();
   }
 
   bool finished() const { return Finished; }
 
-  // The transport reports here.
-
-  std::optional<error_kind> onHead(attempt_id Id, const backend_head &Head) {
-    Calls.at(Id).Status = Head.Status;
-    return std::nullopt;
-  }
-
-  bool onPiece(attempt_id Id, std::string_view Piece) {
-    Calls.at(Id).Answer.append(Piece);
-    return true;
-  }
-
-  void onEnd(attempt_id Id, const attempt_end &End) {
-    outgoing_call Call = std::move(Calls.at(Id));
-    Calls.erase(Id);
+  /// A call has ended.
+  template <typename Purpose>
+  void onCallEnded(const ended_call<Purpose> &Call) {
     BytesReceived += Call.Answer.size();
-    if (End.Failure)
-      Call.Status = 0;
     store_control_actions Actions;
     std::visit([&](const auto &Made) { finish(Made, Call, Actions); },
-               Call.Made);
+               Call.For);
     perform(Actions);
   }
 
 private:
-  struct outgoing_call {
-    std::variant<list_newest, read_records, put_record, fetch_copy> Made;
-    encoded_call Encoded;
-    std::string Answer;
-    int Status = 0;
-  };
-
-  static constexpr int Success = 200;
+  using call_purpose =
+      std::variant<list_newest, read_records, put_record, fetch_copy>;
+  using finished_call = ended_call<call_purpose>;
+
   /// A call that waits for nothing is answered within this time, or its
   /// connection is given up: the slowest store of the users' days takes a
   /// third of a second.
@@ -239,62 +220,44 @@
     Metrics.setGauge("store_calls_total", static_cast<double>(StoreCalls));
   }
 
+  /// Calls may be sent again by the library on their own: a write sets a key
+  /// to the same value each time.
   void act(start_store_call &Start) {
-    attempt_id Id = NextCall++;
-    outgoing_call &Call = Calls[Id];
     ++StoreCalls;
-    Call.Encoded = Protocol::encode(Start.Call);
-    std::visit([&](auto &Made) { Call.Made = std::move(Made); }, Start.Call);
-    const auto *Read = std::get_if<read_records>(&Call.Made);
-    startCall(Id, Store, CallTimeout + (Read ? Read->Wait : milliseconds(0)));
+    encoded_call Encoded = Protocol::encode(Start.Call);
+    const auto *Read = std::get_if<read_records>(&Start.Call);
+    milliseconds Timeout = CallTimeout + (Read ? Read->Wait : milliseconds(0));
+    std::visit(
+        [&](auto &Made) {
+          Calls.start(std::move(Made), Store, Encoded.Method, Encoded.Target,
+                      std::move(Encoded.Body), connection_choice::Reuse,
+                      Timeout);
+        },
+        Start.Call);
   }
 
   void act(const fetch_copy &Fetch) {
-    attempt_id Id = NextCall++;
-    outgoing_call &Call = Calls[Id];
-    Call.Made = Fetch;
-    Call.Encoded = {"GET", std::string(CopyPath), ""};
-    startCall(Id, Fetch.From, CallTimeout);
-  }
-
-  /// Calls may be sent again by the library on their own: a write sets a key
-  /// to the same value each time.
-  void startCall(attempt_id Id, std::string_view To, milliseconds Timeout) {
-    const outgoing_call &Call = Calls.at(Id);
-    Transport.start({Id,
-                     To,
-                     Call.Encoded.Method,
-                     Call.Encoded.Target,
-                     {},
-                     Call.Encoded.Body,
-                     connection_choice::Reuse,
-                     Timeout,
-                     false});
+    Calls.start(Fetch, Fetch.From, "GET", CopyPath, "",
+                connection_choice::Reuse, CallTimeout);
   }
 
   void act(const abandon_store_calls &Abandon) {
-    auto ReadsTopic = [&](const outgoing_call &Call) {
-      const auto *List = std::get_if<list_newest>(&Call.Made);
-      const auto *Read = std::get_if<read_records>(&Call.Made);
+    Calls.cancelIf([&](const call_purpose &Made) {
+      const auto *List = std::get_if<list_newest>(&Made);
+      const auto *Read = std::get_if<read_records>(&Made);
       return (List && List->Topic == Abandon.Topic) ||
              (Read && Read->Topic == Abandon.Topic);
-    };
-    std::erase_if(Calls, [&](const auto &Entry) {
-      if (!ReadsTopic(Entry.second))
-        return false;
-      Transport.cancel(Entry.first);
-      return true;
     });
   }
 
   // What the store has answered.
 
-  void finish(const put_record &, const outgoing_call &Call,
+  void finish(const put_record &, const finished_call &Call,
               store_control_actions &) {
-    State.onPut(Call.Status == Success, steadyNow());
+    State.onPut(Call.succeeded(), steadyNow());
   }
 
-  void finish(const fetch_copy &Fetch, const outgoing_call &Call,
+  void finish(const fetch_copy &Fetch, const finished_call &Call,
               store_control_actions &Actions) {
     steady_time Now = steadyNow();
     handleFailure(
@@ -314,20 +277,20 @@
         });
   }
 
-  static result<void> checkAnswered(const outgoing_call &Call) {
-    if (Call.Status == Success)
+  static result<void> checkAnswered(const finished_call &Call) {
+    if (Call.succeeded())
       return {};
     return fail(error_kind::StoreUnavailable,
                 Call.Status == 0 ? "no answer"
                                  : "status " + std::to_string(Call.Status));
   }
 
-  void finish(const list_newest &List, const outgoing_call &Call,
+  void finish(const list_newest &List, const finished_call &Call,
               store_control_actions &Actions) {
     finishRead(List.Topic, Call, Protocol::decodeNewest, Actions);
   }
 
-  void finish(const read_records &Read, const outgoing_call &Call,
+  void finish(const read_records &Read, const finished_call &Call,
               store_control_actions &Actions) {
     if (Protocol::isForgotten(Call.Status))
       return State.onForgotten(Read.Topic, steadyNow());
@@ -335,7 +298,7 @@
   }
 
   template <typename Decode>
-  void finishRead(store_topic Topic, const outgoing_call &Call,
+  void finishRead(store_topic Topic, const finished_call &Call,
                   Decode &&DecodePage, store_control_actions &Actions) {
     steady_time Now = steadyNow();
     handleFailure(
@@ -408,9 +371,7 @@
   Traffic &ToTraffic;
   Sink &ToPeers;
   peer_codec Codec;
-  TransportOf<store_control_thread> Transport;
-  std::map<attempt_id, outgoing_call> Calls;
-  attempt_id NextCall = 1;
+  outgoing_calls<TransportOf, call_purpose, store_control_thread> Calls;
   std::uint64_t StoreCalls = 0;
   std::optional<request_limits> Limits;
   std::function<void(const request_limits &)> OnLimits;
--- a/src/libs/process/service_state.h
+++ b/src/libs/process/service_state.h
@@ -7,6 +7,7 @@
 #include "process/work_report.h"
 #include "version/fleet_version.h"
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
@@ -33,6 +34,59 @@
     return Times.try_emplace(Kind.Name, Kind.Target).first->second;
   }
 
+  /// Takes what an attempt has shown of its server, and keeps it for the report
+  /// to other proxies.
+  void noteSignal(std::string_view Server, attempt_signal Signal,
+                  steady_time Now) {
+    Scheduler.observe(Server, Signal, Now);
+    if constexpr (sharing_scheduler<Policy>)
+      Work.noteSignal(Server, Signal);
+  }
+
+  /// The slots in use of a server have changed here.
+  void noteUse([[maybe_unused]] std::string_view Server) {
+    if constexpr (sharing_scheduler<Policy>)
+      Work.noteUse(Server, Scheduler.inUseHere(Server));
+  }
+
+  /// Adds what another proxy has seen to what was seen here.
+  void learn([[maybe_unused]] std::string_view Proxy,
+             [[maybe_unused]] const server_work &Told,
+             [[maybe_unused]] steady_time Now) {
+    if constexpr (sharing_scheduler<Policy>) {
+      Elsewhere.note(Proxy, Told, Now);
+      Scheduler.setUsedElsewhere(Told.Server, Elsewhere.used(Told.Server, Now),
+                                 Now);
+      auto Observe = [&](std::uint32_t Count, attempt_signal Signal) {
+        for (; Count > 0; --Count)
+          Scheduler.observe(Told.Server, Signal, Now);
+      };
+      Observe(Told.Accepted, attempt_signal::Accepted);
+      Observe(Told.Good, attempt_signal::Good);
+      Observe(Told.Slow, attempt_signal::Slow);
+      Observe(Told.Erred, attempt_signal::Erred);
+      Observe(Told.Failed, attempt_signal::Failed);
+    }
+  }
+
+  /// What the failure of an attempt that took \p Taken tells of its server.
+  attempt_signal signalOf(error_kind Failure, const work_kind &Kind,
+                          steady_time::duration Taken) {
+    // A sick server fails at once what a healthy one fails after its work.
+    constexpr int WorkDivisor = 8;
+    switch (Failure) {
+    case error_kind::BackendShed:
+      return attempt_signal::Shed;
+    case error_kind::BackendUnreachable:
+      return attempt_signal::Unreachable;
+    case error_kind::BackendError:
+      return Taken < times(Kind).usual() / WorkDivisor ? attempt_signal::Failed
+                                                       : attempt_signal::Erred;
+    default:
+      return attempt_signal::Failed;
+    }
+  }
+
 private:
   std::map<std::string, answer_times, std::less<>> Times;
 };
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -279,20 +279,8 @@
       state *State = stateOf(Told.Report.Service);
       if (!State)
         return;
-      for (const server_work &Work : Told.Report.Servers) {
-        State->Elsewhere.note(Told.ProxyId, Work, Now);
-        State->Scheduler.setUsedElsewhere(
-            Work.Server, State->Elsewhere.used(Work.Server, Now), Now);
-        auto Observe = [&](std::uint32_t Count, attempt_signal Signal) {
-          for (; Count > 0; --Count)
-            State->Scheduler.observe(Work.Server, Signal, Now);
-        };
-        Observe(Work.Accepted, attempt_signal::Accepted);
-        Observe(Work.Good, attempt_signal::Good);
-        Observe(Work.Slow, attempt_signal::Slow);
-        Observe(Work.Erred, attempt_signal::Erred);
-        Observe(Work.Failed, attempt_signal::Failed);
-      }
+      for (const server_work &Work : Told.Report.Servers)
+        State->learn(Told.ProxyId, Work, Now);
       startNext(Told.Report.Service, Now);
     }
   }
@@ -540,18 +528,6 @@
     }
   }
 
-  void noteSignal(state &State, const endpoint_text &Server,
-                  attempt_signal Signal, steady_time Now) {
-    State.Scheduler.observe(Server, Signal, Now);
-    if constexpr (sharing_scheduler<Policy>)
-      State.Work.noteSignal(Server, Signal);
-  }
-
-  void noteUse(state &State, const endpoint_text &Server) {
-    if constexpr (sharing_scheduler<Policy>)
-      State.Work.noteUse(Server, State.Scheduler.inUseHere(Server));
-  }
-
   void wakeForTrial(steady_time At) {
     if (TrialWake && *TrialWake <= At)
       return;
@@ -615,7 +591,7 @@
     }
     if (Target.Route == attempt_route::Slot) {
       Timers.add(Now + patienceOf(Active), {Request.Id, Id, timer_kind::Slow});
-      noteUse(stateOf(Active), Target.Server);
+      stateOf(Active).noteUse(Target.Server);
       if constexpr (sharing_scheduler<Policy>)
         Timers.add(Now + AcceptedAfter, {Request.Id, Id, timer_kind::Accepted});
       // An attempt that may be repeated leaves time for another one.
@@ -677,8 +653,9 @@
     if (Judgement.Refused)
       return Judgement.Refused;
     if (Judgement.ServerFailed) {
-      noteSignal(State, Attempt.Target.Server,
-                 errorSignal(Active, Attempt, Now), Now);
+      State.noteSignal(Attempt.Target.Server,
+                       signalOf(error_kind::BackendError, Active, Attempt, Now),
+                       Now);
       return std::nullopt;
     }
     // What it waited for slots says nothing of its work.
@@ -688,15 +665,15 @@
         .add(std::chrono::duration_cast<microseconds>(Worked), Now);
     noteAccepted(Active, Now);
     if (Attempt.SlowReports == 0)
-      noteSignal(State, Attempt.Target.Server, attempt_signal::Good, Now);
+      State.noteSignal(Attempt.Target.Server, attempt_signal::Good, Now);
     return std::nullopt;
   }
 
   /// Notes once an attempt that its backend server works on, or has answered.
   void noteAccepted(active_request &Active, steady_time Now) {
     if (!std::exchange(Active.Attempt->Accepted, true))
-      noteSignal(stateOf(Active), Active.Attempt->Target.Server,
-                 attempt_signal::Accepted, Now);
+      stateOf(Active).noteSignal(Active.Attempt->Target.Server,
+                                 attempt_signal::Accepted, Now);
   }
 
   attempt_history history(const active_request &Active, steady_time Now) {
@@ -732,31 +709,16 @@
       reportEvidence(Active, Now);
       return;
     }
-    noteSignal(stateOf(Active), Attempt.Target.Server,
-               failureSignal(Active, Attempt, *End.Failure, Now), Now);
+    stateOf(Active).noteSignal(
+        Attempt.Target.Server,
+        signalOf(End.Failure->Kind, Active, Attempt, Now), Now);
     reportEvidence(Active, Now);
   }
 
-  attempt_signal failureSignal(const active_request &Active,
-                               const running_attempt &Attempt,
-                               const attempt_failure &Failure,
-                               steady_time Now) {
-    if (Failure.Kind == error_kind::BackendShed)
-      return attempt_signal::Shed;
-    if (Failure.Kind == error_kind::BackendUnreachable)
-      return attempt_signal::Unreachable;
-    return Failure.Kind == error_kind::BackendError
-               ? errorSignal(Active, Attempt, Now)
-               : attempt_signal::Failed;
-  }
-
-  /// A sick server fails at once what a healthy one fails after its work.
-  attempt_signal errorSignal(const active_request &Active,
-                             const running_attempt &Attempt, steady_time Now) {
-    constexpr int WorkDivisor = 8;
-    milliseconds Usual = stateOf(Active).times(*Active.Request.Kind).usual();
-    return Now - Attempt.Started < Usual / WorkDivisor ? attempt_signal::Failed
-                                                       : attempt_signal::Erred;
+  attempt_signal signalOf(error_kind Failure, const active_request &Active,
+                          const running_attempt &Attempt, steady_time Now) {
+    return stateOf(Active).signalOf(Failure, *Active.Request.Kind,
+                                    Now - Attempt.Started);
   }
 
   void releaseSlot(const active_request &Active, const running_attempt &Attempt,
@@ -764,7 +726,7 @@
     state &State = stateOf(Active);
     State.Scheduler.release(Attempt.Target.Server, Active.Request.Kind->Rank,
                             Now);
-    noteUse(State, Attempt.Target.Server);
+    State.noteUse(Attempt.Target.Server);
   }
 
   void reportEvidence([[maybe_unused]] const active_request &Active,
@@ -1000,7 +962,7 @@
   void reportSlow(active_request &Active, steady_time Now) {
     running_attempt &Attempt = *Active.Attempt;
     state &State = stateOf(Active);
-    noteSignal(State, Attempt.Target.Server, attempt_signal::Slow, Now);
+    State.noteSignal(Attempt.Target.Server, attempt_signal::Slow, Now);
     reportEvidence(Active, Now);
     ++Attempt.SlowReports;
     Timers.add(Now + patienceOf(Active),
@@ -1030,7 +992,7 @@
     if (nextStep(Failure, history(Active, Now)) != attempt_step::Retry)
       return;
     running_attempt Attempt = abandonAttempt(Active, Now);
-    noteSignal(State, Attempt.Target.Server, attempt_signal::Failed, Now);
+    State.noteSignal(Attempt.Target.Server, attempt_signal::Failed, Now);
     reportEvidence(Active, Now);
     retry(Active, Attempt, Failure, Now);
     startWaiting(Attempt, Now);
--- a/tests/auto/daemon/tst_graceful_end.cpp
+++ b/tests/auto/daemon/tst_graceful_end.cpp
@@ -2,22 +2,12 @@
 
 #include <catch2/catch.hpp>
 
-#include <set>
+#include <atomic>
 #include <thread>
 
 using namespace endiverail;
 using namespace endiverail::test;
 
-namespace {
-
-bool says(const std::string &Answer, const char *Status, const char *Outcome) {
-  return Answer.starts_with("HTTP/1.1 " + std::string(Status)) &&
-         Answer.find("Endiverail-Outcome: " + std::string(Outcome)) !=
-             std::string::npos;
-}
-
-} // namespace
-
 TEST_CASE_METHOD(fleet_fixture, "a graceful end cuts nothing off") {
   // Shorter than the fixture's drain timeout and long enough for an
   // instrumented build on a busy machine: a caller that misses its answer has
