Ask peers for a copy again after a while, and not at once for nothing

Found by reading: after three peers had failed, a daemon that started in the dark asked none again until a newer version came, and so stayed not ready; and a peer whose copy told nothing new was asked again in the same moment, without end.

Change: peers that tell of the version a second later are asked once more; a copy without news counts as a failure. When a daemon reads the store for itself is now one function for each topic, which decides and sets the wake-up; it stood in both before.

--- a/src/libs/process/copy_seeker.cpp
+++ b/src/libs/process/copy_seeker.cpp
@@ -15,6 +15,8 @@
     Failures = 0;
     Due = Now + milliseconds(Wait(Random));
   }
+  if (Failures >= MostFailures && Now >= Due + NextRound)
+    Failures = 0;
   auto Known = std::ranges::find(Sources, Peer.Address, &source::Address);
   if (Known == Sources.end())
     Known = Sources.insert(Sources.end(), source{Peer.Address, 0, false, 0});
--- a/src/libs/process/copy_seeker.h
+++ b/src/libs/process/copy_seeker.h
@@ -34,6 +34,9 @@
   static constexpr milliseconds RetryPause{100};
   /// Failed questions for one version after which the store is read instead.
   static constexpr std::size_t MostFailures = 3;
+  /// After this time peers that tell of the version are asked once more: the
+  /// store may be dark.
+  static constexpr milliseconds NextRound{1'000};
 
   copy_seeker(std::string_view DataCentre, std::uint64_t Seed)
       : DataCentre(DataCentre), Random(Seed) {}
@@ -43,7 +46,9 @@
 
   /// Whom to ask now for a version beyond \p Have; its end has to be told.
   std::optional<endpoint_text> next(std::uint64_t Have, steady_time Now);
+  /// The copy has come and told something new.
   void onCopy();
+  /// There was no copy, or it told nothing new.
   void onFailure(steady_time Now);
 
   /// Whether peers were asked in vain for a version beyond \p Have.
--- a/src/libs/process/store_control_state.cpp
+++ b/src/libs/process/store_control_state.cpp
@@ -57,19 +57,21 @@
   return std::ranges::find(Readers, Settings.Self.Id) != Readers.end();
 }
 
+steady_time store_control_state::readersSilentFrom() const {
+  return std::max(LastReaderNews, Started) + ReaderSilence;
+}
+
 /// The first listing is everybody's own, so that a start depends on nobody.
-bool store_control_state::readsServers(steady_time Now) const {
-  return !ServersKnown || isReader() ||
-         Now > std::max(LastReaderNews, Started) + ReaderSilence;
+steady_time store_control_state::readsServersFrom() const {
+  return !ServersKnown || isReader() ? steady_time{} : readersSilentFrom();
 }
 
 /// Few follow the configuration at the store; the others copy it from peers.
-bool store_control_state::readsConfiguration(steady_time Now) const {
+steady_time store_control_state::readsConfigurationFrom() const {
   if (!Configuration || Seeker.hasGivenUp(version()))
-    return true;
-  if (Now < Started + SettlingTime)
-    return false;
-  return isReader() || Now > std::max(LastReaderNews, Started) + ReaderSilence;
+    return steady_time{};
+  steady_time Settled = Started + SettlingTime;
+  return isReader() ? Settled : std::max(Settled, readersSilentFrom());
 }
 
 void store_control_state::tick(steady_time Now, store_control_actions &Out) {
@@ -94,11 +96,11 @@
       Directory.beginListing();
     Out.emplace_back(start_store_call{std::move(*Call)});
   };
-  if (readsConfiguration(Now))
+  if (Now >= readsConfigurationFrom())
     StartDue(ConfigurationFollower);
   if (auto Source = Seeker.next(completeVersion(), Now))
     Out.emplace_back(fetch_copy{std::move(*Source)});
-  if (readsServers(Now)) {
+  if (Now >= readsServersFrom()) {
     if (ServersFollower.listed() &&
         Now > ServersFollower.lastAnswer() + LongestGap &&
         !ServersFollower.failing())
@@ -118,20 +120,11 @@
     if (At)
       Next = std::min(Next, *At);
   };
-  auto SilenceEnds =
-      std::max(LastReaderNews, Started) + ReaderSilence + milliseconds(1);
-  if (auto Due = ConfigurationFollower.nextWake()) {
-    bool Reads = !Configuration || Seeker.hasGivenUp(version());
-    steady_time From = Reads        ? *Due
-                       : isReader() ? Started + SettlingTime
-                                    : SilenceEnds;
-    Consider(std::max(*Due, From));
-  }
+  if (auto Due = ConfigurationFollower.nextWake())
+    Consider(std::max(*Due, readsConfigurationFrom()));
   Consider(Seeker.nextWake(completeVersion()));
-  if (isReader() || !ServersKnown)
-    Consider(ServersFollower.nextWake());
-  else if (auto Due = ServersFollower.nextWake())
-    Consider(std::max(*Due, SilenceEnds));
+  if (auto Due = ServersFollower.nextWake())
+    Consider(std::max(*Due, readsServersFrom()));
   if (Registered)
     Consider(MembersFollower.nextWake());
   else if (!PutOut)
@@ -177,7 +170,10 @@
 void store_control_state::onCopy(const fleet_copy &Copy,
                                  published_configuration Decoded,
                                  steady_time Now, store_control_actions &Out) {
-  Seeker.onCopy();
+  if (Decoded.Version > completeVersion())
+    Seeker.onCopy();
+  else
+    Seeker.onFailure(Now);
   event_line("copy_taken")
       .with("version", Copy.Version)
       .with("before", version())
@@ -321,7 +317,7 @@
     return;
   DiffersSince.reset();
   // The next tick lists anew, as if no reader had been heard.
-  LastReaderNews = Now - ReaderSilence - milliseconds(1);
+  LastReaderNews = Now - ReaderSilence;
   ServersFollower.restart(Now);
 }
 
--- a/src/libs/process/store_control_state.h
+++ b/src/libs/process/store_control_state.h
@@ -134,8 +134,11 @@
   topic_follower &follower(store_topic Topic);
   void noteStore(bool Answers, steady_time Now, store_control_actions &Out);
   bool isReader() const;
-  bool readsServers(steady_time Now) const;
-  bool readsConfiguration(steady_time Now) const;
+  /// From when on nobody is taken to read the store for all.
+  steady_time readersSilentFrom() const;
+  /// From when on this daemon reads for itself.
+  steady_time readsServersFrom() const;
+  steady_time readsConfigurationFrom() const;
   /// The version beyond which copies are of use.
   std::uint64_t completeVersion() const { return ready() ? version() : 0; }
   void hurryConfiguration(steady_time Now, store_control_actions &Out);
--- a/tests/auto/process/tst_store_control_state.cpp
+++ b/tests/auto/process/tst_store_control_state.cpp
@@ -301,6 +301,52 @@
     CHECK(versionAt(Index) == 2);
 }
 
+TEST_CASE_METHOD(ten_daemons, "a start in the dark outlasts peers that do not "
+                              "answer for a while") {
+  for (daemon &Daemon : Daemons) {
+    Daemon.Reaches = false;
+    Daemon.Waiting.reset();
+  }
+  GivesCopies = false;
+  start(10);
+  Daemons.back().Reaches = false;
+  pass(4s);
+  REQUIRE(Daemons.back().Version);
+  CHECK_FALSE(Daemons.back().Version->Ready);
+  GivesCopies = true;
+  pass(3s);
+  CHECK(Daemons.back().Version->Ready);
+}
+
+TEST_CASE_METHOD(ten_daemons,
+                 "a peer whose copy tells nothing new is not asked "
+                 "again at once") {
+  store_control_state &State = Daemons[3].State;
+  peer_message Told;
+  Told.Gossip.Kind = gossip_kind::News;
+  Told.Gossip.SenderId = "d4";
+  Told.Digest.Configuration = 99;
+  std::size_t Asked = 0;
+  for (int Step = 0; Step < 200; ++Step) {
+    store_control_actions Actions;
+    State.onDatagram(Told, Now, Actions);
+    State.tick(Now, Actions);
+    for (const store_control_action &Action : Actions)
+      if (std::holds_alternative<fetch_copy>(Action)) {
+        ++Asked;
+        store_control_actions After;
+        State.onCopy({1, "old", {}}, published(1), Now, After);
+        Asked += static_cast<std::size_t>(
+            std::ranges::count_if(After, [](const store_control_action &Each) {
+              return std::holds_alternative<fetch_copy>(Each);
+            }));
+      }
+    Now += 10ms;
+  }
+  CHECK(Asked > 0);
+  CHECK(Asked <= 2 * copy_seeker::MostFailures);
+}
+
 TEST_CASE_METHOD(ten_daemons, "a daemon that starts while the store is dark is "
                               "soon ready") {
   for (daemon &Daemon : Daemons) {
