Let the test of a whole daemon see that limits reach the front end

Taking out the call that hands the limits of a configuration to the front end was seen by no test; tst_edge now sends a head that only the configuration refuses. It fails without the call, passes with it.

--- a/tests/auto/platform/tst_edge.cpp
+++ b/tests/auto/platform/tst_edge.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 const std::string Configuration = R"({"version":"00000007",
-  "limits":{"header-bytes":16384,"body-bytes":100000,"header-timeout-s":3,
+  "limits":{"header-bytes":2000,"body-bytes":100000,"header-timeout-s":3,
             "idle-timeout-s":15},
   "listeners":[{"host":"shop.example","rules":[
     {"name":"r1","kind":"unsafe","latency-target-s":2,"priority":1,
@@ -145,6 +145,11 @@
   CHECK(Answer.starts_with("HTTP/1.1 200"));
   CHECK(Answer.ends_with("\r\n\r\nfor id-1"));
   CHECK(order(First, "/unknown/1").starts_with("HTTP/1.1 404"));
+  // The configuration allows heads of 2,000 bytes, the daemon by itself more.
+  CHECK(eventually([&] {
+    return order(First, "/orders/" + std::string(3'000, 'x'))
+        .starts_with("HTTP/1.1 431");
+  }));
   std::string Addresses =
       call(First, DirectoryPort,
            "GET /-/resolve?name=shop.example&region=r&zone=z HTTP/1.1");
