--- a/src/libs/daemon/outgoing_calls.h
+++ b/src/libs/daemon/outgoing_calls.h
@@ -39,13 +39,13 @@
       : To(To), Transport(Poller, *this) {}
 
   void start(Purpose For, std::string_view Server, std::string_view Method,
-             std::string_view Target, std::string Body,
+             std::string_view Target, std::string_view Body,
              connection_choice Connection, milliseconds Timeout) {
     attempt_id Id = NextId++;
     call &Call = Calls[Id];
     Call.Ended.For = std::move(For);
     Call.Target = Target;
-    Call.Body = std::move(Body);
+    Call.Body = Body;
     Transport.start(
         {Id, Server, Method, Call.Target, {}, Call.Body, Connection, Timeout});
   }
