--- a/src/libs/process/topic_follower.cpp
+++ b/src/libs/process/topic_follower.cpp
@@ -54,9 +54,8 @@
 void topic_follower::onFailure(steady_time Now, const back_off &Pauses) {
   CallOut = false;
   constexpr std::size_t MostDoublings = 6;
-  milliseconds BackOff =
-      std::min(Pauses.Longest,
-               Pauses.First * (1 << std::min(Failures, MostDoublings)));
+  milliseconds BackOff = std::min(
+      Pauses.Longest, Pauses.First * (1 << std::min(Failures, MostDoublings)));
   ++Failures;
   std::uniform_int_distribution<std::int64_t> Spread(BackOff.count() / 2,
                                                      BackOff.count());
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -597,10 +597,10 @@
       // An attempt that may be repeated leaves time for another one, but not
       // before nearly all answers have come: long work is as long elsewhere.
       if (Active.repeatable() && Active.Attempts < Request.Kind->MostAttempts)
-        Timers.add(Now + std::max(Left / 2, stateOf(Active)
-                                                .times(*Request.Kind)
-                                                .patience()),
-                   {Request.Id, Id, timer_kind::NoHead});
+        Timers.add(
+            Now + std::max(Left / 2,
+                           stateOf(Active).times(*Request.Kind).patience()),
+            {Request.Id, Id, timer_kind::NoHead});
     }
     Transport.start({Id, Target.Server, Request.Method, Request.Target, Headers,
                      Request.Body, connectionFor(Active.repeatable()), Left,
--- a/tests/auto/process/tst_store_control_state.cpp
+++ b/tests/auto/process/tst_store_control_state.cpp
@@ -379,7 +379,7 @@
 }
 
 TEST_CASE_METHOD(ten_daemons, "a store that is away is asked rarely by those "
-                               "that hear the news from others") {
+                              "that hear the news from others") {
   std::vector<std::size_t> Before;
   for (daemon &Each : Daemons) {
     Each.Reaches = false;
@@ -389,7 +389,8 @@
   // Once the readers are silent: a call a topic at once, and as many again with
   // the shortest pauses of those that hear the news from others.
   constexpr std::size_t MostCalls =
-      2 * (1 + (3'200ms - 1'600ms) / (topic_follower::RelaxedBackOff.First / 2));
+      2 *
+      (1 + (3'200ms - 1'600ms) / (topic_follower::RelaxedBackOff.First / 2));
   std::size_t Rare = 0;
   for (std::size_t Index = 0; Index < Daemons.size(); ++Index)
     Rare += Daemons[Index].Calls - Before[Index] <= MostCalls ? 1 : 0;
--- a/tests/auto/process/tst_topic_follower.cpp
+++ b/tests/auto/process/tst_topic_follower.cpp
@@ -60,8 +60,8 @@
 
 TEST_CASE_METHOD(follower_fixture, "failed calls are repeated ever more "
                                    "rarely, and the first answer ends that") {
-  back_off Terms = GENERATE(topic_follower::EagerBackOff,
-                            topic_follower::RelaxedBackOff);
+  back_off Terms =
+      GENERATE(topic_follower::EagerBackOff, topic_follower::RelaxedBackOff);
   std::vector<milliseconds> Pauses;
   for (int Count = 0; Count < 8; ++Count) {
     due<list_newest>();
