Take changed settings over while the daemon runs

The file is read again on SIGHUP and looked at each two seconds; what the fleet may retry and the time for a graceful end change at once, the rest at the next start, and a line says which. Settings that make no sense are refused with a line and change nothing. A table test plays the changes on a whole daemon.

--- a/src/app/endiveraild/main.cpp
+++ b/src/app/endiveraild/main.cpp
@@ -25,17 +25,44 @@
   return exit_code::Success;
 }
 
-/// Runs a daemon from its start to its graceful end.
-template <typename Daemon, typename Settings>
+/// How often the settings file is looked at: it may change without a signal.
+constexpr milliseconds SettingsPause{2'000};
+
+/// Takes over what has changed in the settings file since \p Known was read.
+template <typename Daemon>
+void readSettingsAgain(Daemon &Running, std::string &Known) {
+  handleFailure(
+      [&]() -> result<void> {
+        BOOST_LEAF_AUTO(Text, readFile(FLAGS_settings));
+        if (Text == Known)
+          return {};
+        Known = Text;
+        BOOST_LEAF_AUTO(Settings,
+                        readStoreDaemonSettings(FLAGS_settings, Text));
+        settings_change Change = Running.reload(Settings);
+        event_line("settings_read")
+            .with("applied", Change.Applied)
+            .with("needs_start", Change.NeedsStart);
+        return {};
+      },
+      [](const failure &Failure) {
+        event_line("settings_refused", event_level::Warning)
+            .with("detail", Failure.Detail);
+      });
+}
+
+/// Runs a daemon from its start to its graceful end; \p WaitForEnd gets it in
+/// between.
+template <typename Daemon, typename Settings, typename Wait>
 result<exit_code> serve(const Settings &With,
-                        const endpoint_text &CallerAddress) {
+                        const endpoint_text &CallerAddress, Wait &&WaitForEnd) {
   holdSignals();
   BOOST_LEAF_AUTO(Running, Daemon::create(With));
   event_line("started")
       .with("daemon", With.Id)
       .with("version", Version)
       .with("callers", CallerAddress);
-  waitForEnd();
+  WaitForEnd(*Running);
   Running->drain();
   event_line("ended").with("dropped_lines", droppedEventLines());
   return exit_code::Success;
@@ -52,13 +79,17 @@
     if (FLAGS_check)
       return reportValid();
     startEventLines();
-    return serve<store_daemon<platform::edge>>(Settings,
-                                               Settings.CallerAddress);
+    return serve<store_daemon<platform::edge>>(
+        Settings, Settings.CallerAddress, [&](auto &Running) {
+          while (waitForSignal(SettingsPause) != process_signal::End)
+            readSettingsAgain(Running, Text);
+        });
   }
   BOOST_LEAF_AUTO(Settings, readDaemonSettings(FLAGS_settings, Text));
   if (FLAGS_check)
     return reportValid();
-  return serve<proxy_daemon>(Settings, Settings.Address);
+  return serve<proxy_daemon>(Settings, Settings.Address,
+                             [](auto &) { waitForEnd(); });
 }
 
 } // namespace
--- a/src/libs/daemon/store_daemon.h
+++ b/src/libs/daemon/store_daemon.h
@@ -196,6 +196,16 @@
 
 } // namespace detail
 
+/// What has come of changed settings.
+struct settings_change {
+  /// Some of them are in force.
+  bool Applied = false;
+  /// Some of them come into force at the next start only.
+  bool NeedsStart = false;
+
+  bool operator==(const settings_change &) const = default;
+};
+
 /// A whole daemon that takes its configuration and backend servers from a
 /// store. It lives as long as the process.
 template <store_edge Edge> class store_daemon {
@@ -225,6 +235,22 @@
     PeerDoor.shutdown();
   }
 
+  /// Takes changed settings over while requests run: what the fleet may retry
+  /// and the time for a graceful end. Addresses, limits of memory and what the
+  /// host carries hold until the next start.
+  settings_change reload(const store_daemon_settings &Changed) {
+    settings_change Result;
+    if (Changed.Retries != Settings.Retries) {
+      Traffic.tellAll(retries_changed{Changed.Retries});
+      Result.Applied = true;
+    }
+    Result.Applied |= Changed.DrainTime != Settings.DrainTime;
+    Settings.Retries = Changed.Retries;
+    Settings.DrainTime = Changed.DrainTime;
+    Result.NeedsStart = Changed != Settings;
+    return Result;
+  }
+
   /// Ends gracefully: tells peers and callers, serves on while callers may
   /// still hold this address, and finishes what runs.
   void drain() {
--- a/src/libs/files/store_daemon_settings.h
+++ b/src/libs/files/store_daemon_settings.h
@@ -43,6 +43,8 @@
   milliseconds AddressLifetime{0};
   /// From the request to end to the end at the latest.
   milliseconds DrainTime{0};
+
+  bool operator==(const store_daemon_settings &) const = default;
 };
 
 /// Reads and checks a settings file. Fails with BadSettings; the detail has a
--- a/src/libs/process/pool_scheduler.cpp
+++ b/src/libs/process/pool_scheduler.cpp
@@ -175,9 +175,8 @@
   double Usual = std::max(1.0, count(Request.UsualTime));
   double Wait = std::max(0.0, Used + 1 - Slots) / Slots * Usual;
   double Target = std::max(1.0, count(Request.Target));
-  double Cost =
-      Server.Belief.sick(Now) *
-          (mayRepeat(Request) ? RepeatableFailureCost : FailureCost) +
+  double Cost = Server.Belief.sick(Now) *
+                    (mayRepeat(Request) ? RepeatableFailureCost : FailureCost) +
                 Server.Shedding.sick(Now) * ShedCost +
                 Server.Slowness.sick(Now) * SlowCost +
                 WaitRisk * Wait / Target + Used / Slots * LoadCost;
--- a/src/libs/process/retry_budget.h
+++ b/src/libs/process/retry_budget.h
@@ -27,6 +27,8 @@
 
   /// The terms for one of \p Entries daemons that spend it together.
   retry_terms termsFor(std::size_t Entries) const;
+
+  bool operator==(const retry_allowance &) const = default;
 };
 
 /// Bounds retries to a share of recent work, for each rank on its own, so that
--- a/src/libs/process/traffic_message.h
+++ b/src/libs/process/traffic_message.h
@@ -2,6 +2,7 @@
 
 #include "process/outcome_table.h"
 #include "process/quarantine.h"
+#include "process/retry_budget.h"
 #include "process/service_scheduler.h"
 #include "process/work_report.h"
 #include "request/caller_request.h"
@@ -57,6 +58,10 @@
   work_report Report;
 };
 /// The thread ends once its requests are answered, or at once.
+/// The operator has changed what the fleet may retry.
+struct retries_changed {
+  retry_allowance Retries;
+};
 struct finish_traffic {
   bool AtOnce = false;
 };
@@ -65,7 +70,7 @@
 using traffic_message =
     std::variant<run_request, answer_written, caller_gone, version_changed,
                  ejection_changed, server_death, inherited_keys, peer_work,
-                 finish_traffic>;
+                 retries_changed, finish_traffic>;
 
 /// An owner has evidence for, or against, a backend server.
 struct ejection_wish {
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -293,6 +293,15 @@
     Keys.inherit(Inherited.Keys, Now);
   }
 
+  void take(retries_changed &Change, steady_time) {
+    Settings.Retries = Change.Retries;
+    if constexpr (sharing_scheduler<Policy>)
+      if (Version)
+        for (auto &[Name, State] : Services)
+          State.Scheduler.setRetryTerms(
+              Settings.Retries.termsFor(Version->EntryCount));
+  }
+
   void take(finish_traffic &Finish, steady_time) {
     Finishing = true;
     AtOnce = Finish.AtOnce;
--- a/src/libs/program/program.cpp
+++ b/src/libs/program/program.cpp
@@ -7,6 +7,8 @@
 #include <poll.h>
 
 #include <csignal>
+#include <cstdint>
+#include <ctime>
 #include <fstream>
 #include <iterator>
 
@@ -28,6 +30,12 @@
   return Set;
 }
 
+sigset_t heldSignals() {
+  sigset_t Set = endSignals();
+  sigaddset(&Set, SIGHUP);
+  return Set;
+}
+
 } // namespace
 
 std::vector<std::string> startProgram(int ArgumentCount, char **Arguments,
@@ -50,8 +58,7 @@
 
 void holdSignals() {
   std::signal(SIGPIPE, SIG_IGN);
-  std::signal(SIGHUP, SIG_IGN);
-  sigset_t Set = endSignals();
+  sigset_t Set = heldSignals();
   pthread_sigmask(SIG_BLOCK, &Set, nullptr);
 }
 
@@ -65,4 +72,18 @@
   sigwait(&Set, &Signal);
 }
 
+std::optional<process_signal> waitForSignal(milliseconds Longest) {
+  constexpr std::int64_t MillisecondsPerSecond = 1'000;
+  constexpr std::int64_t NanosecondsPerMillisecond = 1'000'000;
+  sigset_t Set = heldSignals();
+  timespec Time{};
+  Time.tv_sec = Longest.count() / MillisecondsPerSecond;
+  Time.tv_nsec =
+      Longest.count() % MillisecondsPerSecond * NanosecondsPerMillisecond;
+  int Signal = sigtimedwait(&Set, nullptr, &Time);
+  if (Signal < 0)
+    return std::nullopt;
+  return Signal == SIGHUP ? process_signal::ReadSettings : process_signal::End;
+}
+
 } // namespace endiverail
--- a/src/libs/program/program.h
+++ b/src/libs/program/program.h
@@ -3,6 +3,7 @@
 #include "base/error_kind.h"
 #include "base/time.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -22,9 +23,11 @@
 /// A whole file as text. Fails with BadSettings.
 result<std::string> readFile(const std::string &Name);
 
-/// Ends the program's signals' default effects: SIGPIPE and SIGHUP are
-/// ignored, SIGTERM and SIGINT wait to be taken by waitForEnd(). Call it
-/// before any thread starts.
+/// What an operator's signal asks for.
+enum class process_signal { End, ReadSettings };
+
+/// Ends the program's signals' default effects: SIGPIPE is ignored; SIGTERM,
+/// SIGINT and SIGHUP wait to be taken. Call it before any thread starts.
 void holdSignals();
 
 /// Lets the calling thread rest.
@@ -33,4 +36,7 @@
 /// Waits for SIGTERM or SIGINT.
 void waitForEnd();
 
+/// Waits for one of the signals for \p Longest at most; nothing when none came.
+std::optional<process_signal> waitForSignal(milliseconds Longest);
+
 } // namespace endiverail
--- a/tests/auto/platform/tst_edge.cpp
+++ b/tests/auto/platform/tst_edge.cpp
@@ -64,10 +64,23 @@
   std::unique_ptr<daemon> start(const std::string &Host,
                                 const std::string &StoreAddress,
                                 const std::string &Seed) const {
+    return valueFrom([&]() -> result<std::unique_ptr<daemon>> {
+      return daemon::create(settingsOf(settingsJson(Host, StoreAddress, Seed)));
+    });
+  }
+
+  static store_daemon_settings settingsOf(const nlohmann::json &Json) {
+    return valueFrom(
+        [&] { return readStoreDaemonSettings("settings", Json.dump()); });
+  }
+
+  nlohmann::json settingsJson(const std::string &Host,
+                              const std::string &StoreAddress,
+                              const std::string &Seed) const {
     auto At = [&](std::uint16_t Port) {
       return Host + ":" + std::to_string(Port);
     };
-    nlohmann::json Json{
+    return nlohmann::json{
         {"id", "host-" + Host},
         {"data_centre", "z"},
         {"caller_address", At(CallerPort)},
@@ -79,11 +92,6 @@
         {"grace_s", 2},
         {"retries", {{"share_of_requests", 0.2}, {"extra", 62}}},
         {"fleet_secret", "a secret of the fleet"}};
-    return valueFrom([&]() -> result<std::unique_ptr<daemon>> {
-      BOOST_LEAF_AUTO(Settings,
-                      readStoreDaemonSettings("settings", Json.dump()));
-      return daemon::create(Settings);
-    });
   }
 
   /// The answer to a request whose bytes the test writes; empty when nothing
@@ -176,3 +184,30 @@
       [&] { return order(First, "/orders/1").starts_with("HTTP/1.1 503"); }));
   CHECK_FALSE(isReady(First));
 }
+
+TEST_CASE_METHOD(platform_fixture, "changed settings are taken over while "
+                                   "callers are served") {
+  struct row {
+    std::string What;
+    nlohmann::json Change;
+    settings_change Result;
+  };
+  auto Row = GENERATE(
+      row{"nothing", nlohmann::json::object(), {false, false}},
+      row{"what the fleet may retry",
+          {{"retries", {{"share_of_requests", 0.1}, {"extra", 5}}}},
+          {true, false}},
+      row{"the time for the end", {{"grace_s", 1.5}}, {true, false}},
+      row{"the store's address", {{"store", "127.0.0.9:1"}}, {false, true}},
+      row{"several",
+          {{"grace_s", 1.5}, {"seeds", {"127.0.0.9:1"}}},
+          {true, true}});
+  INFO(Row.What);
+  auto Daemon = start(First, Store->endpoint(), First);
+  REQUIRE(eventually([&] { return isReady(First); }));
+  nlohmann::json Json = settingsJson(First, Store->endpoint(), First);
+  Json.update(Row.Change);
+  CHECK(Daemon->reload(settingsOf(Json)) == Row.Result);
+  CHECK(isReady(First));
+  CHECK(order(First, "/orders/1").ends_with("\r\n\r\nfor id-1"));
+}
