Hold work here in a burst, and pace what a server is given before it is proven

Servers held up to 30 requests each; who turned sick failed all of them within milliseconds, who fell silent took them along. Errors after a wait in a sick server's queue counted as errors after work, and the wait counted as work accepted, so that such servers kept a doubt below 0.01 and, always empty, drew the overflow.

Now a server is given its slots and one and a half times that; what has no server waits here as long as it can still be answered in time, and is refused at once where more wait than can start. A request that may not be repeated waits rather than risk a doubtful server. An entry sends a server no more than its part of twice the slots before the first is seen to be worked on, so that one that fails at once does not empty all queues. Waiting tells nothing of health.

--- a/src/libs/process/pool_scheduler.cpp
+++ b/src/libs/process/pool_scheduler.cpp
@@ -26,8 +26,20 @@
 constexpr double TargetShare = 0.85;
 /// A slow answer takes about this many usual times.
 constexpr double LongAnswer = 1.6;
-/// Least share of its slots that a server is given more than it runs.
-constexpr double LeastQueueShare = 0.34;
+/// Share of its slots that a server is given more than it runs: it gets its
+/// next work at once, and what waits is not lost with it.
+constexpr double QueueShare = 1.5;
+/// A request that may not be repeated rather waits than goes to a server with a
+/// higher chance of failure: a server of which nothing is known is below it.
+constexpr double RiskedWhileWaiting = 0.35;
+/// A server that is sick fails a request within that time of its start.
+constexpr milliseconds ProvenAfter{50};
+constexpr std::size_t StartsPerSlot = 2;
+/// Requests that start here a second at least, where few were seen to.
+constexpr double LeastStartRate = 4;
+/// Share of the time for which a request is held that the requests before it
+/// may be expected to take.
+constexpr double HoldShare = 0.6;
 /// How long a server that has refused work for lack of room is held there.
 constexpr milliseconds FullPause{300};
 /// A server runs at about half of its speed while it is cold.
@@ -125,12 +137,26 @@
 }
 
 milliseconds pool_scheduler::holdTime(const waiting_request &Request) {
-  return Request.Target / HoldDivisor;
+  auto Most = std::chrono::duration_cast<milliseconds>(
+      Request.Target * TargetShare - Request.UsualTime * LongAnswer);
+  return std::max(Request.Target / HoldDivisor, Most);
+}
+
+/// Whether as many wait here as can start within the time for which a request
+/// is held.
+bool pool_scheduler::isBackedUp(const waiting_request &Request,
+                                steady_time Now) const {
+  double Elapsed = std::chrono::duration<double>(Now - LastStart).count();
+  double Rate = std::max(LeastStartRate, StartRate * std::exp(-Elapsed));
+  double Hold = std::chrono::duration<double>(holdTime(Request)).count();
+  return static_cast<double>(waiting()) > Rate * Hold * HoldShare;
 }
 
 std::optional<request_id> pool_scheduler::submit(waiting_request Request,
                                                  steady_time Now) {
   Retries.onRequest(Request.Rank);
+  if (isBackedUp(Request, Now))
+    return Request.Id;
   // The queue lets a request go when its usual time no longer fits.
   Request.Deadline =
       std::min(Request.Deadline, Now + holdTime(Request) + Request.UsualTime);
@@ -154,15 +180,12 @@
          MostFailing * static_cast<double>(Usable);
 }
 
-std::size_t pool_scheduler::roomFor(const waiting_request &Request,
-                                    const pooled_server &Server,
+std::size_t pool_scheduler::roomFor(const pooled_server &Server,
                                     steady_time Now) const {
   auto Slots = static_cast<double>(Server.Slots);
   if (Now < Server.ColdUntil)
     Slots = std::max(1.0, Slots / ColdDivisor);
-  double Usual = std::max(1.0, count(Request.UsualTime));
-  double MostWait = count(Request.Target) * TargetShare - LongAnswer * Usual;
-  double Queued = std::max(Slots * LeastQueueShare, MostWait / Usual * Slots);
+  double Queued = std::max(1.0, Slots * QueueShare);
   auto Room = static_cast<std::size_t>(Slots + Queued);
   return Now < Server.FullUntil ? std::min(Room, Server.FullAt) : Room;
 }
@@ -185,6 +208,14 @@
   return Cost;
 }
 
+/// Requests that this process sends to a server before it is seen to work on
+/// the first of them: all entries together fill its slots, but one that fails
+/// at once, and so always has room, draws no more than that.
+std::size_t pool_scheduler::startsAtOnce(const pooled_server &Server) const {
+  return std::max<std::size_t>(1, StartsPerSlot * Server.Slots /
+                                      std::max<std::size_t>(1, Trials.Entries));
+}
+
 /// Whether a failure would cost the request no more than the time of another
 /// attempt.
 bool pool_scheduler::mayRepeat(const waiting_request &Request) const {
@@ -195,8 +226,9 @@
 bool pool_scheduler::mayTake(const waiting_request &Request,
                              const pooled_server &Server,
                              steady_time Now) const {
-  return isReachable(Server, Now) &&
-         Server.used() < roomFor(Request, Server, Now) &&
+  return isReachable(Server, Now) && Server.used() < roomFor(Server, Now) &&
+         (Server.StartsHere < startsAtOnce(Server) ||
+          Now >= Server.LastStartHere + ProvenAfter) &&
          std::ranges::find(Request.Avoid, Server.Address) ==
              Request.Avoid.end();
 }
@@ -308,6 +340,8 @@
   };
   std::uniform_real_distribution<double> Tie(0, TieCost);
   bool Selective = !mostAreFailing();
+  bool Waits = Selective && !mayRepeat(Request) &&
+               Now < Request.Arrived + holdTime(Request) / 2;
   choice Best;
   for (pooled_server &Server : Servers) {
     if (!mayTake(Request, Server, Now))
@@ -316,6 +350,8 @@
         (Server.used() > 0 || Server.Belief.sick(Now) > Doubted ||
          !isOursToTry(Server)))
       continue;
+    if (Waits && Server.Belief.sick(Now) > RiskedWhileWaiting)
+      continue;
     double Cost = costOf(Request, Server, Now) + Tie(Random);
     if (!Best.Server || Cost < Best.Cost)
       Best = {&Server, Cost};
@@ -332,6 +368,11 @@
       continue;
     waiting_request Request = Queue.pop(Now);
     ++Server->InUse;
+    if (Now >= Server->LastStartHere + ProvenAfter) {
+      Server->StartsHere = 0;
+      Server->LastStartHere = Now;
+    }
+    ++Server->StartsHere;
     Server->LastUsed = Now;
     Server->Untried = false;
     noteStart(Now);
--- a/src/libs/process/pool_scheduler.h
+++ b/src/libs/process/pool_scheduler.h
@@ -105,6 +105,9 @@
     server_belief Path{PathTerms};
     /// Its last answer was a failure.
     bool Failing = false;
+    /// Requests that were started here since that time.
+    std::size_t StartsHere = 0;
+    steady_time LastStartHere;
     /// When a request was last seen to reach it.
     steady_time LastUsed;
     /// When it last failed one.
@@ -129,10 +132,11 @@
   bool mostAreFailing() const;
   /// Requests that may be at a server at once so that the last of them is
   /// answered within its target time.
-  std::size_t roomFor(const waiting_request &Request,
-                      const pooled_server &Server, steady_time Now) const;
+  std::size_t roomFor(const pooled_server &Server, steady_time Now) const;
+  bool isBackedUp(const waiting_request &Request, steady_time Now) const;
   double costOf(const waiting_request &Request, const pooled_server &Server,
                 steady_time Now) const;
+  std::size_t startsAtOnce(const pooled_server &Server) const;
   bool mayRepeat(const waiting_request &Request) const;
   bool mayTake(const waiting_request &Request, const pooled_server &Server,
                steady_time Now) const;
--- a/src/libs/process/service_state.h
+++ b/src/libs/process/service_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "process/active_request.h"
 #include "process/answer_times.h"
 #include "process/outcome_table.h"
 #include "process/request_scheduler.h"
@@ -69,19 +70,36 @@
     }
   }
 
+  /// After which time an attempt that has not failed counts as accepted;
+  /// nothing where it waits behind others, as its silence tells nothing then.
+  static std::optional<milliseconds>
+  acceptedAfter(const attempt_target &Target) {
+    // A sick server fails a request within a few milliseconds of its turn.
+    constexpr milliseconds WorkedOnAfter{50};
+    return Target.SlotsUsed > Target.Slots && Target.Slots != 0
+               ? std::nullopt
+               : std::optional(WorkedOnAfter);
+  }
+
   /// What the failure of an attempt that took \p Taken tells of its server.
   attempt_signal signalOf(error_kind Failure, const work_kind &Kind,
+                          const attempt_target &Target,
                           steady_time::duration Taken) {
-    // A sick server fails at once what a healthy one fails after its work.
-    constexpr int WorkDivisor = 8;
+    // A sick server fails at its turn what a healthy one fails after its work.
+    constexpr double WorkShare = 0.125;
+    // How long the turn takes to come is known roughly.
+    constexpr double WorkShareAfterWait = 0.25;
+    double WaitFactor = Target.waitFactor();
+    auto AtItsTurn =
+        times(Kind).usual() *
+        (WaitFactor > 1 ? WaitFactor - 1 + WorkShareAfterWait : WorkShare);
     switch (Failure) {
     case error_kind::BackendShed:
       return attempt_signal::Shed;
     case error_kind::BackendUnreachable:
       return attempt_signal::Unreachable;
     case error_kind::BackendError:
-      return Taken < times(Kind).usual() / WorkDivisor ? attempt_signal::Failed
-                                                       : attempt_signal::Erred;
+      return Taken < AtItsTurn ? attempt_signal::Failed : attempt_signal::Erred;
     default:
       return attempt_signal::Failed;
     }
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -184,9 +184,6 @@
   /// back until the answer is whole.
   static constexpr std::size_t MostUnwritten = std::size_t{448} * 1024;
   static constexpr milliseconds ReportPeriod{1'000};
-  /// A sick server fails a request within a few milliseconds of its arrival;
-  /// what is not answered by then is worked on.
-  static constexpr milliseconds AcceptedAfter{50};
 
   /// How often, and how often at most, the holder of a key is looked for
   /// anew: it may be handing its keys over.
@@ -602,7 +599,8 @@
       Timers.add(Now + patienceOf(Active), {Request.Id, Id, timer_kind::Slow});
       stateOf(Active).noteUse(Target.Server);
       if constexpr (sharing_scheduler<Policy>)
-        Timers.add(Now + AcceptedAfter, {Request.Id, Id, timer_kind::Accepted});
+        if (auto After = state::acceptedAfter(Target))
+          Timers.add(Now + *After, {Request.Id, Id, timer_kind::Accepted});
       // An attempt that may be repeated leaves time for another one, but not
       // before nearly all answers have come: long work is as long elsewhere.
       if (Active.repeatable() && Active.Attempts < Request.Kind->MostAttempts)
@@ -731,7 +729,7 @@
   attempt_signal signalOf(error_kind Failure, const active_request &Active,
                           const running_attempt &Attempt, steady_time Now) {
     return stateOf(Active).signalOf(Failure, *Active.Request.Kind,
-                                    Now - Attempt.Started);
+                                    Attempt.Target, Now - Attempt.Started);
   }
 
   void releaseSlot(const active_request &Active, const running_attempt &Attempt,
@@ -962,9 +960,11 @@
     }
     if (!Running || Active.Attempt->Id != Due.Attempt || Active.Attempt->Head)
       return;
-    if (Due.Kind == timer_kind::Accepted)
+    if (Due.Kind == timer_kind::Accepted) {
       noteAccepted(Active, Now);
-    else if (Due.Kind == timer_kind::Slow)
+      // Its server may be given more now.
+      startNext(std::string(Active.Request.Service->Definition.Name), Now);
+    } else if (Due.Kind == timer_kind::Slow)
       reportSlow(Active, Now);
     else
       giveUpAttempt(Active, Now);
--- /dev/null
+++ b/tests/auto/process/simulated_fleet.h
@@ -0,0 +1,353 @@
+#pragma once
+
+#include "process/pool_scheduler.h"
+#include "process/service_state.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace endiverail::test {
+
+/// The load that a simulated fleet is played with.
+struct simulated_load {
+  std::size_t Servers = 40;
+  std::size_t Entries = 12;
+  /// Requests a second before and after the burst, and in it.
+  double Rate = 200;
+  double BurstRate = 200;
+  steady_time::duration BurstFrom{};
+  steady_time::duration BurstFor{};
+  steady_time::duration Length = std::chrono::seconds(14);
+  /// Share of the servers that are in a spell of failures at any time.
+  double Sick = 0.3;
+  /// When a share of the servers falls silent for good, with all they hold.
+  std::optional<steady_time::duration> SilentFrom{};
+  double SilentShare = 0;
+  std::uint64_t Seed = 1;
+};
+
+/// What callers have got.
+struct simulated_result {
+  int Asked = 0;
+  int InTime = 0;
+  int Late = 0;
+  int Failed = 0;
+  int Refused = 0;
+  int Unanswered = 0;
+  /// Of the refused ones, those that were held for longer than an eighth of
+  /// their target time.
+  int RefusedLate = 0;
+  /// Servers that fell silent.
+  int Silent = 0;
+
+  double share(int Count) const { return Count / static_cast<double>(Asked); }
+
+  simulated_result &operator+=(const simulated_result &Other) {
+    Asked += Other.Asked;
+    InTime += Other.InTime;
+    Late += Other.Late;
+    Failed += Other.Failed;
+    Refused += Other.Refused;
+    Unanswered += Other.Unanswered;
+    RefusedLate += Other.RefusedLate;
+    Silent += Other.Silent;
+    return *this;
+  }
+};
+
+/// Entries that share one pool of backend servers by reports, as daemons do,
+/// and servers with slots and queues. The work may not be repeated, takes about
+/// 460 ms, and is worth most within 4 s; callers wait for 5 s.
+class simulated_fleet {
+public:
+  explicit simulated_fleet(const simulated_load &Load)
+      : Load(Load), Random(Load.Seed) {
+    Definition.Name = Definition.Pool = "s";
+    Definition.QueueLimit = {400, 400, 400};
+    Kind.Name = "write";
+    Kind.Target = Target;
+    std::vector<backend_server> Listed;
+    for (std::size_t Index = 0; Index < Load.Servers; ++Index) {
+      backend_server Entry;
+      Entry.Address = "10.0.0." + std::to_string(Index) + ":1";
+      Entry.Pool = "s";
+      Entry.Slots = Slots;
+      Listed.push_back(Entry);
+      Servers[Entry.Address].Sick = chance(Load.Sick);
+      changeHealth(Entry.Address);
+    }
+    for (std::size_t Index = 0; Index < Load.Entries; ++Index) {
+      Entries.push_back(std::make_unique<state>(Definition, Index));
+      Entries.back()->Scheduler.configure(Definition, Listed, Now);
+      Entries.back()->Scheduler.setTrialShare({Index, Load.Entries});
+      Entries.back()->Scheduler.setRetryTerms(
+          retry_allowance{0.2, 62}.termsFor(Load.Entries));
+      Entries.back()->Work.setEntries(Load.Entries);
+      tellOthers(Index);
+    }
+    nextArrival();
+    if (Load.SilentFrom)
+      at(*Load.SilentFrom, [this] { silence(); });
+  }
+
+  simulated_result play() {
+    const steady_time End = Begin + Load.Length;
+    while (!Events.empty() && Events.begin()->first < End) {
+      Now = Events.begin()->first;
+      auto Happen = std::move(Events.begin()->second);
+      Events.erase(Events.begin());
+      Happen();
+    }
+    Result.Unanswered = static_cast<int>(Requests.size());
+    return Result;
+  }
+
+private:
+  using state = service_state<pool_scheduler>;
+  static constexpr std::size_t Slots = 6;
+  static constexpr std::size_t ServerQueue = 24;
+  static constexpr std::size_t MostAttempts = 2;
+  static constexpr milliseconds Target{4'000};
+  static constexpr milliseconds Patience{5'000};
+  static constexpr milliseconds Hop{1};
+  /// Single errors of healthy servers, and failures at once of sick ones.
+  static constexpr double ErrorShare = 0.012;
+  static constexpr double SickShare = 0.75;
+
+  struct request {
+    std::size_t Entry = 0;
+    steady_time Arrived;
+    std::size_t Attempts = 0;
+    std::vector<std::string> Avoid;
+    attempt_target To;
+    steady_time Started;
+    bool Accepted = false;
+  };
+  struct server {
+    bool Sick = false;
+    bool Silent = false;
+    std::size_t Running = 0;
+    std::deque<request_id> Queue;
+  };
+
+  void at(steady_time::duration After, std::function<void()> Happen) {
+    Events.emplace(Now + After, std::move(Happen));
+  }
+  bool chance(double Share) {
+    return std::uniform_real_distribution<double>(0, 1)(Random) < Share;
+  }
+  steady_time::duration exponential(double Seconds) {
+    return std::chrono::duration_cast<steady_time::duration>(
+        std::chrono::duration<double>(
+            std::exponential_distribution<double>(1 / Seconds)(Random)));
+  }
+
+  void changeHealth(const std::string &Name) {
+    if (Load.Sick <= 0)
+      return;
+    constexpr double Cycle = 30;
+    double Mean = Cycle * (Servers[Name].Sick ? Load.Sick : 1 - Load.Sick);
+    at(exponential(Mean), [this, Name] {
+      Servers[Name].Sick = !Servers[Name].Sick;
+      changeHealth(Name);
+    });
+  }
+
+  void silence() {
+    for (auto &[Name, Server] : Servers)
+      if (chance(Load.SilentShare)) {
+        Server.Silent = true;
+        ++Result.Silent;
+      }
+  }
+
+  void nextArrival() {
+    auto Since = Now - Begin;
+    bool Burst =
+        Since >= Load.BurstFrom && Since < Load.BurstFrom + Load.BurstFor;
+    at(exponential(1 / (Burst ? Load.BurstRate : Load.Rate)), [this] {
+      // What comes at the end can't be answered within the run.
+      if (Now - Begin < Load.Length - Patience)
+        arrive();
+      nextArrival();
+    });
+  }
+
+  void arrive() {
+    request_id Id = ++LastId;
+    std::size_t Entry =
+        std::uniform_int_distribution<std::size_t>(0, Load.Entries - 1)(Random);
+    Requests[Id] = {Entry, Now, 0, {}, {}, {}, false};
+    ++Result.Asked;
+    if (auto Dropped = Entries[Entry]->Scheduler.submit(waiting(Id), Now))
+      refuse(*Dropped);
+    if (Requests.contains(Id))
+      at(pool_scheduler::holdTime(waiting(Id)), [this, Entry] { pump(Entry); });
+    pump(Entry);
+  }
+
+  waiting_request waiting(request_id Id) {
+    const request &Request = Requests.at(Id);
+    waiting_request Waiting;
+    Waiting.Id = Id;
+    Waiting.Arrived = Request.Arrived;
+    Waiting.Target = Target;
+    Waiting.Deadline = Request.Arrived + Patience;
+    Waiting.UsualTime = Entries[Request.Entry]->times(Kind).usual();
+    Waiting.Avoid = Request.Avoid;
+    return Waiting;
+  }
+
+  void refuse(request_id Id) {
+    ++Result.Refused;
+    Result.RefusedLate += Now - Requests.at(Id).Arrived > Target / 8 ? 1 : 0;
+    Requests.erase(Id);
+  }
+
+  void pump(std::size_t Index) {
+    state &Entry = *Entries[Index];
+    for (const waiting_request &Late : Entry.Scheduler.takeExpired(Now))
+      refuse(Late.Id);
+    while (auto Assignment = Entry.Scheduler.next(Now)) {
+      request &Request = Requests.at(Assignment->Request);
+      Request.To.Server = Assignment->Server;
+      Request.To.SlotsUsed = Assignment->SlotsUsed;
+      Request.To.Slots = Assignment->Slots;
+      Request.Started = Now;
+      Request.Accepted = false;
+      ++Request.Attempts;
+      Entry.noteUse(Assignment->Server);
+      request_id Id = Assignment->Request;
+      if (auto After = state::acceptedAfter(Request.To))
+        at(*After, [this, Index, Id, Attempt = Request.Attempts] {
+          auto Found = Requests.find(Id);
+          if (Found != Requests.end() && Found->second.Attempts == Attempt)
+            accept(Found->second);
+          pump(Index);
+        });
+      at(Hop, [this, Id] { reach(Id); });
+    }
+  }
+
+  void accept(request &Request) {
+    if (!std::exchange(Request.Accepted, true))
+      Entries[Request.Entry]->noteSignal(Request.To.Server,
+                                         attempt_signal::Accepted, Now);
+  }
+
+  void reach(request_id Id) {
+    server &Server = Servers[Requests.at(Id).To.Server];
+    if (Server.Silent)
+      return;
+    if (Server.Running < Slots)
+      run(Id);
+    else if (Server.Queue.size() < ServerQueue)
+      Server.Queue.push_back(Id);
+    else
+      at(Hop, [this, Id] { end(Id, error_kind::BackendShed); });
+  }
+
+  void run(request_id Id) {
+    std::string Name = Requests.at(Id).To.Server;
+    server &Server = Servers[Name];
+    ++Server.Running;
+    bool Fails = Server.Sick && chance(SickShare);
+    double Work =
+        std::lognormal_distribution<double>(std::log(0.44), 0.3)(Random);
+    std::optional<error_kind> Failure;
+    if (Fails || chance(ErrorShare))
+      Failure = error_kind::BackendError;
+    at(std::chrono::duration_cast<steady_time::duration>(
+           std::chrono::duration<double>(Fails ? 0.002 : Work)),
+       [this, Id, Name, Failure] {
+         server &Server = Servers[Name];
+         if (Server.Silent)
+           return;
+         --Server.Running;
+         if (!Server.Queue.empty()) {
+           request_id Next = Server.Queue.front();
+           Server.Queue.pop_front();
+           run(Next);
+         }
+         end(Id, Failure);
+       });
+  }
+
+  void end(request_id Id, std::optional<error_kind> Failure) {
+    request &Request = Requests.at(Id);
+    state &Entry = *Entries[Request.Entry];
+    std::size_t Index = Request.Entry;
+    Entry.Scheduler.release(Request.To.Server, rank::Normal, Now);
+    Entry.noteUse(Request.To.Server);
+    if (Failure) {
+      Entry.noteSignal(
+          Request.To.Server,
+          Entry.signalOf(*Failure, Kind, Request.To, Now - Request.Started),
+          Now);
+      fail(Id, *Failure);
+      return pump(Index);
+    }
+    accept(Request);
+    Entry.noteSignal(Request.To.Server, attempt_signal::Good, Now);
+    Entry.times(Kind).add(
+        std::chrono::duration_cast<microseconds>(
+            std::chrono::duration<double>(Now - Request.Started) /
+            Request.To.waitFactor()),
+        Now);
+    ++(Now - Request.Arrived <= Target ? Result.InTime : Result.Late);
+    Requests.erase(Id);
+    pump(Index);
+  }
+
+  void fail(request_id Id, error_kind Failure) {
+    request &Request = Requests.at(Id);
+    pool_scheduler &Scheduler = Entries[Request.Entry]->Scheduler;
+    if (Failure == error_kind::BackendShed && Request.Attempts < MostAttempts &&
+        Scheduler.retries().take(rank::Normal)) {
+      Request.Avoid.push_back(Request.To.Server);
+      return Scheduler.resubmit(waiting(Id), Now);
+    }
+    if (Failure == error_kind::BackendShed)
+      return refuse(Id);
+    ++Result.Failed;
+    Requests.erase(Id);
+  }
+
+  /// Tells the others of one entry's work, as the daemons' traffic threads do.
+  void tellOthers(std::size_t Index) {
+    state &Entry = *Entries[Index];
+    if (!Entry.Work.empty() && Entry.Work.due(Now)) {
+      work_report Report = Entry.Work.take("s", Now);
+      at(Hop, [this, Index, Report] {
+        for (std::size_t Other = 0; Other < Entries.size(); ++Other)
+          if (Other != Index) {
+            for (const server_work &Work : Report.Servers)
+              Entries[Other]->learn(std::to_string(Index), Work, Now);
+            pump(Other);
+          }
+      });
+    }
+    at(milliseconds(5), [this, Index] { tellOthers(Index); });
+  }
+
+  const steady_time Begin{std::chrono::hours(1)};
+  steady_time Now = Begin;
+  simulated_load Load;
+  std::mt19937_64 Random;
+  service_definition Definition;
+  work_kind Kind;
+  std::map<std::string, server> Servers;
+  std::vector<std::unique_ptr<state>> Entries;
+  std::map<request_id, request> Requests;
+  std::multimap<steady_time, std::function<void()>> Events;
+  request_id LastId = 0;
+  simulated_result Result;
+};
+
+} // namespace endiverail::test
