--- a/src/libs/process/pool_scheduler.cpp
+++ b/src/libs/process/pool_scheduler.cpp
@@ -33,8 +33,8 @@
 /// A request that may not be repeated rather waits than goes to a server with a
 /// higher chance of failure: a server of which nothing is known is below it.
 constexpr double RiskedWhileWaiting = 0.45;
-/// A server that is sick fails a request within that time of its start.
-constexpr milliseconds ProvenAfter{50};
+/// Requests for each of a server's slots that all entries together may start
+/// before the first is seen to be worked on: twice what it can work on.
 constexpr std::size_t StartsPerSlot = 2;
 /// Requests that start here a second at least, where few were seen to.
 constexpr double LeastStartRate = 4;
@@ -51,8 +51,8 @@
 /// Share of a pool that may be shut out for failing: a pool that fails as a
 /// whole serves more callers than none.
 constexpr double MostFailing = 0.8;
-/// Share of the target time for which a request without a server is held: a
-/// refusal that comes later costs the caller the time for another try.
+/// Share of the target time for which a request without a server is held at
+/// least, where the pool's usual answer leaves no time to wait.
 constexpr int HoldDivisor = 8;
 /// A server without work for that long is idle: the users count servers that
 /// get nothing for two seconds, and a trial waits for the next request of its
@@ -143,8 +143,8 @@
   return std::max(Request.Target / HoldDivisor, Most);
 }
 
-/// Whether as many wait here as can start within the time for which a request
-/// is held.
+/// Whether more wait here than can start in good time, so that another request
+/// would only be refused later.
 bool pool_scheduler::isBackedUp(const waiting_request &Request,
                                 steady_time Now) const {
   double Elapsed = std::chrono::duration<double>(Now - LastStart).count();
@@ -229,7 +229,7 @@
                              steady_time Now) const {
   return isReachable(Server, Now) && Server.used() < roomFor(Server, Now) &&
          (Server.StartsHere < startsAtOnce(Server) ||
-          Now >= Server.LastStartHere + ProvenAfter) &&
+          Now >= Server.LastStartHere + FailsAtOnceWithin) &&
          std::ranges::find(Request.Avoid, Server.Address) ==
              Request.Avoid.end();
 }
@@ -369,7 +369,7 @@
       continue;
     waiting_request Request = Queue.pop(Now);
     ++Server->InUse;
-    if (Now >= Server->LastStartHere + ProvenAfter) {
+    if (Now >= Server->LastStartHere + FailsAtOnceWithin) {
       Server->StartsHere = 0;
       Server->LastStartHere = Now;
     }
--- a/src/libs/process/pool_scheduler.h
+++ b/src/libs/process/pool_scheduler.h
@@ -31,8 +31,9 @@
 /// those that others have told of, and weighs the chance that a server fails a
 /// request against the time that the request would wait there. Few servers are
 /// left without work for long, so that it knows how all of them are. A request
-/// for which no server has room is refused soon, with the time after which it
-/// may come back. It knows no clock and no transport.
+/// for which no server has room waits as long as it can be answered in time;
+/// one that can't be is refused at once, with the time after which it may come
+/// back. It answers bursts and floods, and knows no clock and no transport.
 class pool_scheduler {
 public:
   pool_scheduler(const service_definition &Definition, std::uint64_t Seed);
@@ -73,7 +74,8 @@
   bool cancel(request_id Id);
   /// Removes requests that have waited for as long as a request is held.
   std::vector<waiting_request> takeExpired(steady_time Now);
-  /// How long a request is held when no server has room.
+  /// How long a request is held when no server has room: as long as it can
+  /// still be answered within its target time.
   static milliseconds holdTime(const waiting_request &Request);
 
   retry_budget &retries() { return Retries; }
--- a/src/libs/process/server_belief.h
+++ b/src/libs/process/server_belief.h
@@ -17,6 +17,10 @@
   milliseconds MeanSick{9'000};
 };
 
+/// A sick server fails a request within that time of its turn; one that has not
+/// failed by then is worked on.
+inline constexpr milliseconds FailsAtOnceWithin{50};
+
 /// Servers that refuse part of their work though they have room.
 inline constexpr failure_terms ShedTerms{0.02, 0.5, milliseconds(20'000),
                                          milliseconds(3'000)};
--- a/src/libs/process/service_state.h
+++ b/src/libs/process/service_state.h
@@ -5,6 +5,7 @@
 #include "process/outcome_table.h"
 #include "process/request_scheduler.h"
 #include "process/second_opinions.h"
+#include "process/server_belief.h"
 #include "process/work_report.h"
 #include "version/fleet_version.h"
 
@@ -74,11 +75,9 @@
   /// nothing where it waits behind others, as its silence tells nothing then.
   static std::optional<milliseconds>
   acceptedAfter(const attempt_target &Target) {
-    // A sick server fails a request within a few milliseconds of its turn.
-    constexpr milliseconds WorkedOnAfter{50};
     return Target.SlotsUsed > Target.Slots && Target.Slots != 0
                ? std::nullopt
-               : std::optional(WorkedOnAfter);
+               : std::optional(FailsAtOnceWithin);
   }
 
   /// What the failure of an attempt that took \p Taken tells of its server.
