Log what becomes known of backend servers, and threads that are behind

The incident's logs did not show when a daemon learned that a server leaves, from whom, or whether its threads kept up, so the three hypotheses could not be told apart. New lines: servers_changed, servers_differ, control_late, version_late. No decision changes.

--- a/src/libs/daemon/store_control_thread.h
+++ b/src/libs/daemon/store_control_thread.h
@@ -5,6 +5,7 @@
 #include "log/event_line.h"
 #include "peer/datagram_socket.h"
 #include "peer/peer_codec.h"
+#include "process/control_lag.h"
 #include "process/event_loop.h"
 #include "process/mailbox.h"
 #include "process/metrics.h"
@@ -83,8 +84,10 @@
 
   void onWake(steady_time Now) {
     Calls.onWake(Now);
+    Lag.report(Now);
     if (Now < State.nextWake())
       return;
+    Lag.noteWake(std::max(State.nextWake(), Started), Now);
     store_control_actions Actions;
     State.tick(Now, Actions);
     perform(Actions);
@@ -120,7 +123,8 @@
 
   void readDatagrams(steady_time Now) {
     store_control_actions Actions;
-    for (std::size_t Count = 0; Count < MostDatagramsAtOnce; ++Count) {
+    std::size_t Count = 0;
+    for (; Count < MostDatagramsAtOnce; ++Count) {
       auto Bytes = Socket.receive();
       if (!Bytes)
         break;
@@ -128,6 +132,9 @@
       handleFailure(
           [&]() -> result<void> {
             BOOST_LEAF_AUTO(Message, Codec.decodeMessage(*Bytes));
+            if (Message.ReadsStore)
+              Lag.noteAge(milliseconds(wallNow().time_since_epoch().count() -
+                                       Message.Time.WallMilliseconds));
             State.onDatagram(Message, Now, Actions);
             return {};
           },
@@ -136,6 +143,7 @@
                 .with("detail", Failure.Detail);
           });
     }
+    Lag.noteDatagrams(Count, Count == MostDatagramsAtOnce);
     perform(Actions);
   }
 
@@ -183,7 +191,9 @@
     Socket.send(Send.To, Bytes);
   }
 
-  void act(const send_to_members &Send) {
+  void act(send_to_members &Send) {
+    // For the receivers' log only, as clocks differ.
+    Send.Message.Time.WallMilliseconds = wallNow().time_since_epoch().count();
     std::string Bytes = Codec.encode(Send.Message);
     BytesSent += Bytes.size() * Send.To.size();
     for (const endpoint_text &To : Send.To)
@@ -204,7 +214,7 @@
       Limits = Publish.Version->Limits;
       OnLimits(*Limits);
     }
-    ToTraffic.tellAll(version_changed{Publish.Version});
+    ToTraffic.tellAll(version_changed{Publish.Version, steadyNow()});
     Metrics.setGauge("members",
                      static_cast<double>(Publish.Version->View.Proxies.size()));
     Metrics.setGauge("backend_servers",
@@ -372,6 +382,8 @@
   Sink &ToPeers;
   peer_codec Codec;
   outgoing_calls<TransportOf, call_purpose, store_control_thread> Calls;
+  control_lag Lag;
+  steady_time Started = steadyNow();
   std::uint64_t StoreCalls = 0;
   std::optional<request_limits> Limits;
   std::function<void(const request_limits &)> OnLimits;
--- a/src/libs/process/request_log.h
+++ b/src/libs/process/request_log.h
@@ -17,6 +17,14 @@
   return std::chrono::duration<double, std::milli>(To - From).count();
 }
 
+/// A version has waited long for the traffic thread.
+inline void versionLate(std::uint64_t Number, steady_time Published,
+                        steady_time Now) {
+  event_line("version_late", event_level::Warning)
+      .with("version", Number)
+      .with("late_ms", millisecondsBetween(Published, Now));
+}
+
 /// An attempt has ended without an answer that is passed on.
 inline void attemptFailed(const active_request &Active,
                           const running_attempt &Attempt,
--- a/src/libs/process/server_directory.cpp
+++ b/src/libs/process/server_directory.cpp
@@ -30,11 +30,21 @@
          (StoreBack != steady_time{} && Now < StoreBack + ReturnGrace);
 }
 
+void server_directory::noteChange(std::string_view Id,
+                                  server_change_kind Kind) {
+  Changed = true;
+  Changes.push_back({std::string(Id), Kind});
+}
+
 bool server_directory::accept(std::string_view Id, const server_entry &Entry,
                               bool Grace) {
+  auto Kind = Entry.Server.State == server_state::Live
+                  ? server_change_kind::Ready
+                  : server_change_kind::Leaving;
   auto Found = Servers.find(Id);
   if (Found == Servers.end()) {
     Servers.emplace(std::string(Id), known_server{Entry, true, std::nullopt});
+    noteChange(Id, Kind);
     return true;
   }
   known_server &Known = Found->second;
@@ -45,6 +55,8 @@
     return false;
   bool New = !Known.Present || !isSameToUsers(Entry.Server, Known.Entry.Server);
   Known = {Entry, true, std::nullopt};
+  if (New)
+    noteChange(Id, Kind);
   return New;
 }
 
@@ -54,7 +66,6 @@
     Listed->emplace(Id);
   if (!accept(Id, Entry, inGrace(Now)))
     return;
-  Changed = true;
   Statements.push_back({std::string(Id), Entry, coldLeft(Entry, Now), false});
 }
 
@@ -66,13 +77,13 @@
         lifeOrder(Statement.Entry) < lifeOrder(Found->second.Entry))
       return;
     Found->second = {Statement.Entry, false, std::nullopt};
-    Changed = true;
+    noteChange(Statement.Id, server_change_kind::Gone);
     return;
   }
   server_entry Entry = Statement.Entry;
   if (Statement.ColdLeft.count() > 0)
     Entry.Server.ColdUntil = Now + Statement.ColdLeft;
-  Changed = accept(Statement.Id, Entry, false) || Changed;
+  accept(Statement.Id, Entry, false);
 }
 
 std::vector<server_statement>
@@ -105,7 +116,7 @@
     return;
   }
   Known.Present = false;
-  Changed = true;
+  noteChange(Id, server_change_kind::Gone);
   Statements.push_back({std::string(Id), Known.Entry, milliseconds(0), true});
 }
 
@@ -144,10 +155,10 @@
       continue;
     Known.GoneAt.reset();
     Known.Present = false;
+    noteChange(Id, server_change_kind::Gone);
     Statements.push_back({Id, Known.Entry, milliseconds(0), true});
     Any = true;
   }
-  Changed = Changed || Any;
   return Any;
 }
 
--- a/src/libs/process/server_directory.h
+++ b/src/libs/process/server_directory.h
@@ -23,6 +23,14 @@
   bool Removed = false;
 };
 
+/// What users see of a backend server's statement or removal.
+enum class server_change_kind { Ready, Leaving, Gone };
+
+struct server_change {
+  std::string Id;
+  server_change_kind Kind = server_change_kind::Ready;
+};
+
 /// The backend servers that have registered themselves, from their records in
 /// the order of the store. Statements of an earlier life, or older ones of the
 /// same life, change nothing. A registration that lapsed while the store was
@@ -68,6 +76,10 @@
 
   /// Whether something has changed since the last call.
   bool takeChanged() { return std::exchange(Changed, false); }
+  /// What has changed since the last call, for the log.
+  std::vector<server_change> takeChanges() {
+    return std::exchange(Changes, {});
+  }
 
 private:
   struct known_server {
@@ -79,6 +91,7 @@
 
   bool inGrace(steady_time Now) const;
   void removeKnown(std::string_view Id, known_server &Known, steady_time Now);
+  void noteChange(std::string_view Id, server_change_kind Kind);
   /// Whether the statement changed anything that users see.
   bool accept(std::string_view Id, const server_entry &Entry, bool Grace);
 
@@ -87,6 +100,7 @@
   bool StoreAway = false;
   steady_time StoreBack;
   bool Changed = false;
+  std::vector<server_change> Changes;
   std::vector<server_statement> Statements;
 };
 
--- a/src/libs/process/store_control_state.cpp
+++ b/src/libs/process/store_control_state.cpp
@@ -27,6 +27,15 @@
   return "gone";
 }
 
+std::vector<std::string> idsOf(std::span<const server_change> Changes,
+                               server_change_kind Kind) {
+  std::vector<std::string> Ids;
+  for (const server_change &Change : Changes)
+    if (Change.Kind == Kind)
+      Ids.push_back(Change.Id);
+  return Ids;
+}
+
 } // namespace
 
 store_control_state::store_control_state(store_control_settings From,
@@ -118,6 +127,7 @@
   if (Registered)
     StartDue(MembersFollower);
   Directory.expire(Now);
+  logServerChanges("time");
   publishIfChanged(Now, Out);
 }
 
@@ -194,6 +204,7 @@
   if (!ServersKnown) {
     for (const server_statement &Statement : Copy.Servers)
       Directory.learn(Statement, Now);
+    logServerChanges("copy");
     ServersKnown = true;
     Changed = true;
   }
@@ -262,6 +273,7 @@
     }
     noteStore(true, Now, Out);
     Directory.expire(Now);
+    logServerChanges("store");
     tellServers(Out);
   }
   if (Topic == store_topic::Members && Follower.endedListing()) {
@@ -334,6 +346,7 @@
     return;
   for (const server_statement &Statement : Message.Statements)
     Directory.learn(Statement, Now);
+  logServerChanges(Message.Gossip.SenderId);
   if (!ServersKnown || Message.ServersDigest == Directory.digest()) {
     DiffersSince.reset();
     return;
@@ -342,12 +355,29 @@
     DiffersSince = Now;
   if (Now < *DiffersSince + MostDifference)
     return;
+  event_line("servers_differ", event_level::Warning)
+      .with("reader", Message.Gossip.SenderId)
+      .with("for_ms",
+            std::chrono::duration<double, std::milli>(Now - *DiffersSince)
+                .count());
   DiffersSince.reset();
   // The next tick lists anew, as if no reader had been heard.
   LastReaderNews = Now - ReaderSilence;
   ServersFollower.restart(Now);
 }
 
+void store_control_state::logServerChanges(std::string_view Source) {
+  std::vector<server_change> Changes = Directory.takeChanges();
+  if (Changes.empty())
+    return;
+  event_line("servers_changed")
+      .with("source", Source)
+      .with("ready", idsOf(Changes, server_change_kind::Ready).size())
+      .with("leaving", idsOf(Changes, server_change_kind::Leaving))
+      .with("gone", idsOf(Changes, server_change_kind::Gone))
+      .with("version", VersionNumber + 1);
+}
+
 void store_control_state::tellServers(store_control_actions &Out) {
   std::vector<server_statement> Statements = Directory.takeStatements();
   if (!isReader())
--- a/src/libs/process/store_control_state.h
+++ b/src/libs/process/store_control_state.h
@@ -154,6 +154,8 @@
   std::uint64_t completeVersion() const { return ready() ? version() : 0; }
   void hurryConfiguration(steady_time Now, store_control_actions &Out);
   void learnServers(const peer_message &Message, steady_time Now);
+  /// Writes what has become known of the servers, and who has told it.
+  void logServerChanges(std::string_view Source);
   void tellServers(store_control_actions &Out);
   void suggestLostMember(steady_time Now);
   void meetListedMembers(store_control_actions &Out);
--- a/src/libs/process/traffic_message.h
+++ b/src/libs/process/traffic_message.h
@@ -31,6 +31,8 @@
 /// Another version is in force.
 struct version_changed {
   fleet_version_ref Version;
+  /// When it was handed over; unset where nobody looks at the delay.
+  std::optional<steady_time> Published{};
 };
 /// The fleet has decided to eject a backend server or to take it back.
 struct ejection_changed {
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -184,6 +184,8 @@
   /// back until the answer is whole.
   static constexpr std::size_t MostUnwritten = std::size_t{448} * 1024;
   static constexpr milliseconds ReportPeriod{1'000};
+  /// A version that takes longer to this thread is written to the log.
+  static constexpr milliseconds VersionDelay{200};
 
   /// How often, and how often at most, the holder of a key is looked for
   /// anew: it may be handing its keys over.
@@ -251,6 +253,8 @@
 
   void take(version_changed &Changed, steady_time Now) {
     Version = std::move(Changed.Version);
+    if (Changed.Published && Now > *Changed.Published + VersionDelay)
+      request_log::versionLate(Version->Number, *Changed.Published, Now);
     for (auto &[Name, State] : Services) {
       configure(Name, State, Now);
       startNext(Name, Now);
