Show by a test that a notification of leaving which is missed is repaired too late

A daemon that the readers take for lost when they tell of a leaving server is not told, and one that loses datagrams for 0.7 s misses all three readers' word. Both find out by the digest after 1.5 s, and know too late.

The fixture of tst_store_control_state.cpp moves to store_fleet.h; its cases are unchanged.

--- /dev/null
+++ b/tests/auto/process/tst_leaving_notification.cpp
@@ -0,0 +1,84 @@
+#include "store_fleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace endiverail;
+using namespace endiverail::test;
+
+namespace {
+
+/// The shortest time that the users' deployments allow from a server's word of
+/// leaving to the last request that reaches it.
+constexpr milliseconds LeavingBound{2'000};
+/// A request placed in time may still wait for its connection.
+constexpr milliseconds ConnectTime{300};
+
+/// The users' deployments: 44 daemons, and 111 once they have grown.
+class deployment : public store_fleet {
+public:
+  explicit deployment(std::size_t Count) : store_fleet(Count) {
+    configure(1);
+    for (std::size_t Server = 0; Server < 30; ++Server)
+      say("i" + std::to_string(Server), 1);
+    pass(5s);
+    std::vector<std::size_t> Reading = readers();
+    while (std::ranges::find(Reading, Affected) != Reading.end())
+      ++Affected;
+  }
+
+  /// All others take the daemon for lost, by a rumour.
+  void takeForLost(std::size_t Index) {
+    const proxy_member *Self =
+        Daemons[Index].Version->View.findProxy("d" + std::to_string(Index));
+    peer_message Rumour;
+    Rumour.Gossip.Kind = gossip_kind::News;
+    Rumour.Gossip.SenderId = "d0";
+    Rumour.Gossip.SenderAddress = address(0);
+    Rumour.Gossip.Updates = {{*Self, 0, member_state::Dead}};
+    for (std::size_t Other = 0; Other < Daemons.size(); ++Other) {
+      if (Other == Index)
+        continue;
+      store_control_actions Actions;
+      Daemons[Other].State.onDatagram(Rumour, Now, Actions);
+      perform(Other, Actions);
+    }
+  }
+
+  steady_time now() const { return Now; }
+
+  /// A daemon that does not read for the others.
+  std::size_t Affected = 1;
+};
+
+} // namespace
+
+TEST_CASE("a daemon that was taken for lost hears in time that a server "
+          "leaves") {
+  std::size_t Count = GENERATE(44, 111);
+  // Where in the readers' pause the server says that it leaves.
+  auto Phase = GENERATE(0ms, 100ms, 200ms, 300ms, 400ms);
+  INFO(Count << " daemons, " << Phase.count() << " ms after a read");
+  deployment Fleet(Count);
+  Fleet.pass(Phase);
+  Fleet.takeForLost(Fleet.Affected);
+  Fleet.say("i7", 2, server_state::Leaving);
+  Fleet.pass(LeavingBound - ConnectTime);
+  CHECK(Fleet.leavingAt(Fleet.Affected) == 1);
+}
+
+TEST_CASE("a daemon that loses all datagrams for a while hears in time that a "
+          "server leaves") {
+  std::size_t Count = GENERATE(44, 111);
+  auto Phase = GENERATE(0ms, 100ms, 200ms, 300ms, 400ms);
+  INFO(Count << " daemons, " << Phase.count() << " ms after a read");
+  deployment Fleet(Count);
+  Fleet.pass(Phase);
+  // All readers have told of it once by then.
+  steady_time LostUntil = Fleet.now() + 700ms;
+  Fleet.Loses = [&](std::size_t Index) {
+    return Index == Fleet.Affected && Fleet.now() < LostUntil;
+  };
+  Fleet.say("i7", 2, server_state::Leaving);
+  Fleet.pass(LeavingBound - ConnectTime);
+  CHECK(Fleet.leavingAt(Fleet.Affected) == 1);
+}
--- a/tests/auto/process/tst_store_control_state.cpp
+++ b/tests/auto/process/tst_store_control_state.cpp
@@ -1,276 +1,17 @@
-#include "process/store_control_state.h"
+#include "store_fleet.h"
 
 #include <catch2/catch.hpp>
 
-#include <functional>
-#include <map>
-#include <memory>
-#include <numeric>
 #include <string>
 
 using namespace endiverail;
+using namespace endiverail::test;
 using namespace std::chrono_literals;
 
 namespace {
 
-/// A small fleet whose datagrams all arrive, and a store that answers or not.
-class fleet_fixture {
-public:
-  explicit fleet_fixture(std::size_t Count) {
-    for (std::size_t Index = 0; Index < Count; ++Index)
-      start(Index);
-  }
-
-  void start(std::size_t Index) {
-    store_control_settings Settings;
-    Settings.Self = {"d" + std::to_string(Index),
-                     Index % 2 == 0 ? "even" : "odd",
-                     address(Index),
-                     1,
-                     true,
-                     address(Index) + "0"};
-    Settings.Seeds = {address(0)};
-    Settings.Seed = Index + 1;
-    Daemons.emplace_back(store_control_state(Settings));
-  }
-
-  static std::string address(std::size_t Index) {
-    return "10.0.0." + std::to_string(Index + 1) + ":1";
-  }
-
-  void pass(milliseconds Time) {
-    for (milliseconds Step(0); Step < Time; Step += 10ms) {
-      Now += 10ms;
-      for (std::size_t Index = 0; Index < Daemons.size(); ++Index) {
-        store_control_actions Actions;
-        Daemons[Index].State.tick(Now, Actions);
-        perform(Index, Actions);
-        endWaiting(Index);
-      }
-    }
-  }
-
-  /// A read that waits ends with an empty page, or by its caller's timeout
-  /// where it hangs.
-  void endWaiting(std::size_t Index) {
-    daemon &Daemon = Daemons[Index];
-    if (!Daemon.Waiting || Now < Daemon.WaitingSince + Daemon.Waiting->Wait +
-                                     (Daemon.Hangs ? 1'000ms : 0ms))
-      return;
-    store_topic Topic = Daemon.Waiting->Topic;
-    Daemon.Waiting.reset();
-    store_control_actions Actions;
-    if (std::exchange(Daemon.Hangs, false) || !Daemon.Reaches)
-      Daemon.State.onCallFailed(Topic, Now, Actions);
-    else
-      Daemon.State.onPage(Topic, {{}, false, ConfigurationEnd}, Now, Actions);
-    perform(Index, Actions);
-  }
-
-  void configure(std::uint64_t Version) {
-    ConfigurationVersion = Version;
-    ++ConfigurationEnd;
-  }
-
-  void say(std::string Id, std::uint64_t Sequence,
-           server_state State = server_state::Live) {
-    server_entry Entry;
-    Entry.Server.Address = Id + ":1";
-    Entry.Server.Pool = "s";
-    Entry.Server.State = State;
-    Entry.Server.Slots = 6;
-    Entry.Sequence = Sequence;
-    ServerLog.emplace_back(std::move(Id), Entry);
-  }
-
-  std::size_t leavingAt(std::size_t Index) const {
-    const auto &Version = Daemons[Index].Version;
-    return Version ? static_cast<std::size_t>(std::ranges::count(
-                         Version->View.Servers, server_state::Leaving,
-                         &backend_server::State))
-                   : 0;
-  }
-
-  std::uint64_t versionAt(std::size_t Index) const {
-    return Daemons[Index].State.version();
-  }
-
-  void setReaches(std::size_t Index, bool Reaches) {
-    Daemons[Index].Reaches = Reaches;
-  }
-
-  bool settledAt(std::size_t Index) const {
-    return Daemons[Index].Version && Daemons[Index].Version->MembersSettled;
-  }
-
-  std::size_t membersAt(std::size_t Index) const {
-    return Daemons[Index].State.members().size();
-  }
-
-protected:
-  struct daemon {
-    store_control_state State;
-    fleet_version_ref Version;
-    /// Whether the store answers this daemon.
-    bool Reaches = true;
-    std::size_t Calls = 0;
-    std::optional<read_records> Waiting;
-    steady_time WaitingSince;
-    /// The read that waits is on a connection that went silent.
-    bool Hangs = false;
-  };
-
-  void perform(std::size_t Index, store_control_actions &Actions) {
-    for (store_control_action &Action : Actions) {
-      if (auto *Start = std::get_if<start_store_call>(&Action))
-        answer(Index, Start->Call);
-      if (std::holds_alternative<abandon_store_calls>(Action))
-        Daemons[Index].Waiting.reset();
-      if (auto *Fetch = std::get_if<fetch_copy>(&Action))
-        handOver(Index, Fetch->From);
-      if (auto *Send = std::get_if<send_datagram>(&Action))
-        deliver(Index, Send->To, Send->Message);
-      if (auto *Send = std::get_if<send_to_members>(&Action))
-        for (const endpoint_text &To : Send->To)
-          deliver(Index, To, Send->Message);
-      // Calls and datagrams end within the actions that began them, so a newer
-      // version may be there already.
-      if (auto *Publish = std::get_if<publish_version>(&Action))
-        if (fleet_version_ref &Known = Daemons[Index].Version;
-            !Known || Known->Number < Publish->Version->Number)
-          Known = Publish->Version;
-    }
-    wakeReads();
-  }
-
-  void deliver(std::size_t, const endpoint_text &To,
-               const peer_message &Message) {
-    for (std::size_t Index = 0; Index < Daemons.size(); ++Index)
-      if (address(Index) == To) {
-        store_control_actions Actions;
-        Daemons[Index].State.onDatagram(Message, Now, Actions);
-        perform(Index, Actions);
-      }
-  }
-
-  void handOver(std::size_t Index, const endpoint_text &From) {
-    std::optional<fleet_copy> Copy;
-    for (std::size_t Giver = 0; Giver < Daemons.size(); ++Giver)
-      if (address(Giver) == From && GivesCopies)
-        Copy = Daemons[Giver].State.copyForPeer(Now);
-    store_control_state &State = Daemons[Index].State;
-    if (!Copy)
-      return State.onCopyFailed(Now);
-    store_control_actions Actions;
-    State.onCopy(*Copy, published(Copy->Version), Now, Actions);
-    perform(Index, Actions);
-  }
-
-  std::size_t calls() const {
-    return std::transform_reduce(Daemons.begin(), Daemons.end(), std::size_t{0},
-                                 std::plus{},
-                                 [](const daemon &Each) { return Each.Calls; });
-  }
-
-  void answer(std::size_t Index, const store_call &Call) {
-    daemon &Daemon = Daemons[Index];
-    ++Daemon.Calls;
-    store_control_actions Actions;
-    if (const auto *Put = std::get_if<put_record>(&Call)) {
-      if (Daemon.Reaches)
-        MemberLog.emplace_back(Put->Key, *Put->Value);
-      Daemon.State.onPut(Daemon.Reaches, Now);
-    }
-    if (const auto *List = std::get_if<list_newest>(&Call))
-      list(Index, List->Topic, Actions);
-    if (const auto *Read = std::get_if<read_records>(&Call))
-      read(Index, *Read, Actions);
-    perform(Index, Actions);
-  }
-
-  void list(std::size_t Index, store_topic Topic,
-            store_control_actions &Actions) {
-    store_control_state &State = Daemons[Index].State;
-    if (!Daemons[Index].Reaches)
-      return State.onCallFailed(Topic, Now, Actions);
-    keyed_page Page;
-    if (Topic == store_topic::Configuration) {
-      tellConfiguration(State);
-      Page.End = ConfigurationEnd;
-    }
-    if (Topic == store_topic::BackendServers) {
-      for (const auto &[Id, Entry] : ServerLog)
-        State.onServer(Id, Entry, Now);
-      Page.End = ServerLog.size();
-    }
-    if (Topic == store_topic::Members)
-      for (const auto &[Id, Peer] : MemberLog)
-        State.onMember(Id, Peer);
-    State.onPage(Topic, Page, Now, Actions);
-  }
-
-  void read(std::size_t Index, const read_records &Read,
-            store_control_actions &Actions) {
-    daemon &Daemon = Daemons[Index];
-    if (!Daemon.Reaches)
-      return Daemon.State.onCallFailed(Read.Topic, Now, Actions);
-    std::uint64_t End = Read.Topic == store_topic::Configuration
-                            ? ConfigurationEnd
-                            : ServerLog.size();
-    if (Read.From >= End && Read.Wait.count() > 0) {
-      Daemon.Waiting = Read;
-      Daemon.WaitingSince = Now;
-      return;
-    }
-    keyed_page Page;
-    Page.End = End;
-    Page.Records.resize(End - std::min(End, Read.From));
-    if (Read.Topic == store_topic::Configuration)
-      tellConfiguration(Daemon.State);
-    else
-      for (std::uint64_t At = Read.From; At < End; ++At)
-        Daemon.State.onServer(ServerLog[At].first, ServerLog[At].second, Now);
-    Daemon.State.onPage(Read.Topic, Page, Now, Actions);
-  }
-
-  static published_configuration published(std::uint64_t Version) {
-    published_configuration Configuration;
-    Configuration.Version = Version;
-    Configuration.Routes = std::make_shared<route_table>();
-    return Configuration;
-  }
-
-  void tellConfiguration(store_control_state &State) const {
-    if (ConfigurationVersion > 0)
-      State.onConfiguration(published(ConfigurationVersion), "configuration");
-  }
-
-  void wakeReads() {
-    for (std::size_t Index = 0; Index < Daemons.size(); ++Index) {
-      daemon &Daemon = Daemons[Index];
-      if (!Daemon.Waiting || !Daemon.Reaches || Daemon.Hangs ||
-          Daemon.Waiting->From >= ConfigurationEnd)
-        continue;
-      read_records Read = *Daemon.Waiting;
-      Daemon.Waiting.reset();
-      store_control_actions Actions;
-      read(Index, Read, Actions);
-      perform(Index, Actions);
-    }
-  }
-
-  steady_time Now{1h};
-  std::vector<daemon> Daemons;
-  std::uint64_t ConfigurationVersion = 0;
-  std::uint64_t ConfigurationEnd = 0;
-  /// Whether daemons answer peers that ask for a copy.
-  bool GivesCopies = true;
-  std::vector<std::pair<std::string, server_entry>> ServerLog;
-  std::vector<std::pair<std::string, endpoint_text>> MemberLog;
-};
-
-struct ten_daemons : fleet_fixture {
-  ten_daemons() : fleet_fixture(10) {
+struct ten_daemons : store_fleet {
+  ten_daemons() : store_fleet(10) {
     configure(1);
     say("a", 1);
     say("b", 1);
@@ -293,7 +34,7 @@
   // The load: callers come back at once after a loss of power, and whoever
   // does not know the entries yet leads them to any host.
   constexpr std::size_t Count = 60;
-  fleet_fixture Fleet(Count);
+  store_fleet Fleet(Count);
   Fleet.pass(500ms);
   std::vector<std::size_t> Known;
   for (std::size_t Index = 0; Index < Count; ++Index)
@@ -313,7 +54,7 @@
                       row{"while the store is dark", false, 500ms, false},
                       row{"dark, once gossip has gone round", false, 2s, true});
   INFO(Row.What);
-  fleet_fixture Fleet(0);
+  store_fleet Fleet(0);
   for (std::size_t Index = 0; Index < 4; ++Index) {
     Fleet.start(Index);
     Fleet.setReaches(Index, Row.StoreAnswers);
