--- a/tests/auto/http/tst_curl_transport.cpp
+++ b/tests/auto/http/tst_curl_transport.cpp
@@ -162,6 +162,46 @@
   }
 }
 
+TEST_CASE("an answer without end is given up by its size, not by its time") {
+  struct row {
+    const char *What;
+    std::string Begin;
+    std::string Again;
+  };
+  const std::string Chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string Long(1'000, 'x');
+  const row Rows[]{
+      {"no status line", "", Long},
+      {"lines before the status line", "", "\r\n"},
+      {"a status line", "HTTP/1.1 200 ", Long},
+      {"a header field", "HTTP/1.1 200 OK\r\nX: ", Long},
+      {"header fields", "HTTP/1.1 200 OK\r\n", "X: " + Long + "\r\n"},
+      {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"a chunk's size", Chunked, "0"},
+      {"a chunk's extension", Chunked + "1;", Long},
+      {"a trailer", Chunked + "1\r\na\r\n0\r\nX: ", Long},
+      {"trailers", Chunked + "1\r\na\r\n0\r\n", "X: " + Long + "\r\n"},
+  };
+  for (const row &Row : Rows) {
+    INFO(Row.What);
+    raw_server Server([&](raw_connection Connection, std::size_t) {
+      Connection.readUntil("\r\n\r\n");
+      Connection.send(Row.Begin);
+      while (Connection.send(Row.Again)) {
+      }
+    });
+    std::string Endpoint = Server.endpoint();
+    attempt_runner Runner;
+    attempt_request Request = attempt_runner::request("GET", Endpoint);
+    Request.Timeout = 3s;
+    attempt_end End = Runner.run(Request);
+    REQUIRE(End.Failure);
+    CHECK(End.Failure->Kind != error_kind::BackendTimeout);
+    CHECK_FALSE(End.Failure->ProvenNotRun);
+  }
+}
+
 TEST_CASE("only an attempt that sent nothing is proven not run") {
   attempt_runner Runner;
   std::string Nobody = "127.0.0.1:" + std::to_string(freePort());
--- a/tests/auto/raw_socket.h
+++ b/tests/auto/raw_socket.h
@@ -57,14 +57,16 @@
       close(std::exchange(Descriptor, -1));
   }
 
-  void send(std::string_view Bytes) {
+  /// Whether the other side still takes bytes.
+  bool send(std::string_view Bytes) {
     while (!Bytes.empty()) {
       ssize_t Sent =
           ::send(Descriptor, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
       if (Sent <= 0)
-        return;
+        return false;
       Bytes.remove_prefix(static_cast<std::size_t>(Sent));
     }
+    return true;
   }
 
   void endSending() { shutdown(Descriptor, SHUT_WR); }
