Give up an answer that has no end by its size

What callers would see: a request that waits until its deadline, and an entry host whose link a faulty server fills meanwhile.

Cause: the head's size was bounded, but trailers were not counted, and libcurl takes off the extension of a chunk of any length without handing on a byte. Both came to their end by the request's time only.

Change: trailers count with the head; bytes from the connection that bring no body are counted in chunked answers, and 64 KiB of them end the attempt as malformed.

--- a/src/libs/http/curl_exchange.cpp
+++ b/src/libs/http/curl_exchange.cpp
@@ -9,7 +9,6 @@
 namespace endiverail::detail {
 namespace {
 
-constexpr std::size_t MostHeadBytes = std::size_t{64} * 1024;
 constexpr long ReceiveBufferBytes = 64L * 1024;
 /// Hosts of a region are a few milliseconds apart; a server that is silent for
 /// longer is tried again elsewhere while the caller still waits.
@@ -98,11 +97,11 @@
 }
 
 result<bool> curl_exchange::readHeaderLine(std::string_view Line) {
-  if (HeadComplete)
-    return false;
   HeadBytes += Line.size();
   if (HeadBytes > MostHeadBytes)
     return fail(error_kind::BackendMalformed, "the answer's head is endless");
+  if (HeadComplete)
+    return false;
   while (!Line.empty() && (Line.back() == '\r' || Line.back() == '\n'))
     Line.remove_suffix(1);
   if (Line.starts_with("HTTP/")) {
@@ -135,6 +134,9 @@
   };
   auto Lengths = Count("Content-Length");
   bool Chunked = Count("Transfer-Encoding") > 0;
+  // Frames of chunks can be seen in the library's debug output only.
+  if (Chunked)
+    curl_easy_setopt(Handle.get(), CURLOPT_VERBOSE, 1L);
   if (Lengths > 1 || (Lengths > 0 && Chunked))
     return fail(error_kind::BackendMalformed, "the answer has two lengths");
   if (Lengths == 1) {
--- a/src/libs/http/curl_exchange.h
+++ b/src/libs/http/curl_exchange.h
@@ -39,6 +39,14 @@
 
   backend_head takeHead() { return std::move(Head); }
 
+  /// Notes bytes of the answer's body as they came from the connection, before
+  /// the library takes the chunks' frames off.
+  void noteReceived(std::size_t Bytes) { SinceBody += Bytes; }
+  /// Notes that body has been handed on.
+  void noteBody() { SinceBody = 0; }
+  /// Whether bytes come that are no body and do not end.
+  bool endlessFrame() const { return SinceBody > MostHeadBytes; }
+
   /// Ends the exchange from within a callback of the library.
   void abortWith(error_kind Kind) { Aborted = Kind; }
   bool aborted() const { return Aborted.has_value(); }
@@ -47,6 +55,8 @@
   attempt_end end(CURLcode Code) const;
 
 private:
+  static constexpr std::size_t MostHeadBytes = std::size_t{64} * 1024;
+
   void setMethod(const attempt_request &Request);
   void setHeaders(const attempt_request &Request);
   result<void> checkFraming();
@@ -57,7 +67,9 @@
   easy_handle Handle;
   header_list Headers;
   backend_head Head;
+  /// Trailers included.
   std::size_t HeadBytes = 0;
+  std::size_t SinceBody = 0;
   /// Lines after the head are trailers.
   bool HeadComplete = false;
   std::optional<error_kind> Aborted;
--- a/src/libs/http/curl_transport.h
+++ b/src/libs/http/curl_transport.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 
 namespace endiverail {
 
@@ -45,6 +46,8 @@
     curl_easy_setopt(Easy, CURLOPT_HEADERDATA, Added.get());
     curl_easy_setopt(Easy, CURLOPT_WRITEFUNCTION, &onBody);
     curl_easy_setopt(Easy, CURLOPT_WRITEDATA, Added.get());
+    curl_easy_setopt(Easy, CURLOPT_DEBUGFUNCTION, &onDebug);
+    curl_easy_setopt(Easy, CURLOPT_DEBUGDATA, Added.get());
     curl_easy_setopt(Easy, CURLOPT_PRIVATE, Added.get());
     Exchanges.emplace(Request.Id, std::move(Added));
     curl_multi_add_handle(Multi.get(), Easy);
@@ -100,6 +103,20 @@
     int Running = 0;
     curl_multi_socket_action(Multi.get(), Socket, Mask, &Running);
     reportEnds();
+    giveUpEndless();
+  }
+
+  /// Ends exchanges whose connections bring frames of chunks without end.
+  void giveUpEndless() {
+    for (attempt_id Id : std::exchange(Endless, {})) {
+      auto Found = Exchanges.find(Id);
+      if (Found == Exchanges.end())
+        continue;
+      Found->second->Easy.abortWith(error_kind::BackendMalformed);
+      attempt_end End = Found->second->Easy.end(CURLE_RECV_ERROR);
+      cancel(Id);
+      To.onEnd(Id, End);
+    }
   }
 
   void reportEnds() {
@@ -164,17 +181,31 @@
   static std::size_t onBody(char *Data, std::size_t Size, std::size_t Count,
                             void *Self) {
     auto &Exchange = *static_cast<exchange *>(Self);
+    Exchange.Easy.noteBody();
     bool Taken =
         Exchange.Owner.To.onPiece(Exchange.Easy.id(), {Data, Size * Count});
     return Taken ? Size * Count : std::size_t{CURL_WRITEFUNC_PAUSE};
   }
 
+  static int onDebug(CURL *, curl_infotype Kind, char *, std::size_t Size,
+                     void *Self) {
+    auto &Exchange = *static_cast<exchange *>(Self);
+    if (Kind != CURLINFO_DATA_IN)
+      return 0;
+    Exchange.Easy.noteReceived(Size);
+    if (Exchange.Easy.endlessFrame())
+      Exchange.Owner.Endless.insert(Exchange.Easy.id());
+    return 0;
+  }
+
   poller &Poller;
   Observer &To;
   detail::multi_handle Multi;
   std::set<int> Sockets;
   std::optional<steady_time> Wake;
   std::unordered_map<attempt_id, std::unique_ptr<exchange>> Exchanges;
+  /// Exchanges that are to be given up once the library has returned.
+  std::set<attempt_id> Endless;
 };
 
 } // namespace endiverail
