Bound the answers that a control thread takes

The same cause elsewhere: an answer of the store or of a peer was taken whole into memory, whatever its size, for as long as the call may last. It is bounded at 8 MiB where the store is followed, at the codec's 64 MiB for the own interface; a call beyond that fails at its timeout.

--- a/src/libs/daemon/control_thread.h
+++ b/src/libs/daemon/control_thread.h
@@ -72,7 +72,7 @@
         Socket(std::move(Socket)), Settings(Settings), State(std::move(State)),
         Events(Events), Metrics(Metrics), Versions(Versions), To(To),
         ToTraffic(ToTraffic), Codec(Settings.FleetSecret),
-        Calls(this->Poller, *this) {
+        Calls(this->Poller, *this, MostAnswerBytes) {
     this->Poller.watch(Inbox.descriptor(), true, false);
     this->Poller.watch(this->Socket.descriptor(), true, false);
   }
@@ -129,6 +129,8 @@
 
   static constexpr milliseconds CallTimeout{2'000};
   static constexpr std::size_t MostDatagramsAtOnce = 256;
+  /// The largest reply of a peer that the codec takes.
+  static constexpr std::size_t MostAnswerBytes = std::size_t{64} * 1024 * 1024;
   static constexpr std::string_view PullTarget = "/endiverail/peer/pull";
   static constexpr std::string_view KeysTarget = "/endiverail/peer/keys";
 
--- a/src/libs/daemon/outgoing_calls.h
+++ b/src/libs/daemon/outgoing_calls.h
@@ -34,9 +34,10 @@
           typename Owner>
 class outgoing_calls {
 public:
-  /// \p Poller and \p To outlive the calls.
-  outgoing_calls(poller &Poller, Owner &To)
-      : To(To), Transport(Poller, *this) {}
+  /// \p Poller and \p To outlive the calls. A call whose answer has more than
+  /// \p MostAnswerBytes fails at its timeout.
+  outgoing_calls(poller &Poller, Owner &To, std::size_t MostAnswerBytes)
+      : To(To), MostAnswerBytes(MostAnswerBytes), Transport(Poller, *this) {}
 
   void start(Purpose For, std::string_view Server, std::string_view Method,
              std::string_view Target, std::string_view Body,
@@ -74,7 +75,10 @@
   }
 
   bool onPiece(attempt_id Id, std::string_view Piece) {
-    Calls.at(Id).Ended.Answer.append(Piece);
+    std::string &Answer = Calls.at(Id).Ended.Answer;
+    if (Answer.size() + Piece.size() > MostAnswerBytes)
+      return false;
+    Answer.append(Piece);
     return true;
   }
 
@@ -96,6 +100,7 @@
   };
 
   Owner &To;
+  std::size_t MostAnswerBytes;
   std::map<attempt_id, call> Calls;
   attempt_id NextId = 1;
   TransportOf<outgoing_calls> Transport;
--- a/src/libs/daemon/store_control_thread.h
+++ b/src/libs/daemon/store_control_thread.h
@@ -57,7 +57,7 @@
         Socket(std::move(Socket)), Store(std::move(Store)),
         State(std::move(State)), Metrics(Metrics), Versions(Versions),
         ToTraffic(ToTraffic), ToPeers(ToPeers), Codec(std::move(FleetSecret)),
-        Calls(this->Poller, *this) {
+        Calls(this->Poller, *this, MostAnswerBytes) {
     this->Poller.watch(Inbox.descriptor(), true, false);
     this->Poller.watch(this->Socket.descriptor(), true, false);
   }
@@ -120,6 +120,9 @@
   /// third of a second.
   static constexpr milliseconds CallTimeout{1'000};
   static constexpr std::size_t MostDatagramsAtOnce = 256;
+  /// A page of the store has a megabyte at most; a peer's copy, a record of
+  /// the configuration and all servers.
+  static constexpr std::size_t MostAnswerBytes = std::size_t{8} * 1024 * 1024;
 
   void readDatagrams(steady_time Now) {
     store_control_actions Actions;
