Let an odd entry neither name a target nor cost the others

Another writer's entry among those of the targets may be nested deeply, hold a number beyond any type, a port out of range, or a name that is no text.

- a target whose record was overwritten so was taken for gone by a listing, and held by those that follow the log;
- a member's address was not checked.

--- a/src/libs/daemon/store_control_thread.h
+++ b/src/libs/daemon/store_control_thread.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/text.h"
 #include "connection/answer_message.h"
 #include "daemon/outgoing_calls.h"
 #include "log/event_line.h"
@@ -343,12 +344,13 @@
           case store_topic::BackendServers:
             return takeServer(Record, Now);
           case store_topic::Members:
-            if (Record.Value)
-              State.onMember(Record.Key, *Record.Value);
+            return takeMember(Record);
           }
           return {};
         },
         [&](const failure &Failure) {
+          if (Topic == store_topic::BackendServers)
+            State.onServerUnreadable(Record.Key);
           event_line("record_skipped", event_level::Warning)
               .with("topic", topicName(Topic))
               .with("detail", Failure.Detail);
@@ -374,6 +376,15 @@
     return {};
   }
 
+  result<void> takeMember(const keyed_record &Record) {
+    if (!Record.Value)
+      return {};
+    if (!isEndpoint(*Record.Value))
+      return fail(error_kind::BadRecord, "no peer's address");
+    State.onMember(Record.Key, *Record.Value);
+    return {};
+  }
+
   poller Poller;
   mailbox<store_control_message> Inbox;
   datagram_socket Socket;
--- a/src/libs/process/server_directory.cpp
+++ b/src/libs/process/server_directory.cpp
@@ -126,6 +126,11 @@
     removeKnown(Id, Found->second, Now);
 }
 
+void server_directory::keep(std::string_view Id) {
+  if (Listed)
+    Listed->emplace(Id);
+}
+
 void server_directory::beginListing() { Listed.emplace(); }
 
 void server_directory::endListing(steady_time Now) {
--- a/src/libs/process/server_directory.h
+++ b/src/libs/process/server_directory.h
@@ -57,6 +57,9 @@
   /// Equal for directories that hold the same servers in the same states.
   std::uint64_t digest() const;
 
+  /// A server's record can't be read: what it said before holds.
+  void keep(std::string_view Id);
+
   /// Notes that a listing of all servers begins; endListing() removes those
   /// that have not come up in it.
   void beginListing();
--- a/src/libs/process/store_control_state.cpp
+++ b/src/libs/process/store_control_state.cpp
@@ -222,6 +222,10 @@
   Directory.apply(Id, Entry, Now);
 }
 
+void store_control_state::onServerUnreadable(std::string_view Id) {
+  Directory.keep(Id);
+}
+
 void store_control_state::onServerRemoved(std::string_view Id,
                                           steady_time Now) {
   Directory.remove(Id, Now);
--- a/src/libs/process/store_control_state.h
+++ b/src/libs/process/store_control_state.h
@@ -78,6 +78,8 @@
                        std::string_view Value);
   void onServer(std::string_view Id, const server_entry &Entry,
                 steady_time Now);
+  /// The server's record can't be read; it may come from another writer.
+  void onServerUnreadable(std::string_view Id);
   void onServerRemoved(std::string_view Id, steady_time Now);
   void onMember(std::string_view Id, const endpoint_text &PeerAddress);
   void onPage(store_topic Topic, const keyed_page &Page, steady_time Now,
--- a/tests/auto/platform/tst_edge.cpp
+++ b/tests/auto/platform/tst_edge.cpp
@@ -176,6 +176,35 @@
   CHECK(order(Second, "/orders/1").ends_with("\r\n\r\nfor id-1"));
 }
 
+TEST_CASE_METHOD(platform_fixture, "odd entries among those of the targets end "
+                                   "no daemon") {
+  std::string Deep = std::string(100'000, '[');
+  auto Odd = [&](const std::string &Name, const nlohmann::json &Value) {
+    auto Entry = nlohmann::json::parse(Target.entry());
+    Entry[Name] = Value;
+    return Entry.dump();
+  };
+  store_standin::topic_records Entries{
+      {"a-deep", Deep},
+      {"a-deep-and-whole", Deep + std::string(Deep.size(), ']')},
+      {"a-field-deep", R"({"later":)" + Deep},
+      {"a-number", R"({"slots":1e999})"},
+      {"a-port", Odd("address", "127.0.0.1:99999")},
+      {"a-sequence", Odd("sequence", 1e300)},
+      {"a\r\nX-Injected: 1", Target.entry()},
+      {"i-1", Target.entry()},
+      {"z-nothing", ""},
+      {"z-text", "\xff\xfe"}};
+  store_standin OddStore({{"keyed.op", {{"config", Configuration}}},
+                          {"keyed.servers", Entries},
+                          {"keyed.endiverail-members",
+                           {{"odd", "127.0.0.1:99999"}, {"odder", Deep}}}});
+  auto Daemon = start(First, OddStore.endpoint(), First);
+  REQUIRE(eventually([&] { return isReady(First); }));
+  for (int Order = 0; Order < 10; ++Order)
+    CHECK(order(First, "/orders/1").ends_with("\r\n\r\nfor id-1"));
+}
+
 TEST_CASE_METHOD(platform_fixture, "a daemon without a configuration promises "
                                    "that nothing has run") {
   std::string Nowhere = First + ":" + std::to_string(freePort());
--- a/tests/auto/process/tst_server_directory.cpp
+++ b/tests/auto/process/tst_server_directory.cpp
@@ -126,3 +126,16 @@
   Directory.learn(Gone, Now);
   CHECK(count() == 0);
 }
+
+TEST_CASE_METHOD(directory_fixture,
+                 "a server whose record can't be read is not "
+                 "taken for gone by a listing") {
+  Directory.apply("i", entry("a:1", 1), Now);
+  Directory.apply("j", entry("b:1", 1), Now);
+  Directory.beginListing();
+  Directory.apply("j", entry("b:1", 2), Now);
+  Directory.keep("i");
+  Directory.keep("k");
+  Directory.endListing(Now);
+  CHECK(count() == 2);
+}
