Let new retry terms hold for what was saved before

What callers see: a daemon that has just started, or whose settings have changed, retries with the savings of the terms before, beyond what the operator allows the fleet. Cause: setTerms() set the terms and left the tokens. Change: before the first request the budget starts anew, later it is cut to what may be saved. The pace of starts becomes a class of its own, start_rate.

--- a/src/libs/process/pool_scheduler.cpp
+++ b/src/libs/process/pool_scheduler.cpp
@@ -149,8 +149,7 @@
 /// would only be refused later.
 bool pool_scheduler::isBackedUp(const waiting_request &Request,
                                 steady_time Now) const {
-  double Elapsed = std::chrono::duration<double>(Now - LastStart).count();
-  double Rate = std::max(LeastStartRate, StartRate * std::exp(-Elapsed));
+  double Rate = std::max(LeastStartRate, Starts.perSecond(Now));
   double Hold = std::chrono::duration<double>(holdTime(Request)).count();
   return static_cast<double>(waiting()) > Rate * Hold * HoldShare;
 }
@@ -259,8 +258,7 @@
 steady_time pool_scheduler::idleBefore(steady_time Now) const {
   if (Trials.Entries <= 1)
     return Now - IdleAfter;
-  double Elapsed = std::chrono::duration<double>(Now - LastStart).count();
-  double Rate = std::max(1.0, StartRate * std::exp(-Elapsed));
+  double Rate = std::max(1.0, Starts.perSecond(Now));
   auto Turn = std::chrono::duration_cast<milliseconds>(
       std::chrono::duration<double>(1 / Rate));
   return Now - (IdleAfter - std::min(Turn, 2 * OthersTrial));
@@ -383,7 +381,7 @@
     ++Server->StartsHere;
     Server->LastUsed = Now;
     Server->Untried = false;
-    noteStart(Now);
+    Starts.note(Now);
     return slot_assignment{Request.Id,       Server->Address,
                            Server->Instance, Server->Belief.sick(Now),
                            Server->used(),   Server->Slots};
@@ -391,15 +389,9 @@
   return std::nullopt;
 }
 
-void pool_scheduler::noteStart(steady_time Now) {
-  double Elapsed = std::chrono::duration<double>(Now - LastStart).count();
-  StartRate = StartRate * std::exp(-Elapsed) + 1;
-  LastStart = Now;
-}
-
 milliseconds pool_scheduler::reservePause(steady_time Now) {
   auto Step = std::chrono::duration_cast<steady_time::duration>(
-      std::chrono::duration<double>(1 / std::max(1.0, StartRate)));
+      std::chrono::duration<double>(1 / std::max(1.0, Starts.atLastStart())));
   LastReserved = std::max(LastReserved + Step, Now + LeastReserved);
   LastReserved = std::min(LastReserved, Now + MostReserved);
   return std::chrono::duration_cast<milliseconds>(LastReserved - Now);
--- a/src/libs/process/pool_scheduler.h
+++ b/src/libs/process/pool_scheduler.h
@@ -6,6 +6,7 @@
 #include "process/server_belief.h"
 #include "process/server_evidence.h"
 #include "process/service_scheduler.h"
+#include "process/start_rate.h"
 #include "version/fleet_view.h"
 #include "version/service_definition.h"
 
@@ -155,7 +156,6 @@
                                   steady_time Now);
   pooled_server *overdueTrial(pooled_server &Server, steady_time Now);
   pooled_server *chooseServer(const waiting_request &Request, steady_time Now);
-  void noteStart(steady_time Now);
   void dropGone();
 
   service_definition Definition;
@@ -167,9 +167,8 @@
   std::vector<rank_queue> Queues;
   retry_budget Retries;
   failure_share Failures;
-  /// Requests started here, decaying: about the number of a second.
-  double StartRate = 0;
-  steady_time LastStart;
+  /// Of requests here.
+  start_rate Starts;
   /// The time that was given to the last refused request.
   steady_time LastReserved;
   /// Whether backend servers were listed before: those that come later have
--- a/src/libs/process/retry_budget.cpp
+++ b/src/libs/process/retry_budget.cpp
@@ -1,6 +1,7 @@
 #include "process/retry_budget.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace endiverail {
 
@@ -20,6 +21,16 @@
   return Terms;
 }
 
+void retry_budget::setTerms(retry_terms NewTerms) {
+  Terms = NewTerms;
+  if (std::ranges::none_of(Used, std::identity{})) {
+    std::ranges::fill(Tokens, Terms.Initial);
+    return;
+  }
+  std::ranges::for_each(
+      Tokens, [this](double &Left) { Left = std::min(Left, most()); });
+}
+
 void retry_budget::onRequest(rank Rank) {
   Used[rankIndex(Rank)] = true;
   add(Rank, Terms.PerRequest);
--- a/src/libs/process/retry_budget.h
+++ b/src/libs/process/retry_budget.h
@@ -39,7 +39,9 @@
     std::ranges::fill(Tokens, Terms.Initial);
   }
 
-  void setTerms(retry_terms NewTerms) { Terms = NewTerms; }
+  /// Before the first request the budget starts anew; later, what is saved is
+  /// cut to what the terms allow.
+  void setTerms(retry_terms NewTerms);
 
   void onRequest(rank Rank);
   void onSuccess(rank Rank);
--- a/tests/auto/process/traffic_fixture.h
+++ b/tests/auto/process/traffic_fixture.h
@@ -3,6 +3,7 @@
 #include "failure_check.h"
 #include "fake_transport.h"
 #include "process/fleet_key.h"
+#include "process/pool_scheduler.h"
 #include "process/traffic_thread.h"
 
 #include <memory>
@@ -11,15 +12,16 @@
 
 namespace endiverail::test {
 
-using traffic_under_test = traffic_thread<fake_transport, answer_collector,
-                                          notice_collector, hand_clock>;
-
 /// A traffic thread with one service, moved by hand.
-class traffic_fixture {
+template <request_scheduler Policy> class basic_traffic_fixture {
 public:
+  using traffic_under_test =
+      traffic_thread<fake_transport, answer_collector, notice_collector,
+                     hand_clock, Policy>;
+
   static constexpr std::string_view Secret = "a secret of the fleet";
 
-  explicit traffic_fixture(std::size_t ServerCount = 3) {
+  explicit basic_traffic_fixture(std::size_t ServerCount = 3) {
     Traffic = std::make_unique<traffic_under_test>(
         valueOf(poller::create()), valueOf(event_descriptor::create()),
         traffic_settings{
@@ -136,4 +138,8 @@
   std::vector<key_heir> Heirs;
 };
 
+using traffic_fixture = basic_traffic_fixture<service_scheduler>;
+/// One that shares its backend servers with other daemons.
+using shared_traffic_fixture = basic_traffic_fixture<pool_scheduler>;
+
 } // namespace endiverail::test
--- a/tests/auto/process/tst_retry_budget.cpp
+++ b/tests/auto/process/tst_retry_budget.cpp
@@ -58,3 +58,28 @@
     CHECK(Retries > 0);
   }
 }
+
+TEST_CASE("terms that are set hold for what was saved before") {
+  retry_terms Small;
+  Small.Initial = 0.5;
+  Small.Most = 2;
+  SECTION("a daemon that starts gets its terms before the first request") {
+    retry_budget Budget;
+    Budget.setTerms(Small);
+    CHECK_FALSE(Budget.available(rank::Urgent));
+  }
+  SECTION("less may be saved from then on") {
+    retry_budget Budget({20, 20, 0, 1});
+    Budget.onRequest(rank::Urgent);
+    Budget.setTerms(Small);
+    CHECK(Budget.take(rank::Urgent));
+    CHECK(Budget.take(rank::Urgent));
+    CHECK_FALSE(Budget.take(rank::Urgent));
+  }
+  SECTION("terms that come again give nothing") {
+    retry_budget Budget(Small);
+    Budget.onRequest(rank::Urgent);
+    Budget.setTerms(Small);
+    CHECK_FALSE(Budget.available(rank::Urgent));
+  }
+}
--- a/tests/auto/process/tst_traffic_thread.cpp
+++ b/tests/auto/process/tst_traffic_thread.cpp
@@ -441,3 +441,21 @@
   for (const auto &[Id, Each] : attempts())
     CHECK(Each.Server != Attempt.Server);
 }
+
+TEST_CASE_METHOD(shared_traffic_fixture, "what may be retried changes while "
+                                         "requests run") {
+  // The operator allows none at first.
+  auto FailFirst = [&] {
+    auto Caller = send("GET", "/s/1");
+    transport().fail(attempts().begin()->first, error_kind::BackendCut);
+    return Caller;
+  };
+  FailFirst();
+  FailFirst();
+  CHECK(attempts().empty());
+  tell(retries_changed{{10, 100}});
+  auto Caller = FailFirst();
+  REQUIRE(attempts().size() == 1);
+  transport().answer(attempts().begin()->first, 200, "x");
+  CHECK(outcomeOf(Caller) == outcome::Done);
+}
