--- a/tests/auto/platform/tst_store_protocol.cpp
+++ b/tests/auto/platform/tst_store_protocol.cpp
@@ -84,9 +84,8 @@
     CHECK(failureOf([&] { return log_store_protocol::decodeRecords(Read); }) ==
           error_kind::BadRecord);
   }
-  for (const char *Listing :
-       {"", "nonsense", "{}", R"({"items":{},"end":1})", R"({"items":[]})",
-        R"({"items":[],"end":-1})"}) {
+  for (const char *Listing : {"", "nonsense", "{}", R"({"items":{},"end":1})",
+                              R"({"items":[]})", R"({"items":[],"end":-1})"}) {
     INFO(Listing);
     CHECK(failureOf([&] {
             return log_store_protocol::decodeNewest(Listing);
