Play removals, too, where a notification is missed, and mend a log line's due time

test_leaving_notification plays a server's removal beside its word of leaving, and that a server's death is told to a daemon believed lost. control_late took what became due by a change of roles for lateness (21.7 s in, on a daemon that had just become a reader); it counts from the thread's last turn now.

--- a/src/libs/daemon/store_control_thread.h
+++ b/src/libs/daemon/store_control_thread.h
@@ -86,9 +86,11 @@
   void onWake(steady_time Now) {
     Calls.onWake(Now);
     Lag.report(Now);
-    if (Now < State.nextWake())
+    // What became due since the last turn, by a change of roles, is not late.
+    steady_time Due = std::max(State.nextWake(), std::exchange(LastTurn, Now));
+    if (Now < Due)
       return;
-    Lag.noteWake(std::max(State.nextWake(), Started), Now);
+    Lag.noteWake(Due, Now);
     store_control_actions Actions;
     State.tick(Now, Actions);
     perform(Actions);
@@ -397,7 +399,7 @@
   peer_codec Codec;
   outgoing_calls<TransportOf, call_purpose, store_control_thread> Calls;
   control_lag Lag;
-  steady_time Started = steadyNow();
+  steady_time LastTurn = steadyNow();
   std::uint64_t StoreCalls = 0;
   std::optional<request_limits> Limits;
   std::function<void(const request_limits &)> OnLimits;
--- a/tests/auto/process/store_fleet.h
+++ b/tests/auto/process/store_fleet.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <numeric>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -87,6 +88,11 @@
     ServerLog.emplace_back(std::move(Id), Entry);
   }
 
+  /// The store removes a server's entry.
+  void remove(std::string Id) {
+    ServerLog.emplace_back(std::move(Id), std::nullopt);
+  }
+
   std::size_t leavingAt(std::size_t Index) const {
     const auto &Version = Daemons[Index].Version;
     return Version ? static_cast<std::size_t>(std::ranges::count(
@@ -106,6 +112,15 @@
     return Daemons[Index].Version ? Daemons[Index].Version->Number : 0;
   }
 
+  /// Servers that may get work.
+  std::size_t usableAt(std::size_t Index) const {
+    const auto &Version = Daemons[Index].Version;
+    return Version ? static_cast<std::size_t>(std::ranges::count(
+                         Version->View.Servers, server_state::Live,
+                         &backend_server::State))
+                   : 0;
+  }
+
   std::uint64_t versionAt(std::size_t Index) const {
     return Daemons[Index].State.version();
   }
@@ -228,8 +243,7 @@
       Page.End = ConfigurationEnd;
     }
     if (Topic == store_topic::BackendServers) {
-      for (const auto &[Id, Entry] : ServerLog)
-        State.onServer(Id, Entry, Now);
+      tellServers(State, 0);
       Page.End = ServerLog.size();
     }
     if (Topic == store_topic::Members)
@@ -257,11 +271,18 @@
     if (Read.Topic == store_topic::Configuration)
       tellConfiguration(Daemon.State);
     else
-      for (std::uint64_t At = Read.From; At < End; ++At)
-        Daemon.State.onServer(ServerLog[At].first, ServerLog[At].second, Now);
+      tellServers(Daemon.State, Read.From);
     Daemon.State.onPage(Read.Topic, Page, Now, Actions);
   }
 
+  void tellServers(store_control_state &State, std::uint64_t From) const {
+    for (std::uint64_t At = From; At < ServerLog.size(); ++At)
+      if (const auto &[Id, Entry] = ServerLog[At]; Entry)
+        State.onServer(Id, *Entry, Now);
+      else
+        State.onServerRemoved(Id, Now);
+  }
+
   static published_configuration published(std::uint64_t Version) {
     published_configuration Configuration;
     Configuration.Version = Version;
@@ -294,7 +315,8 @@
   std::uint64_t ConfigurationEnd = 0;
   /// Whether daemons answer peers that ask for a copy.
   bool GivesCopies = true;
-  std::vector<std::pair<std::string, server_entry>> ServerLog;
+  /// Without an entry, the server was removed.
+  std::vector<std::pair<std::string, std::optional<server_entry>>> ServerLog;
   std::vector<std::pair<std::string, endpoint_text>> MemberLog;
 };
 
--- a/tests/auto/process/tst_leaving_notification.cpp
+++ b/tests/auto/process/tst_leaving_notification.cpp
@@ -16,9 +16,11 @@
 /// The users' deployments: 44 daemons, and 111 once they have grown.
 class deployment : public store_fleet {
 public:
+  static constexpr std::size_t ServerCount = 30;
+
   explicit deployment(std::size_t Count) : store_fleet(Count) {
     configure(1);
-    for (std::size_t Server = 0; Server < 30; ++Server)
+    for (std::size_t Server = 0; Server < ServerCount; ++Server)
       say("i" + std::to_string(Server), 1);
     pass(5s);
     std::vector<std::size_t> Reading = readers();
@@ -44,6 +46,26 @@
     }
   }
 
+  /// A server is to get no more work: by its word, or by its entry's removal.
+  void endWork(std::size_t Server, bool Gone) {
+    std::string Id = "i" + std::to_string(Server);
+    if (Gone)
+      remove(Id);
+    else
+      say(Id, 2, server_state::Leaving);
+  }
+
+  /// Whom a daemon tells of a server's death.
+  std::vector<endpoint_text> toldOfDeath(std::size_t Index) {
+    store_control_actions Actions;
+    Daemons[Index].State.onNotice(server_death{"s", 7, "i1:1"}, Actions);
+    std::vector<endpoint_text> Told;
+    for (const store_control_action &Action : Actions)
+      if (const auto *Send = std::get_if<send_to_members>(&Action))
+        Told.insert(Told.end(), Send->To.begin(), Send->To.end());
+    return Told;
+  }
+
   steady_time now() const { return Now; }
 
   /// A daemon that does not read for the others.
@@ -57,39 +79,52 @@
 } // namespace
 
 TEST_CASE("a daemon that was taken for lost hears in time that a server "
-          "leaves") {
+          "leaves or is gone") {
   std::size_t Count = GENERATE(44, 111);
+  bool Gone = GENERATE(false, true);
   deployment Fleet(Count);
-  std::size_t Leaving = 0;
+  std::size_t Left = 0;
   // Where in the readers' pause the server says that it leaves.
   for (milliseconds Phase : {0ms, 100ms, 200ms, 300ms, 400ms}) {
-    INFO(Count << " daemons, " << Phase.count() << " ms after a read");
+    INFO(Count << " daemons, " << Phase.count() << " ms after a read, "
+               << (Gone ? "gone" : "leaving"));
     Fleet.pass(Phase);
     Fleet.takeForLost(Fleet.Affected);
-    Fleet.say("i" + std::to_string(Leaving), 2, server_state::Leaving);
+    Fleet.endWork(Left++, Gone);
     Fleet.pass(LeavingBound - ConnectTime);
-    CHECK(Fleet.leavingAt(Fleet.Affected) == ++Leaving);
+    CHECK(Fleet.usableAt(Fleet.Affected) == deployment::ServerCount - Left);
     Fleet.pass(4s - LeavingBound + ConnectTime - Phase);
   }
 }
 
 TEST_CASE("a daemon that loses all datagrams for a while hears in time that a "
-          "server leaves") {
+          "server leaves or is gone") {
   std::size_t Count = GENERATE(44, 111);
+  bool Gone = GENERATE(false, true);
   deployment Fleet(Count);
   steady_time LostUntil;
   Fleet.Loses = [&](std::size_t Index) {
     return Index == Fleet.Affected && Fleet.now() < LostUntil;
   };
-  std::size_t Leaving = 0;
+  std::size_t Left = 0;
   for (milliseconds Phase : {0ms, 100ms, 200ms, 300ms, 400ms}) {
-    INFO(Count << " daemons, " << Phase.count() << " ms after a read");
+    INFO(Count << " daemons, " << Phase.count() << " ms after a read, "
+               << (Gone ? "gone" : "leaving"));
     Fleet.pass(Phase);
     // All readers have told of it once by then.
     LostUntil = Fleet.now() + 700ms;
-    Fleet.say("i" + std::to_string(Leaving), 2, server_state::Leaving);
+    Fleet.endWork(Left++, Gone);
     Fleet.pass(LeavingBound - ConnectTime);
-    CHECK(Fleet.leavingAt(Fleet.Affected) == ++Leaving);
+    CHECK(Fleet.usableAt(Fleet.Affected) == deployment::ServerCount - Left);
     Fleet.pass(4s - LeavingBound + ConnectTime - Phase);
   }
 }
+
+TEST_CASE("a server's death is told to a daemon that is taken for lost") {
+  deployment Fleet(44);
+  Fleet.takeForLost(Fleet.Affected);
+  std::vector<endpoint_text> Told = Fleet.toldOfDeath(0);
+  CHECK(Told.size() == 43);
+  CHECK(std::ranges::find(Told, store_fleet::address(Fleet.Affected)) !=
+        Told.end());
+}
