Do not take a chunk whose size comes by itself for a frame without end

Found when the change was read again: the bytes of a read were counted before its body was handed on, so that a chunk's size in a packet of its own and a full read after it were over the limit, and a large sound answer in chunks was given up as malformed. Only the bytes before a read count now. The new case failed before (1 of 3 chunks read).

--- a/src/libs/http/curl_exchange.h
+++ b/src/libs/http/curl_exchange.h
@@ -40,12 +40,16 @@
   backend_head takeHead() { return std::move(Head); }
 
   /// Notes bytes of the answer's body as they came from the connection, before
-  /// the library takes the chunks' frames off.
-  void noteReceived(std::size_t Bytes) { SinceBody += Bytes; }
+  /// the library takes the chunks' frames off. They may bring body themselves,
+  /// so that only those before them tell of a frame without end.
+  void noteReceived(std::size_t Bytes) {
+    EndlessFrame = SinceBody > MostHeadBytes;
+    SinceBody += Bytes;
+  }
   /// Notes that body has been handed on.
   void noteBody() { SinceBody = 0; }
   /// Whether bytes come that are no body and do not end.
-  bool endlessFrame() const { return SinceBody > MostHeadBytes; }
+  bool endlessFrame() const { return EndlessFrame; }
 
   /// Ends the exchange from within a callback of the library.
   void abortWith(error_kind Kind) { Aborted = Kind; }
@@ -70,6 +74,7 @@
   /// Trailers included.
   std::size_t HeadBytes = 0;
   std::size_t SinceBody = 0;
+  bool EndlessFrame = false;
   /// Lines after the head are trailers.
   bool HeadComplete = false;
   std::optional<error_kind> Aborted;
--- a/tests/auto/http/tst_curl_transport.cpp
+++ b/tests/auto/http/tst_curl_transport.cpp
@@ -202,6 +202,26 @@
   }
 }
 
+TEST_CASE("a chunk whose size comes by itself is no endless frame") {
+  const std::string Body(300'000, 'x');
+  raw_server Server([&](raw_connection Connection, std::size_t) {
+    Connection.readUntil("\r\n\r\n");
+    Connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (int Chunk = 0; Chunk < 3; ++Chunk) {
+      Connection.send("493e0\r\n");
+      poll(nullptr, 0, 50);
+      Connection.send(Body + "\r\n");
+      poll(nullptr, 0, 50);
+    }
+    Connection.send("0\r\n\r\n");
+  });
+  std::string Endpoint = Server.endpoint();
+  attempt_runner Runner;
+  attempt_end End = Runner.run(attempt_runner::request("GET", Endpoint));
+  CHECK_FALSE(End.Failure);
+  CHECK(Runner.Body.size() == 3 * Body.size());
+}
+
 TEST_CASE("only an attempt that sent nothing is proven not run") {
   attempt_runner Runner;
   std::string Nobody = "127.0.0.1:" + std::to_string(freePort());
