--- a/tests/auto/daemon/tst_path_fault.cpp
+++ b/tests/auto/daemon/tst_path_fault.cpp
@@ -2,23 +2,9 @@
 
 #include <catch2/catch.hpp>
 
-#include <set>
-
 using namespace endiverail;
 using namespace endiverail::test;
 
-namespace {
-
-std::size_t startedAt(const nlohmann::json &Servers,
-                      const std::string &Address) {
-  for (const auto &Server : Servers)
-    if (Server["address"] == Address)
-      return Server["started"];
-  return 0;
-}
-
-} // namespace
-
 TEST_CASE_METHOD(fleet_fixture,
                  "a server that one proxy alone can't hear is not "
                  "ejected, but passes to another owner") {
