--- a/tests/auto/process/store_fleet.h
+++ b/tests/auto/process/store_fleet.h
@@ -96,11 +96,7 @@
   }
 
   std::size_t leavingAt(std::size_t Index) const {
-    const auto &Version = Daemons[Index].Version;
-    return Version ? static_cast<std::size_t>(std::ranges::count(
-                         Version->View.Servers, server_state::Leaving,
-                         &backend_server::State))
-                   : 0;
+    return serversAt(Index, server_state::Leaving);
   }
 
   bool allHaveVersion(std::uint64_t Version) const {
@@ -116,11 +112,7 @@
 
   /// Servers that may get work.
   std::size_t usableAt(std::size_t Index) const {
-    const auto &Version = Daemons[Index].Version;
-    return Version ? static_cast<std::size_t>(std::ranges::count(
-                         Version->View.Servers, server_state::Live,
-                         &backend_server::State))
-                   : 0;
+    return serversAt(Index, server_state::Live);
   }
 
   std::uint64_t versionAt(std::size_t Index) const {
@@ -166,6 +158,14 @@
     bool Hangs = false;
   };
 
+  /// Servers of that state in the version that a daemon has published.
+  std::size_t serversAt(std::size_t Index, server_state State) const {
+    const auto &Version = Daemons[Index].Version;
+    return Version ? static_cast<std::size_t>(std::ranges::count(
+                         Version->View.Servers, State, &backend_server::State))
+                   : 0;
+  }
+
   void perform(std::size_t Index, store_control_actions &Actions) {
     for (store_control_action &Action : Actions) {
       if (auto *Start = std::get_if<start_store_call>(&Action))
