Show by metrics how a daemon hears of backend servers

On-call had the lines of the daemons, but no figures of a live fleet: the deploy file named no metrics. New are the changes among the backend servers by what has told them, the worst lateness of the control thread, the age of readers' datagrams and the delay of a version on its way to the traffic thread. servers_changed says whether the daemon reads the store and whether it believes the store away.

--- a/src/libs/daemon/store_control_thread.h
+++ b/src/libs/daemon/store_control_thread.h
@@ -85,7 +85,8 @@
 
   void onWake(steady_time Now) {
     Calls.onWake(Now);
-    Lag.report(Now);
+    if (auto Ended = Lag.report(Now))
+      reportLag(*Ended);
     // What became due since the last turn, by a change of roles, is not late.
     steady_time Due = std::max(State.nextWake(), std::exchange(LastTurn, Now));
     if (Now < Due)
@@ -153,6 +154,15 @@
     perform(Actions);
   }
 
+  void reportLag(const control_lag::period &Ended) {
+    Metrics.setGauge("control_late_milliseconds",
+                     static_cast<double>(Ended.Late.count()));
+    Metrics.setGauge("oldest_datagram_milliseconds",
+                     static_cast<double>(Ended.OldestDatagram.count()));
+    for (const auto &[Source, Count] : State.serverChangeCounts())
+      Metrics.setServerChanges(Source, Count);
+  }
+
   void readInbox(steady_time Now) {
     store_control_actions Actions;
     for (store_control_message &Message : Inbox.takeAll())
--- a/src/libs/daemon/store_daemon.h
+++ b/src/libs/daemon/store_daemon.h
@@ -232,6 +232,7 @@
     RequestDoor.shutdown();
     ReadyDoor.shutdown();
     DirectoryDoor.shutdown();
+    MetricsDoor.shutdown();
     PeerDoor.shutdown();
   }
 
@@ -283,6 +284,7 @@
         Requests(Versions, Traffic, RequestAnswers),
         ReadyQuestions(Settings, Versions, Metrics, ReadyAnswers),
         DirectoryQuestions(Settings, Versions, Metrics, DirectoryAnswers),
+        MetricsQuestions(Settings, Versions, Metrics, MetricsAnswers),
         PeerQuestions(PeerAnswers) {}
 
   static proxy_member selfOf(const store_daemon_settings &Settings) {
@@ -310,6 +312,9 @@
                               ReadyAnswers));
     BOOST_LEAF_CHECK(openDoor(DirectoryDoor, Settings.DirectoryAddress,
                               DirectoryQuestions, DirectoryAnswers));
+    if (!Settings.MetricsAddress.empty())
+      BOOST_LEAF_CHECK(openDoor(MetricsDoor, Settings.MetricsAddress,
+                                MetricsQuestions, MetricsAnswers));
     BOOST_LEAF_CHECK(
         openDoor(PeerDoor, Settings.PeerAddress, PeerQuestions, PeerAnswers));
     Traffic.start();
@@ -377,6 +382,7 @@
   answer_route RequestAnswers;
   answer_route ReadyAnswers;
   answer_route DirectoryAnswers;
+  answer_route MetricsAnswers;
   answer_route PeerAnswers;
   notice_route Notices;
   traffic_list Traffic;
@@ -384,10 +390,12 @@
   requests Requests;
   questions ReadyQuestions;
   questions DirectoryQuestions;
+  questions MetricsQuestions;
   detail::peer_dispatch PeerQuestions;
   front_door<requests> RequestDoor;
   front_door<questions> ReadyDoor;
   front_door<questions> DirectoryDoor;
+  front_door<questions> MetricsDoor;
   front_door<detail::peer_dispatch> PeerDoor;
   std::jthread ControlThread;
 };
--- a/src/libs/files/store_daemon_settings.cpp
+++ b/src/libs/files/store_daemon_settings.cpp
@@ -37,6 +37,8 @@
   Settings.CallerAddress = readEndpoint(File, "caller_address");
   Settings.ReadyAddress = readEndpoint(File, "ready_address");
   Settings.DirectoryAddress = readEndpoint(File, "directory_address");
+  if (File.has("metrics_address"))
+    Settings.MetricsAddress = readEndpoint(File, "metrics_address");
   Settings.PeerAddress = readEndpoint(File, "peer_address");
   Settings.Store = readEndpoint(File, "store");
   auto PeerPort = std::to_string(splitEndpoint(Settings.PeerAddress).second);
--- a/src/libs/files/store_daemon_settings.h
+++ b/src/libs/files/store_daemon_settings.h
@@ -22,6 +22,8 @@
   endpoint_text CallerAddress;
   /// Where the operator's checks and metrics readers ask.
   endpoint_text ReadyAddress;
+  /// Where metrics are read, apart from all other questions; empty for nowhere.
+  endpoint_text MetricsAddress;
   /// Where callers ask which addresses to use.
   endpoint_text DirectoryAddress;
   /// Where daemons tell each other news.
--- a/src/libs/process/control_lag.h
+++ b/src/libs/process/control_lag.h
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <optional>
+#include <utility>
 
 namespace endiverail {
 
@@ -15,29 +17,42 @@
 public:
   /// The thread wakes now and was to wake at \p Due.
   void noteWake(steady_time Due, steady_time Now) {
-    Late = std::max(Late, std::chrono::duration_cast<milliseconds>(Now - Due));
+    Worst.Late = std::max(Worst.Late,
+                          std::chrono::duration_cast<milliseconds>(Now - Due));
   }
   /// That many datagrams were taken; \p MoreWait when it took no more only
   /// because there were too many.
   void noteDatagrams(std::size_t Count, bool MoreWait) {
-    Datagrams += Count;
-    FullReads += MoreWait ? 1 : 0;
+    Worst.Datagrams += Count;
+    Worst.FullReads += MoreWait ? 1 : 0;
   }
   /// A reader's datagram was taken that long after it was sent.
-  void noteAge(milliseconds Age) { Oldest = std::max(Oldest, Age); }
+  void noteAge(milliseconds Age) {
+    Worst.OldestDatagram = std::max(Worst.OldestDatagram, Age);
+  }
+
+  /// The worst of a period.
+  struct period {
+    milliseconds Late{0};
+    milliseconds OldestDatagram{0};
+    std::size_t Datagrams = 0;
+    std::size_t FullReads = 0;
+  };
 
-  /// Writes the line of a period that has ended.
-  void report(steady_time Now) {
+  /// Writes the line of a period that has ended, and returns it.
+  std::optional<period> report(steady_time Now) {
     if (Now < PeriodStart + Period)
-      return;
-    if (Late > Tolerated || Oldest > Tolerated || FullReads > 0)
-      event_line("control_late", event_level::Warning)
-          .with("late_ms", Late.count())
-          .with("oldest_datagram_ms", Oldest.count())
-          .with("datagrams", Datagrams)
-          .with("full_reads", FullReads);
-    *this = {};
+      return std::nullopt;
+    period Ended = std::exchange(Worst, {});
     PeriodStart = Now;
+    if (Ended.Late > Tolerated || Ended.OldestDatagram > Tolerated ||
+        Ended.FullReads > 0)
+      event_line("control_late", event_level::Warning)
+          .with("late_ms", Ended.Late.count())
+          .with("oldest_datagram_ms", Ended.OldestDatagram.count())
+          .with("datagrams", Ended.Datagrams)
+          .with("full_reads", Ended.FullReads);
+    return Ended;
   }
 
 private:
@@ -46,10 +61,7 @@
   static constexpr milliseconds Tolerated{200};
 
   steady_time PeriodStart;
-  milliseconds Late{0};
-  milliseconds Oldest{0};
-  std::size_t Datagrams = 0;
-  std::size_t FullReads = 0;
+  period Worst;
 };
 
 } // namespace endiverail
--- a/src/libs/process/metrics.cpp
+++ b/src/libs/process/metrics.cpp
@@ -53,6 +53,12 @@
   Gauges[std::string(Name)] = Value;
 }
 
+void process_metrics::setServerChanges(std::string_view Source,
+                                       std::uint64_t Count) {
+  std::lock_guard Lock(Mutex);
+  ServerChanges[std::string(Source)] = Count;
+}
+
 std::string process_metrics::text() const {
   std::lock_guard Lock(Mutex);
   std::string Text;
@@ -89,6 +95,10 @@
   for (const auto &[Service, Count] : Forwards)
     fmt::format_to(Out, "endiverail_forwards_total{{service=\"{}\"}} {}\n",
                    Service, Count);
+  Text += "# TYPE endiverail_server_changes_total counter\n";
+  for (const auto &[Source, Count] : ServerChanges)
+    fmt::format_to(Out, "endiverail_server_changes_total{{source=\"{}\"}} {}\n",
+                   Source, Count);
   for (const auto &[Name, Value] : Gauges)
     fmt::format_to(Out, "# TYPE endiverail_{0} gauge\nendiverail_{0} {1}\n",
                    Name, Value);
--- a/src/libs/process/metrics.h
+++ b/src/libs/process/metrics.h
@@ -52,6 +52,9 @@
   void onRetry(std::string_view Service);
   void onForward(std::string_view Service);
   void setGauge(std::string_view Name, double Value);
+  /// So many changes among the backend servers became known by \p Source since
+  /// the start.
+  void setServerChanges(std::string_view Source, std::uint64_t Count);
 
   /// All of it in the text format that scrapers read.
   std::string text() const;
@@ -75,6 +78,7 @@
   std::map<service_rank, latency_summary> Latencies;
   std::map<std::string, std::uint64_t, std::less<>> Retries;
   std::map<std::string, std::uint64_t, std::less<>> Forwards;
+  std::map<std::string, std::uint64_t, std::less<>> ServerChanges;
   std::map<std::string, double, std::less<>> Gauges;
 };
 
--- a/src/libs/process/store_control_state.cpp
+++ b/src/libs/process/store_control_state.cpp
@@ -350,7 +350,7 @@
     return;
   for (const server_statement &Statement : Message.Statements)
     Directory.learn(Statement, Now);
-  logServerChanges(Message.Gossip.SenderId);
+  logServerChanges("peer", Message.Gossip.SenderId);
   if (!ServersKnown || Message.ServersDigest == Directory.digest()) {
     DiffersSince.reset();
     return;
@@ -370,12 +370,16 @@
   ServersFollower.restart(Now);
 }
 
-void store_control_state::logServerChanges(std::string_view Source) {
+void store_control_state::logServerChanges(std::string_view Source,
+                                           std::string_view Peer) {
   std::vector<server_change> Changes = Directory.takeChanges();
   if (Changes.empty())
     return;
+  ChangeCounts[std::string(Source)] += Changes.size();
   event_line("servers_changed")
-      .with("source", Source)
+      .with("source", Peer.empty() ? Source : Peer)
+      .with("reader", isReader())
+      .with("store_away", StoreAway)
       .with("ready", idsOf(Changes, server_change_kind::Ready).size())
       .with("leaving", idsOf(Changes, server_change_kind::Leaving))
       .with("gone", idsOf(Changes, server_change_kind::Gone))
--- a/src/libs/process/store_control_state.h
+++ b/src/libs/process/store_control_state.h
@@ -11,6 +11,8 @@
 #include "version/fleet_roles.h"
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <optional>
 #include <random>
 #include <set>
@@ -114,6 +116,12 @@
   bool storeAway() const { return StoreAway; }
   std::vector<proxy_member> members() const { return Members.members(); }
   std::size_t serverCount() const { return Directory.servers().size(); }
+  /// How many changes among the backend servers became known so far, by what
+  /// has told them: the store, a peer, a peer's copy, or the end of a grace.
+  const std::map<std::string, std::uint64_t, std::less<>> &
+  serverChangeCounts() const {
+    return ChangeCounts;
+  }
 
 private:
   /// Without news from those who read the store, each daemon reads for itself.
@@ -158,7 +166,7 @@
   void hurryConfiguration(steady_time Now, store_control_actions &Out);
   void learnServers(const peer_message &Message, steady_time Now);
   /// Writes what has become known of the servers, and who has told it.
-  void logServerChanges(std::string_view Source);
+  void logServerChanges(std::string_view Source, std::string_view Peer = "");
   void tellServers(steady_time Now, store_control_actions &Out);
   void suggestLostMember(steady_time Now);
   void meetListedMembers(store_control_actions &Out);
@@ -215,6 +223,7 @@
   /// Those that callers are led to; they point into PublishedMembers.
   std::vector<const proxy_member *> Entries;
   std::uint64_t VersionNumber = 0;
+  std::map<std::string, std::uint64_t, std::less<>> ChangeCounts;
 };
 
 } // namespace endiverail
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -253,8 +253,13 @@
 
   void take(version_changed &Changed, steady_time Now) {
     Version = std::move(Changed.Version);
-    if (Changed.Published && Now > *Changed.Published + VersionDelay)
-      request_log::versionLate(Version->Number, *Changed.Published, Now);
+    if (Changed.Published) {
+      Metrics.setGauge(
+          "version_late_milliseconds",
+          request_log::millisecondsBetween(*Changed.Published, Now));
+      if (Now > *Changed.Published + VersionDelay)
+        request_log::versionLate(Version->Number, *Changed.Published, Now);
+    }
     for (auto &[Name, State] : Services) {
       configure(Name, State, Now);
       startNext(Name, Now);
