--- a/tests/auto/process/store_fleet.h
+++ b/tests/auto/process/store_fleet.h
@@ -3,7 +3,9 @@
 #include "process/store_control_state.h"
 
 #include <algorithm>
+#include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <numeric>
@@ -47,6 +49,9 @@
     for (milliseconds Step(0); Step < Time; Step += 10ms) {
       Now += 10ms;
       for (std::size_t Index = 0; Index < Daemons.size(); ++Index) {
+        if (Daemons[Index].Paused)
+          continue;
+        endUnanswered(Index);
         if (Now >= Daemons[Index].State.nextWake()) {
           store_control_actions Actions;
           Daemons[Index].State.tick(Now, Actions);
@@ -74,6 +79,18 @@
     perform(Index, Actions);
   }
 
+  /// Calls that got no answer end by their caller's timeout.
+  void endUnanswered(std::size_t Index) {
+    auto &Calls = Daemons[Index].Unanswered;
+    while (!Calls.empty() && Now >= Calls.front().second) {
+      store_topic Topic = Calls.front().first;
+      Calls.pop_front();
+      store_control_actions Actions;
+      Daemons[Index].State.onCallFailed(Topic, Now, Actions);
+      perform(Index, Actions);
+    }
+  }
+
   void configure(std::uint64_t Version) {
     ConfigurationVersion = Version;
     ++ConfigurationEnd;
@@ -137,6 +154,19 @@
     Daemons[Index].Reaches = Reaches;
   }
 
+  /// The store takes a daemon's reads and does not answer them.
+  void setUnanswered(std::size_t Index, bool Unanswered) {
+    Daemons[Index].GetsNoAnswer = Unanswered;
+  }
+
+  /// A daemon does nothing and hears nothing.
+  void setPaused(std::size_t Index, bool Paused) {
+    Daemons[Index].Paused = Paused;
+  }
+
+  /// Most records that a read of the backend servers brings.
+  std::size_t PageRecords = std::numeric_limits<std::size_t>::max();
+
   bool settledAt(std::size_t Index) const {
     return Daemons[Index].Version && Daemons[Index].Version->MembersSettled;
   }
@@ -156,6 +186,10 @@
     steady_time WaitingSince;
     /// The read that waits is on a connection that went silent.
     bool Hangs = false;
+    bool GetsNoAnswer = false;
+    /// When the calls end that get no answer.
+    std::deque<std::pair<store_topic, steady_time>> Unanswered;
+    bool Paused = false;
   };
 
   /// Servers of that state in the version that a daemon has published.
@@ -193,7 +227,7 @@
                const peer_message &Message) {
     auto Found = Indices.find(To);
     if (Found == Indices.end() || Found->second >= Daemons.size() ||
-        Loses(Found->second))
+        Loses(Found->second) || Daemons[Found->second].Paused)
       return;
     store_control_actions Actions;
     Daemons[Found->second].State.onDatagram(Message, Now, Actions);
@@ -223,6 +257,12 @@
     daemon &Daemon = Daemons[Index];
     ++Daemon.Calls;
     store_control_actions Actions;
+    if (Daemon.GetsNoAnswer && !std::holds_alternative<put_record>(Call)) {
+      store_topic Topic =
+          std::visit([](const auto &Made) { return Made.Topic; }, Call);
+      Daemon.Unanswered.emplace_back(Topic, Now + 1'000ms);
+      return;
+    }
     if (const auto *Put = std::get_if<put_record>(&Call)) {
       if (Daemon.Reaches)
         MemberLog.emplace_back(Put->Key, *Put->Value);
@@ -246,7 +286,7 @@
       Page.End = ConfigurationEnd;
     }
     if (Topic == store_topic::BackendServers) {
-      tellServers(State, 0);
+      tellServers(State, 0, ServerLog.size());
       Page.End = ServerLog.size();
     }
     if (Topic == store_topic::Members)
@@ -270,16 +310,20 @@
     }
     keyed_page Page;
     Page.End = End;
-    Page.Records.resize(End - std::min(End, Read.From));
+    std::uint64_t Records = End - std::min(End, Read.From);
+    if (Read.Topic == store_topic::BackendServers)
+      Records = std::min<std::uint64_t>(Records, PageRecords);
+    Page.Records.resize(Records);
     if (Read.Topic == store_topic::Configuration)
       tellConfiguration(Daemon.State);
     else
-      tellServers(Daemon.State, Read.From);
+      tellServers(Daemon.State, Read.From, Records);
     Daemon.State.onPage(Read.Topic, Page, Now, Actions);
   }
 
-  void tellServers(store_control_state &State, std::uint64_t From) const {
-    for (std::uint64_t At = From; At < ServerLog.size(); ++At)
+  void tellServers(store_control_state &State, std::uint64_t From,
+                   std::uint64_t Records) const {
+    for (std::uint64_t At = From; At < From + Records; ++At)
       if (const auto &[Id, Entry] = ServerLog[At]; Entry)
         State.onServer(Id, *Entry, Now);
       else
