--- a/src/libs/process/swim.cpp
+++ b/src/libs/process/swim.cpp
@@ -66,7 +66,9 @@
   HealthScore = std::min(HealthScore + 1, MostHealthScore);
 }
 
+/// Each change of a member or of this process goes through here.
 void swim::spread(const member_update &Update) {
+  ++Revision;
   std::erase_if(Rumours, [&](const rumour &Rumour) {
     return Rumour.Update.Proxy.Id == Update.Proxy.Id;
   });
@@ -317,6 +319,7 @@
 void swim::leave(std::vector<outgoing_gossip> &Out) {
   Self.State = member_state::Left;
   ++Self.Refutation;
+  ++Revision;
   greet(PeersToldOfLeaving, Out);
 }
 
--- a/src/libs/process/swim.h
+++ b/src/libs/process/swim.h
@@ -113,6 +113,8 @@
   /// Changes since the last call.
   std::vector<member_change> takeChanges();
   bool hasChanges() const { return !Changes.empty(); }
+  /// Grows when members() may have changed.
+  std::uint64_t revision() const { return Revision; }
   std::size_t localHealth() const { return HealthScore; }
   steady_time nextWake() const;
   const proxy_member &self() const { return Self.Proxy; }
@@ -166,6 +168,7 @@
   std::map<std::uint64_t, relay> Relays;
   std::vector<member_change> Changes;
   std::uint64_t NextSequence = 1;
+  std::uint64_t Revision = 1;
   std::size_t HealthScore = 0;
   steady_time NextPeriod;
 };
