--- a/src/libs/log/event_line.cpp
+++ b/src/libs/log/event_line.cpp
@@ -52,13 +52,17 @@
 } // namespace
 
 event_line::event_line(std::string_view Event, event_level Level)
-    : Level(Level) {
+    : Level(Level), Wanted(spdlog::should_log(levelOf(Level))) {
+  if (!Wanted)
+    return;
   Fields["time"] = timeText();
   Fields["level"] = nameOf(Level);
   Fields["event"] = Event;
 }
 
 event_line::~event_line() {
+  if (!Wanted)
+    return;
   spdlog::log(levelOf(Level), "{}",
               Fields.dump(-1, ' ', false,
                           nlohmann::ordered_json::error_handler_t::replace));
--- a/src/libs/log/event_line.h
+++ b/src/libs/log/event_line.h
@@ -23,12 +23,15 @@
   /// Adds a field. Text that is no UTF-8 is written with replacements.
   template <typename Value>
   event_line &with(std::string_view Name, Value &&Of) {
-    Fields[std::string(Name)] = std::forward<Value>(Of);
+    if (Wanted)
+      Fields[std::string(Name)] = std::forward<Value>(Of);
     return *this;
   }
 
 private:
   event_level Level;
+  /// Whether the log takes lines of this level.
+  bool Wanted;
   nlohmann::ordered_json Fields;
 };
 
