Read on at once when a page of the store is full

A reader that comes back after an absence has thousands of records to read, half a megabyte a page. It paused for half a second after each page, and took itself for up to date. A follower now says as of when it is complete, and reads on without a pause while it is not. tst_topic_follower: new case, failed before (no such answer; the next read came 500 ms later).

--- a/src/libs/process/topic_follower.cpp
+++ b/src/libs/process/topic_follower.cpp
@@ -9,8 +9,12 @@
   if (CallOut || Now < Due)
     return std::nullopt;
   CallOut = true;
-  if (!Position)
+  CallStarted = Now;
+  if (!Position) {
+    if (After.empty())
+      ListingStarted = Now;
     return list_newest{Topic, After};
+  }
   return read_records{Topic, *Position, Terms.Wait};
 }
 
@@ -20,8 +24,14 @@
   Failures = 0;
   LastAnswer = Now;
   Due = Now + Terms.Pause;
+  CompleteAsOf.reset();
   if (Position) {
     *Position += Page.Records.size();
+    // A page that is full leaves the daemon behind.
+    if (*Position >= Page.End)
+      CompleteAsOf = CallStarted;
+    else if (!Page.Records.empty())
+      Due = Now;
     return;
   }
   if (!ListedFrom)
@@ -35,6 +45,7 @@
   ListedFrom.reset();
   After.clear();
   EndedListing = true;
+  CompleteAsOf = ListingStarted;
 }
 
 void topic_follower::onForgotten(steady_time Now) {
--- a/src/libs/process/topic_follower.h
+++ b/src/libs/process/topic_follower.h
@@ -61,6 +61,9 @@
   bool listed() const { return Position.has_value(); }
   /// Whether the page that came last was a listing's, and its last one.
   bool endedListing() const { return EndedListing; }
+  /// The time as of which all records are read by the page that came last;
+  /// nothing when more are there.
+  std::optional<steady_time> completeAsOf() const { return CompleteAsOf; }
   /// When the store last answered.
   steady_time lastAnswer() const { return LastAnswer; }
   bool failing() const { return Failures > 0; }
@@ -82,6 +85,9 @@
   std::size_t Failures = 0;
   steady_time Due;
   steady_time LastAnswer;
+  steady_time CallStarted;
+  steady_time ListingStarted;
+  std::optional<steady_time> CompleteAsOf;
 };
 
 } // namespace endiverail
--- a/tests/auto/process/tst_topic_follower.cpp
+++ b/tests/auto/process/tst_topic_follower.cpp
@@ -90,3 +90,22 @@
   CHECK(Follower.hurry(Now));
   due<read_records>();
 }
+
+TEST_CASE_METHOD(follower_fixture, "a follower that is behind reads on at once "
+                                   "and does not take itself for complete") {
+  due<list_newest>();
+  steady_time Listed = Now;
+  Now += 5ms;
+  Follower.onPage(page({}, 5), Now);
+  CHECK(Follower.completeAsOf() == Listed);
+  Now += 500ms;
+  due<read_records>();
+  Follower.onPage(page({"a", "b"}, 9), Now);
+  CHECK_FALSE(Follower.completeAsOf());
+  CHECK(due<read_records>().From == 7);
+  steady_time Read = Now;
+  Now += 5ms;
+  Follower.onPage(page({"c", "d"}, 9), Now);
+  CHECK(Follower.completeAsOf() == Read);
+  CHECK_FALSE(Follower.next(Now));
+}
