Look once more at a backend server when its connection is there

A request that was placed in time could reach a server that had left: the connection may take 300 ms, and the version another 200 ms and more to a traffic thread that is behind. The transport asks on the connection, before the first byte, whether the attempt may start; the traffic thread looks at the version that the control thread has handed over, not at the one that its messages have brought. What is withdrawn goes to another server without having spent an attempt or a retry.

--- a/src/libs/connection/backend_attempt.h
+++ b/src/libs/connection/backend_attempt.h
@@ -42,6 +42,8 @@
 struct attempt_end {
   std::optional<attempt_failure> Failure;
   std::string Detail;
+  /// The observer did not let it start; nothing was sent.
+  bool Withdrawn = false;
 };
 
 /// What hears of attempts, on the thread of the transport.
@@ -49,6 +51,9 @@
 concept attempt_observer = requires(T Observer, attempt_id Id,
                                     backend_head Head, std::string_view Piece,
                                     const attempt_end &End) {
+  /// Asked when the connection is there, before the first byte is sent: the
+  /// backend server may have been told to get no more work meanwhile.
+  { Observer.mayStart(Id) } -> std::same_as<bool>;
   /// A value ends the attempt with that error.
   {
     Observer.onHead(Id, std::move(Head))
--- a/src/libs/daemon/outgoing_calls.h
+++ b/src/libs/daemon/outgoing_calls.h
@@ -69,6 +69,8 @@
 
   // The transport reports here.
 
+  bool mayStart(attempt_id) const { return true; }
+
   std::optional<error_kind> onHead(attempt_id Id, const backend_head &Head) {
     Calls.at(Id).Ended.Status = Head.Status;
     return std::nullopt;
--- a/src/libs/daemon/store_daemon.h
+++ b/src/libs/daemon/store_daemon.h
@@ -331,6 +331,7 @@
     Traffics.DataCentre = Settings.DataCentre;
     Traffics.Retries = Settings.Retries;
     Traffics.MostBufferedBytes = Settings.MostBufferedBytes;
+    Traffics.Versions = &Versions;
     Traffic.add(std::make_unique<traffic_of_store>(
         std::move(Poller), std::move(Event), std::move(Traffics),
         RequestAnswers, Notices, Metrics));
--- a/src/libs/http/curl_exchange.cpp
+++ b/src/libs/http/curl_exchange.cpp
@@ -166,8 +166,10 @@
   Failure.Kind = Aborted.value_or(kindOf(Code));
   if (Failure.ProvenNotRun)
     Failure.Kind = error_kind::BackendUnreachable;
-  return {Failure, Code == CURLE_OK ? "the answer's head is cut"
-                                    : curl_easy_strerror(Code)};
+  return {Failure,
+          Code == CURLE_OK ? "the answer's head is cut"
+                           : curl_easy_strerror(Code),
+          Withdrawn};
 }
 
 void initialiseCurl() {
--- a/src/libs/http/curl_exchange.h
+++ b/src/libs/http/curl_exchange.h
@@ -54,6 +54,8 @@
   /// Ends the exchange from within a callback of the library.
   void abortWith(error_kind Kind) { Aborted = Kind; }
   bool aborted() const { return Aborted.has_value(); }
+  /// Ends the exchange before anything of the request is sent.
+  void withdraw() { Withdrawn = true; }
 
   /// Reads the library's verdict.
   attempt_end end(CURLcode Code) const;
@@ -78,6 +80,7 @@
   /// Lines after the head are trailers.
   bool HeadComplete = false;
   std::optional<error_kind> Aborted;
+  bool Withdrawn = false;
 };
 
 /// Initialises the library once for the process, before any thread.
--- a/src/libs/http/curl_transport.h
+++ b/src/libs/http/curl_transport.h
@@ -48,6 +48,8 @@
     curl_easy_setopt(Easy, CURLOPT_WRITEDATA, Added.get());
     curl_easy_setopt(Easy, CURLOPT_DEBUGFUNCTION, &onDebug);
     curl_easy_setopt(Easy, CURLOPT_DEBUGDATA, Added.get());
+    curl_easy_setopt(Easy, CURLOPT_PREREQFUNCTION, &onConnected);
+    curl_easy_setopt(Easy, CURLOPT_PREREQDATA, Added.get());
     curl_easy_setopt(Easy, CURLOPT_PRIVATE, Added.get());
     Exchanges.emplace(Request.Id, std::move(Added));
     curl_multi_add_handle(Multi.get(), Easy);
@@ -157,6 +159,14 @@
     return 0;
   }
 
+  static int onConnected(void *Self, char *, char *, int, int) {
+    auto &Exchange = *static_cast<exchange *>(Self);
+    if (Exchange.Owner.To.mayStart(Exchange.Easy.id()))
+      return CURL_PREREQFUNC_OK;
+    Exchange.Easy.withdraw();
+    return CURL_PREREQFUNC_ABORT;
+  }
+
   static std::size_t onHeader(char *Data, std::size_t Size, std::size_t Count,
                               void *Self) {
     auto &Exchange = *static_cast<exchange *>(Self);
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -15,6 +15,7 @@
 #include "process/mailbox.h"
 #include "process/message_dialect.h"
 #include "process/metrics.h"
+#include "process/published.h"
 #include "process/request_log.h"
 #include "process/request_timers.h"
 #include "process/service_state.h"
@@ -46,6 +47,10 @@
   /// Answers up to this size are passed on whole, so that one that is cut can
   /// be tried again.
   std::size_t MostBufferedBytes = std::size_t{64} * 1024;
+  /// Where the control thread hands versions over, for a last look at a backend
+  /// server before a request is sent to it; none where versions come by message
+  /// only. Outlives the thread.
+  const published<fleet_version> *Versions = nullptr;
 };
 
 /// Runs the requests of the services that belong to it. One thread owns it;
@@ -126,6 +131,20 @@
 
   // The transport reports here.
 
+  /// The version that holds by now may not have come to this thread yet.
+  bool mayStart(attempt_id Id) {
+    const active_request *Active = findByAttempt(Id);
+    if (!Settings.Versions || !Active ||
+        Active->Attempt->Target.Route != attempt_route::Slot)
+      return true;
+    fleet_version_ref Latest = Settings.Versions->load();
+    auto Pool = Latest->View.pool(Active->Request.Service->Definition.Pool);
+    return std::ranges::any_of(Pool, [&](const backend_server &Server) {
+      return Server.Address == Active->Attempt->Target.Server &&
+             Server.State != server_state::Leaving;
+    });
+  }
+
   std::optional<error_kind> onHead(attempt_id Id, backend_head Head) {
     active_request *Active = findByAttempt(Id);
     if (!Active)
@@ -163,6 +182,11 @@
     running_attempt Attempt = std::move(*Active->Attempt);
     Active->Attempt.reset();
     ByAttempt.erase(Id);
+    if (End.Withdrawn) {
+      placeElsewhere(*Active, Attempt, Now);
+      startWaiting(Attempt, Now);
+      return;
+    }
     settle(*Active, Attempt, End, Now);
     if (End.Failure && sharing_scheduler<Policy>)
       request_log::attemptFailed(*Active, Attempt, End, Now);
@@ -861,6 +885,29 @@
     holdIfWaiting(Id, Now);
   }
 
+  /// The server of an attempt that has sent nothing yet is to get no more work:
+  /// the request is placed as if that attempt had not been made.
+  void placeElsewhere(active_request &Active, const running_attempt &Attempt,
+                      steady_time Now) {
+    state &State = stateOf(Active);
+    Deaths.onEnd(Attempt.Target.Server, Attempt.Id);
+    releaseSlot(Active, Attempt, Now);
+    State.Scheduler.markLeaving(Attempt.Target.Server, Now);
+    --Active.Attempts;
+    if (Active.CallerGone) {
+      if (Active.HoldsKey)
+        Keys.forget(keyOf(Active.Request));
+      drop(Active);
+      return;
+    }
+    Active.Failed.push_back(Attempt.Target.Server);
+    std::string Name = Active.Request.Service->Definition.Name;
+    request_id Id = Active.Request.Id;
+    State.Scheduler.resubmit(waiting(Active, State), Now);
+    startNext(Name, Now);
+    holdIfWaiting(Id, Now);
+  }
+
   void breakAnswer(active_request &Active, steady_time Now) {
     if (Active.HoldsKey)
       rememberOutcome(Active, errorHead(error_kind::BackendCut),
--- a/tests/auto/http/tst_curl_transport.cpp
+++ b/tests/auto/http/tst_curl_transport.cpp
@@ -44,6 +44,7 @@
   std::optional<steady_time> nextWake() const { return Transport.nextWake(); }
   bool finished() const { return End.has_value(); }
 
+  bool mayStart(attempt_id) const { return MayStart; }
   std::optional<error_kind> onHead(attempt_id, backend_head Read) {
     Head = std::move(Read);
     return Refuse;
@@ -57,6 +58,7 @@
   backend_head Head;
   std::string Body;
   std::optional<error_kind> Refuse;
+  bool MayStart = true;
 
 private:
   poller Poller = valueOf(poller::create());
@@ -317,3 +319,57 @@
   CHECK(failureOf([&] { return fetch("GET", Nobody, "/", "", 1s); }) ==
         error_kind::BackendUnreachable);
 }
+
+TEST_CASE("an answer whose head is cut anywhere is never whole") {
+  bool AcceptsUnframed = GENERATE(false, true);
+  std::string Head =
+      GENERATE(as<std::string>{},
+               "HTTP/1.1 200 OK\r\nX-Mark: m\r\nContent-Length: 12\r\n\r\n",
+               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+               "HTTP/1.1 200 OK\r\nX-Mark: m\r\nConnection: close\r\n\r\n",
+               "HTTP/1.1 200 OK\nX-Mark: m\n\n",
+               "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\n");
+  std::size_t Cut = 0;
+  raw_server Server([&](raw_connection Connection, std::size_t) {
+    Connection.readUntil("\r\n\r\n");
+    Connection.send(std::string_view(Head).substr(0, Cut));
+  });
+  std::string Endpoint = Server.endpoint();
+  attempt_runner Runner;
+  for (; Cut < Head.size(); ++Cut) {
+    INFO(Head << " cut after " << Cut << " bytes");
+    attempt_request Request = attempt_runner::request("GET", Endpoint);
+    Request.AcceptsUnframed = AcceptsUnframed;
+    attempt_end End = Runner.run(Request);
+    REQUIRE(End.Failure);
+    CHECK_FALSE(End.Failure->ProvenNotRun);
+    CHECK(Runner.Head.Status == 0);
+  }
+}
+
+TEST_CASE("an attempt that is withdrawn once its connection is there sends "
+          "nothing") {
+  connection_choice Choice =
+      GENERATE(connection_choice::Fresh, connection_choice::Reuse);
+  std::atomic<int> Requests = 0;
+  raw_server Server([&](raw_connection Connection, std::size_t) {
+    while (!Connection.readUntil("\r\n\r\n").empty()) {
+      ++Requests;
+      Connection.send(KeptAnswer);
+    }
+  });
+  std::string Endpoint = Server.endpoint();
+  attempt_runner Runner;
+  attempt_request Request = attempt_runner::request("GET", Endpoint);
+  Request.Connection = Choice;
+  REQUIRE_FALSE(Runner.run(Request).Failure);
+  Runner.MayStart = false;
+  attempt_end End = Runner.run(Request);
+  CHECK(Requests == 1);
+  CHECK(End.Withdrawn);
+  REQUIRE(End.Failure);
+  CHECK(End.Failure->ProvenNotRun);
+  Runner.MayStart = true;
+  CHECK_FALSE(Runner.run(Request).Failure);
+  CHECK(Requests == 2);
+}
--- a/tests/auto/process/fake_transport.h
+++ b/tests/auto/process/fake_transport.h
@@ -67,6 +67,15 @@
     return !Refused;
   }
 
+  /// The connection is there. Returns whether the request is sent.
+  bool connect(attempt_id Id) {
+    if (To.mayStart(Id))
+      return true;
+    end(Id, {attempt_failure{error_kind::BackendUnreachable, true, false}, "",
+             true});
+    return false;
+  }
+
   void fail(attempt_id Id, error_kind Kind, bool ProvenNotRun = false) {
     end(Id, {attempt_failure{Kind, ProvenNotRun, false}, ""});
   }
--- a/tests/auto/process/traffic_fixture.h
+++ b/tests/auto/process/traffic_fixture.h
@@ -24,15 +24,20 @@
   explicit basic_traffic_fixture(std::size_t ServerCount = 3) {
     Traffic = std::make_unique<traffic_under_test>(
         valueOf(poller::create()), valueOf(event_descriptor::create()),
-        traffic_settings{
-            std::string(Secret), {1'000'000, std::chrono::seconds(60)}, 5},
-        Answers, Notices, Metrics, hand_clock{&Now});
+        settings(&Versions), Answers, Notices, Metrics, hand_clock{&Now});
     auto Service = std::make_shared<accepted_service>();
     Service->Definition = definition(ServerCount);
     this->Service = Service;
     publish("self", ServerCount);
   }
 
+  static traffic_settings settings(const published<fleet_version> *Versions) {
+    traffic_settings Settings{
+        std::string(Secret), {1'000'000, std::chrono::seconds(60)}, 5};
+    Settings.Versions = Versions;
+    return Settings;
+  }
+
   static service_definition definition(std::size_t ServerCount) {
     using namespace std::chrono_literals;
     service_definition Definition;
@@ -72,9 +77,20 @@
       Owning.Servers.push_back(Server);
     }
     Version->Owners["s"] = {Owning};
+    Versions.store(Version);
     tell(version_changed{std::move(Version)});
   }
 
+  /// Hands a version over in which a server leaves, before this thread has
+  /// taken the message of it.
+  void publishLeaving(std::string_view Server) {
+    auto Version = std::make_shared<fleet_version>(*Versions.load());
+    for (backend_server &Each : Version->View.Servers)
+      if (Each.Address == Server)
+        Each.State = server_state::Leaving;
+    Versions.store(std::move(Version));
+  }
+
   /// Sends a caller's request; its connection stands for it.
   std::uint64_t send(std::string Method, std::string Target,
                      std::string Key = "", bool Forwarded = false) {
@@ -130,6 +146,7 @@
   answer_collector Answers;
   notice_collector Notices;
   process_metrics Metrics;
+  published<fleet_version> Versions{std::make_shared<fleet_version>()};
   accepted_service_ref Service;
   std::unique_ptr<traffic_under_test> Traffic;
   request_id LastRequest = 0;
--- a/tests/auto/process/tst_traffic_thread.cpp
+++ b/tests/auto/process/tst_traffic_thread.cpp
@@ -459,3 +459,35 @@
   transport().answer(attempts().begin()->first, 200, "x");
   CHECK(outcomeOf(Caller) == outcome::Done);
 }
+
+TEST_CASE_METHOD(shared_traffic_fixture,
+                 "a request that was placed at a server which leaves while its "
+                 "connection is made goes to another one, as its first "
+                 "attempt") {
+  std::string Method = GENERATE("GET", "POST");
+  std::uint64_t Caller = send(Method, "/s/x");
+  REQUIRE(attempts().size() == 1);
+  started_attempt First = attempts().begin()->second;
+  publishLeaving(First.Server);
+  CHECK_FALSE(transport().connect(First.Id));
+  REQUIRE(attempts().size() == 1);
+  started_attempt Second = attempts().begin()->second;
+  CHECK(Second.Server != First.Server);
+  CHECK(transport().connect(Second.Id));
+  transport().answer(Second.Id, 200, "ok");
+  CHECK(answer(Caller).Body == "ok");
+  // No retry was spent on it.
+  CHECK(Metrics.text().find("endiverail_retries_total{") == std::string::npos);
+}
+
+TEST_CASE_METHOD(shared_traffic_fixture,
+                 "a request whose caller has gone is not placed again when its "
+                 "server leaves") {
+  std::uint64_t Caller = send("POST", "/s/x");
+  REQUIRE(attempts().size() == 1);
+  started_attempt First = attempts().begin()->second;
+  tell(caller_gone{{0, Caller, 1}});
+  publishLeaving(First.Server);
+  CHECK_FALSE(transport().connect(First.Id));
+  CHECK(attempts().empty());
+}
