Take late requests before a planned stop only where their answer is sure

In a planned stop, requests that came late in the grace were taken and passed on, and cut without an answer at its end, among them work that may not be repeated. It could happen here: all requests were taken to the end of the drain time, and what still ran was given up with its connection.

The grace is a sum: callers hold addresses for three lifetimes at most, so that until then all is taken (at most three fifths of the time); later on a request is taken only if its own deadline ends before the last writes, and is refused at once otherwise, with a promise that it has not run and a short time to return. What was passed on and has no answer 0.2 s before the end gets one: 504, or, where it never started, 503.

--- a/src/libs/daemon/daemon_parts.h
+++ b/src/libs/daemon/daemon_parts.h
@@ -65,6 +65,8 @@
     for (auto &Thread : Threads)
       Running.emplace_back([&Thread] { Thread->run(); });
   }
+  /// Lets all requests be answered now.
+  void answerRemaining() { tellAll(answer_remaining{}); }
   /// Waits until all requests are answered.
   void finish() { end(finish_traffic{false}); }
   /// Gives up what still runs.
--- a/src/libs/daemon/store_control_thread.h
+++ b/src/libs/daemon/store_control_thread.h
@@ -24,7 +24,9 @@
 namespace endiverail {
 
 /// Callers are to be told of this daemon no more.
-struct begin_store_drain {};
+struct begin_store_drain {
+  planned_end End;
+};
 /// The thread says good-bye to the peers and ends.
 struct end_store_control {};
 
@@ -185,9 +187,9 @@
     postWhole(ToPeers, Question.Ticket, answer_head{}, std::move(Bytes));
   }
 
-  void take(const begin_store_drain &, steady_time Now,
+  void take(const begin_store_drain &Drain, steady_time Now,
             store_control_actions &Actions) {
-    State.drain(Now, Actions);
+    State.drain(Drain.End, Now, Actions);
   }
 
   void take(const end_store_control &, steady_time Now,
--- a/src/libs/daemon/store_daemon.h
+++ b/src/libs/daemon/store_daemon.h
@@ -57,6 +57,10 @@
           BOOST_LEAF_AUTO(
               Placed, placeByRoute(Ticket, std::move(Request), Words, *Version,
                                    Id + FirstPosition, steadyNow()));
+          if (Version->End &&
+              !Version->End->takes(Placed.Deadline, steadyNow()))
+            return fail(error_kind::Draining,
+                        "the process may end before the answer");
           Placed.Id = Id;
           request_owner Owner =
               ToTraffic.indexOf(Placed.Service->Definition.Name);
@@ -67,7 +71,10 @@
           std::string Body(errorAnswer(Failure.Kind).Name);
           Body.append(": ").append(Failure.Detail).push_back('\n');
           postWhole(Answers, Ticket,
-                    Edge::dialect::errorHead(Failure.Kind, RefusedPause),
+                    Edge::dialect::errorHead(
+                        Failure.Kind, Failure.Kind == error_kind::Draining
+                                          ? DrainingPause
+                                          : RefusedPause),
                     std::move(Body));
           return NoTrafficThread;
         });
@@ -85,6 +92,8 @@
 private:
   /// Until a daemon that has just started may know its configuration.
   static constexpr milliseconds RefusedPause{500};
+  /// Other daemons can take at once what one that ends can't.
+  static constexpr milliseconds DrainingPause{20};
 
   published<fleet_version> &Versions;
   Traffic &ToTraffic;
@@ -253,14 +262,22 @@
   }
 
   /// Ends gracefully: tells peers and callers, serves on while callers may
-  /// still hold this address, and finishes what runs.
+  /// still hold this address, then takes only what is answered before the end.
+  /// What was taken before and still runs at the end is answered as not known.
   void drain() {
     event_line("draining").with("connections", RequestDoor.connections());
-    Control->post(begin_store_drain{});
+    steady_time AnswersUntil = steadyNow() + Settings.DrainTime - LastWrites;
+    Control->post(begin_store_drain{
+        {steadyNow() + std::min(LongestLifetimes * Settings.AddressLifetime,
+                                (Settings.DrainTime - LastWrites) * 3 / 5),
+         AnswersUntil}});
     RequestDoor.announceClose();
     std::promise<void> Never;
     Never.get_future().wait_for(Settings.DrainTime - LastRequests);
-    if (!RequestDoor.closeWhenIdle(LastRequests))
+    if (RequestDoor.closeWhenIdle(LastRequests - LastWrites))
+      return;
+    Traffic.answerRemaining();
+    if (!RequestDoor.closeWhenIdle(LastWrites))
       event_line("drain_time_over", event_level::Warning)
           .with("connections", RequestDoor.connections());
   }
@@ -277,6 +294,10 @@
 
   /// The end of the drain time in which no connection is kept open.
   static constexpr milliseconds LastRequests{1'000};
+  /// The end of that in which the last answers are written.
+  static constexpr milliseconds LastWrites{200};
+  /// Some callers keep an answer with addresses for three times its lifetime.
+  static constexpr int LongestLifetimes = 3;
 
   explicit store_daemon(const store_daemon_settings &From)
       : Settings(From), Self(selfOf(From)), Versions(firstVersion()),
--- a/src/libs/process/store_control_state.h
+++ b/src/libs/process/store_control_state.h
@@ -109,7 +109,8 @@
                 store_control_actions &Out);
 
   /// Callers are to be told of this daemon no more.
-  void drain(steady_time Now, store_control_actions &Out);
+  void drain(const planned_end &End, steady_time Now,
+             store_control_actions &Out);
   /// Says good-bye.
   void leave(steady_time Now, store_control_actions &Out);
 
@@ -234,6 +235,7 @@
   bool ServersKnown = false;
   bool StoreAway = false;
   bool Draining = false;
+  std::optional<planned_end> End;
   bool Registered = false;
   bool PutOut = false;
   steady_time PutDue;
--- a/src/libs/process/traffic_message.h
+++ b/src/libs/process/traffic_message.h
@@ -59,11 +59,13 @@
   std::string ProxyId;
   work_report Report;
 };
-/// The thread ends once its requests are answered, or at once.
 /// The operator has changed what the fleet may retry.
 struct retries_changed {
   retry_allowance Retries;
 };
+/// No time is left: what still runs is answered now, by what is known of it.
+struct answer_remaining {};
+/// The thread ends once its requests are answered, or at once.
 struct finish_traffic {
   bool AtOnce = false;
 };
@@ -72,7 +74,7 @@
 using traffic_message =
     std::variant<run_request, answer_written, caller_gone, version_changed,
                  ejection_changed, server_death, inherited_keys, peer_work,
-                 retries_changed, finish_traffic>;
+                 retries_changed, answer_remaining, finish_traffic>;
 
 /// An owner has evidence for, or against, a backend server.
 struct ejection_wish {
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -24,6 +24,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <optional>
@@ -332,6 +333,14 @@
               Settings.Retries.termsFor(Version->EntryCount));
   }
 
+  void take(answer_remaining &, steady_time Now) {
+    std::vector<request_id> Remaining;
+    std::ranges::copy(Requests | std::views::keys,
+                      std::back_inserter(Remaining));
+    for (request_id Id : Remaining)
+      endNow(Requests.at(Id), Now);
+  }
+
   void take(finish_traffic &Finish, steady_time) {
     Finishing = true;
     AtOnce = Finish.AtOnce;
@@ -908,6 +917,22 @@
     holdIfWaiting(Id, Now);
   }
 
+  /// Answers a request before its time, by what is known of it.
+  void endNow(active_request &Active, steady_time Now) {
+    if (!Active.Attempt) {
+      stateOf(Active).Scheduler.cancel(Active.Request.Id);
+      return answerError(Active, error_kind::Draining,
+                         "the process ends before the request could start",
+                         Now);
+    }
+    abandonAttempt(Active, Now);
+    if (Active.HeadPosted)
+      return breakAnswer(Active, Now);
+    Active.MayHaveRun = true;
+    answerError(Active, error_kind::BackendTimeout,
+                "the process ends before the answer", Now);
+  }
+
   void breakAnswer(active_request &Active, steady_time Now) {
     if (Active.HoldsKey)
       rememberOutcome(Active, errorHead(error_kind::BackendCut),
--- a/src/libs/version/fleet_version.h
+++ b/src/libs/version/fleet_version.h
@@ -18,6 +18,19 @@
 
 namespace endiverail {
 
+/// What a process that has been asked to end still takes.
+struct planned_end {
+  /// Callers hold addresses that name this process until then: it takes what
+  /// they send.
+  steady_time TakesAllUntil;
+  /// Later on it takes only what is answered by then, whatever happens.
+  steady_time AnswersUntil;
+
+  bool takes(steady_time Deadline, steady_time Now) const {
+    return Now < TakesAllUntil || Deadline <= AnswersUntil;
+  }
+};
+
 /// Everything that traffic threads need to know of the fleet at one time. The
 /// control thread builds it and publishes it as one shared pointer; nobody
 /// changes it afterwards.
@@ -26,6 +39,8 @@
   /// False until configuration and backend servers are known.
   bool Ready = false;
   bool Draining = false;
+  /// Set with Draining where the time of the end is known.
+  std::optional<planned_end> End;
   /// False while this process has just started and may know few of the others.
   bool MembersSettled = false;
   std::string SelfId;
--- a/tests/auto/platform/tst_edge.cpp
+++ b/tests/auto/platform/tst_edge.cpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <thread>
 
 using namespace endiverail;
 using namespace endiverail::test;
@@ -33,6 +34,11 @@
           std::size_t At = Head.find("Endiverail-Attempt-Identifier: ") + 31;
           std::string Name = Head.substr(At, Head.find("\r\n", At) - At);
           std::string Body = "for " + Name;
+          if (Head.find("/orders/silent") != std::string::npos) {
+            // Until the caller closes.
+            Caller.readUntil("no such bytes");
+            return;
+          }
           Caller.send("HTTP/1.1 200 OK\r\nEndiverail-Attempt-Identifier: " +
                       Name + "\r\nEndiverail-Response-Signature: s\r\n" +
                       "Content-Length: " + std::to_string(Body.size()) +
@@ -107,13 +113,27 @@
     }
   }
 
-  std::string order(const std::string &Host, const std::string &Path) const {
+  std::string order(const std::string &Host, const std::string &Path,
+                    int DeadlineMilliseconds = 3'000) const {
     return call(Host, CallerPort,
                 "POST " + Path +
                     " HTTP/1.1\r\nHost: shop.example\r\n"
                     "Endiverail-Attempt-Identifier: id-1\r\n"
-                    "Endiverail-Deadline-Milliseconds: 3000\r\n"
-                    "Content-Length: 0");
+                    "Endiverail-Deadline-Milliseconds: " +
+                    std::to_string(DeadlineMilliseconds) +
+                    "\r\nContent-Length: 0");
+  }
+
+  /// A daemon with 2.2 s for its end, whose callers keep addresses for 0.1 s.
+  std::unique_ptr<daemon> startWithShortEnd() const {
+    nlohmann::json Json = settingsJson(First, Store->endpoint(), First);
+    Json["address_lifetime_ms"] = 100;
+    Json["grace_s"] = 3;
+    auto Started = valueFrom([&]() -> result<std::unique_ptr<daemon>> {
+      return daemon::create(settingsOf(Json));
+    });
+    REQUIRE(eventually([&] { return isReady(First); }));
+    return Started;
   }
 
   bool isReady(const std::string &Host) const {
@@ -240,3 +260,33 @@
   CHECK(isReady(First));
   CHECK(order(First, "/orders/1").ends_with("\r\n\r\nfor id-1"));
 }
+
+TEST_CASE_METHOD(platform_fixture, "a request that may outlast a planned end "
+                                   "is refused before it is passed on") {
+  auto Daemon = startWithShortEnd();
+  CHECK(order(First, "/orders/1").starts_with("HTTP/1.1 200"));
+  std::thread End([&] { Daemon->drain(); });
+  poll(nullptr, 0, 100);
+  // Callers may hold the address still.
+  CHECK(order(First, "/orders/2").starts_with("HTTP/1.1 200"));
+  poll(nullptr, 0, 300);
+  std::string Late = order(First, "/orders/3");
+  CHECK(Late.starts_with("HTTP/1.1 503"));
+  CHECK(Late.find("Retry-After: 0.0") != std::string::npos);
+  // What has too little time itself is answered before the end.
+  CHECK_THAT(order(First, "/orders/4", 1'000),
+             Catch::StartsWith("HTTP/1.1 200"));
+  End.join();
+}
+
+TEST_CASE_METHOD(platform_fixture, "what was passed on before a planned end "
+                                   "gets an answer") {
+  auto Daemon = startWithShortEnd();
+  std::string Answer;
+  std::thread Caller([&] { Answer = order(First, "/orders/silent"); });
+  poll(nullptr, 0, 50);
+  Daemon->drain();
+  Daemon.reset();
+  Caller.join();
+  CHECK(Answer.starts_with("HTTP/1.1 504"));
+}
--- a/tests/auto/process/tst_store_control_state.cpp
+++ b/tests/auto/process/tst_store_control_state.cpp
@@ -234,7 +234,7 @@
 
 TEST_CASE_METHOD(ten_daemons, "a draining daemon is not offered any more") {
   store_control_actions Actions;
-  Daemons[2].State.drain(Now, Actions);
+  Daemons[2].State.drain({Now, Now}, Now, Actions);
   perform(2, Actions);
   pass(300ms);
   for (std::size_t Index = 0; Index < Daemons.size(); ++Index) {
