Tell how old the knowledge of backend servers is, and how often they state themselves

A gauge shows the age on a live daemon. The interval of registration, from which follows the shortest absence of the store in which an entry can lapse, comes from the platform's settings.

--- a/src/libs/daemon/store_control_thread.h
+++ b/src/libs/daemon/store_control_thread.h
@@ -88,7 +88,7 @@
   void onWake(steady_time Now) {
     Calls.onWake(Now);
     if (auto Ended = Lag.report(Now))
-      reportLag(*Ended);
+      reportLag(*Ended, Now);
     // What became due since the last turn, by a change of roles, is not late.
     steady_time Due = std::max(State.nextWake(), std::exchange(LastTurn, Now));
     if (Now < Due)
@@ -156,7 +156,10 @@
     perform(Actions);
   }
 
-  void reportLag(const control_lag::period &Ended) {
+  void reportLag(const control_lag::period &Ended, steady_time Now) {
+    if (auto Age = State.serversAge(Now))
+      Metrics.setGauge("servers_age_milliseconds",
+                       static_cast<double>(Age->count()));
     Metrics.setGauge("control_late_milliseconds",
                      static_cast<double>(Ended.Late.count()));
     Metrics.setGauge("oldest_datagram_milliseconds",
--- a/src/libs/daemon/store_daemon.h
+++ b/src/libs/daemon/store_daemon.h
@@ -366,6 +366,7 @@
     store_control_settings Controls;
     Controls.Self = Self;
     Controls.Seeds = Settings.Seeds;
+    Controls.RegistrationInterval = Settings.RegistrationInterval;
     Controls.Seed = randomSeed();
     Control = std::make_unique<control>(
         std::move(Poller), std::move(Event), std::move(Socket), Settings.Store,
--- a/src/libs/files/store_daemon_settings.cpp
+++ b/src/libs/files/store_daemon_settings.cpp
@@ -62,6 +62,12 @@
   });
   Settings.AddressLifetime =
       readTime(File, "address_lifetime_ms", 1'000, {100, 600'000});
+  constexpr double UsualRegistrationSeconds = 1.5;
+  Settings.RegistrationInterval =
+      std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(
+          File.has("registration_interval_s")
+              ? File.requiredReal("registration_interval_s", 0.05, 600)
+              : UsualRegistrationSeconds));
   // The end itself takes a while on a small host.
   constexpr double EndSeconds = 0.8;
   double Grace = File.requiredReal("grace_s", EndSeconds, 600);
--- a/src/libs/files/store_daemon_settings.h
+++ b/src/libs/files/store_daemon_settings.h
@@ -43,6 +43,8 @@
   /// Requests a second that this host can carry; 0 where that is not known.
   std::uint32_t Capacity = 0;
   milliseconds AddressLifetime{0};
+  /// How often backend servers state themselves at the store.
+  milliseconds RegistrationInterval{0};
   /// From the request to end to the end at the latest.
   milliseconds DrainTime{0};
 
