--- a/src/libs/load/load_run.cpp
+++ b/src/libs/load/load_run.cpp
@@ -147,6 +147,7 @@
 
   // The transport calls these.
 
+  bool mayStart(attempt_id) const { return true; }
   std::optional<error_kind> onHead(attempt_id Id, backend_head Head) {
     sent_request &Request = Running.at(Id);
     Request.Status = Head.Status;
