Play a starved daemon that no datagram reaches, as known red

A row of the bound's table that stands over its bound: a control thread that is 640 ms late, three times in a row, on a daemon that no datagram reaches.

--- a/tests/auto/process/store_fleet.h
+++ b/tests/auto/process/store_fleet.h
@@ -50,7 +50,7 @@
       Now += 10ms;
       wakeReads();
       for (std::size_t Index = 0; Index < Daemons.size(); ++Index) {
-        if (Daemons[Index].Paused)
+        if (Daemons[Index].Paused || !takesTurn(Index))
           continue;
         endUnanswered(Index);
         if (Now >= Daemons[Index].State.nextWake()) {
@@ -166,6 +166,13 @@
     Daemons[Index].Paused = Paused;
   }
 
+  /// A daemon's control thread gets the processor once in that time: what has
+  /// come to it waits until then.
+  void setStarved(std::size_t Index, milliseconds Pause) {
+    Daemons[Index].Starved = Pause;
+    Daemons[Index].NextTurn = Now + Pause;
+  }
+
   /// Most records that a read of the backend servers brings.
   std::size_t PageRecords = std::numeric_limits<std::size_t>::max();
 
@@ -192,6 +199,12 @@
     /// When the calls end that get no answer.
     std::deque<std::pair<store_topic, steady_time>> Unanswered;
     bool Paused = false;
+    /// The pause between two turns; 0 for a daemon that is never late.
+    milliseconds Starved{0};
+    steady_time NextTurn;
+    /// What waits for the next turn.
+    std::vector<peer_message> Datagrams;
+    std::vector<store_call> Answers;
   };
 
   /// Servers of that state in the version that a daemon has published.
@@ -226,15 +239,37 @@
       wakeReads();
   }
 
+  /// Lets a starved daemon take what has waited, if its turn has come.
+  bool takesTurn(std::size_t Index) {
+    daemon &Daemon = Daemons[Index];
+    if (Daemon.Starved.count() == 0)
+      return true;
+    if (Now < Daemon.NextTurn)
+      return false;
+    Daemon.NextTurn = Now + Daemon.Starved;
+    for (const peer_message &Message : std::exchange(Daemon.Datagrams, {}))
+      take(Index, Message);
+    for (const store_call &Call : std::exchange(Daemon.Answers, {}))
+      answerNow(Index, Call);
+    return true;
+  }
+
+  void take(std::size_t Index, const peer_message &Message) {
+    store_control_actions Actions;
+    Daemons[Index].State.onDatagram(Message, Now, Actions);
+    perform(Index, Actions);
+  }
+
   void deliver(std::size_t, const endpoint_text &To,
                const peer_message &Message) {
     auto Found = Indices.find(To);
     if (Found == Indices.end() || Found->second >= Daemons.size() ||
         Loses(Found->second) || Daemons[Found->second].Paused)
       return;
-    store_control_actions Actions;
-    Daemons[Found->second].State.onDatagram(Message, Now, Actions);
-    perform(Found->second, Actions);
+    if (Daemons[Found->second].Starved.count() > 0)
+      Daemons[Found->second].Datagrams.push_back(Message);
+    else
+      take(Found->second, Message);
   }
 
   void handOver(std::size_t Index, const endpoint_text &From) {
@@ -259,13 +294,21 @@
   void answer(std::size_t Index, const store_call &Call) {
     daemon &Daemon = Daemons[Index];
     ++Daemon.Calls;
-    store_control_actions Actions;
     if (Daemon.GetsNoAnswer && !std::holds_alternative<put_record>(Call)) {
       store_topic Topic =
           std::visit([](const auto &Made) { return Made.Topic; }, Call);
       Daemon.Unanswered.emplace_back(Topic, Now + 1'000ms);
       return;
     }
+    if (Daemon.Starved.count() > 0)
+      Daemon.Answers.push_back(Call);
+    else
+      answerNow(Index, Call);
+  }
+
+  void answerNow(std::size_t Index, const store_call &Call) {
+    daemon &Daemon = Daemons[Index];
+    store_control_actions Actions;
     if (const auto *Put = std::get_if<put_record>(&Call)) {
       if (Daemon.Reaches)
         MemberLog.emplace_back(Put->Key, *Put->Value);
--- /dev/null
+++ b/tests/auto/process/tst_starved_daemon.cpp
@@ -0,0 +1,39 @@
+#include "deployment.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace endiverail;
+using namespace endiverail::test;
+
+TEST_CASE("a starved daemon that no datagram reaches any more hears in time "
+          "that a server leaves or is gone") {
+  struct row {
+    std::size_t Daemons;
+    milliseconds Bound;
+    milliseconds Pause;
+  };
+  // The users' bounds, and the longest delay of a control thread that was seen.
+  auto Row = GENERATE(row{44, 2'000ms, 640ms}, row{111, 2'500ms, 640ms});
+  bool Gone = GENERATE(false, true);
+  deployment Fleet(Row.Daemons);
+  bool Lost = false;
+  Fleet.Loses = [&](std::size_t Index) {
+    return Lost && Index == Fleet.Affected;
+  };
+  Fleet.setStarved(Fleet.Affected, Row.Pause);
+  std::size_t Left = 0;
+  // Where in the pause between two turns the server says that it leaves.
+  for (milliseconds Phase : {0ms, 160ms, 320ms, 480ms, 630ms}) {
+    INFO(Row.Daemons << " daemons, " << Phase.count() << " ms into the pause, "
+                     << (Gone ? "gone" : "leaving"));
+    Fleet.setStarved(Fleet.Affected, Row.Pause);
+    Fleet.pass(5 * Row.Pause + Phase);
+    Lost = true;
+    Fleet.endWork(Left++, Gone);
+    Fleet.pass(Row.Bound);
+    CHECK(Fleet.usableAt(Fleet.Affected) == deployment::ServerCount - Left);
+    Lost = false;
+  }
+}
