Read the cut of a test's answer without a data race

Cause: in "an answer whose head is cut anywhere is never whole" the test moved the length of the cut on while the server's threads read it. Change: the length is atomic. What the test checks is the same.

--- a/tests/auto/http/tst_curl_transport.cpp
+++ b/tests/auto/http/tst_curl_transport.cpp
@@ -329,7 +329,7 @@
                "HTTP/1.1 200 OK\r\nX-Mark: m\r\nConnection: close\r\n\r\n",
                "HTTP/1.1 200 OK\nX-Mark: m\n\n",
                "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\n");
-  std::size_t Cut = 0;
+  std::atomic<std::size_t> Cut = 0;
   raw_server Server([&](raw_connection Connection, std::size_t) {
     Connection.readUntil("\r\n\r\n");
     Connection.send(std::string_view(Head).substr(0, Cut));
