--- a/tests/auto/process/deployment.h
+++ b/tests/auto/process/deployment.h
@@ -21,7 +21,7 @@
   explicit deployment(std::size_t Count) : store_fleet(Count) {
     configure(1);
     for (std::size_t Server = 0; Server < ServerCount; ++Server)
-      say("i" + std::to_string(Server), 1);
+      say(id(Server), 1);
     pass(5s);
     std::vector<std::size_t> Reading = readers();
     while (std::ranges::find(Reading, Affected) != Reading.end())
@@ -46,13 +46,16 @@
     }
   }
 
+  static std::string id(std::size_t Server) {
+    return "i" + std::to_string(Server);
+  }
+
   /// A server is to get no more work: by its word, or by its entry's removal.
   void endWork(std::size_t Server, bool Gone) {
-    std::string Id = "i" + std::to_string(Server);
     if (Gone)
-      remove(Id);
+      remove(id(Server));
     else
-      say(Id, 2, server_state::Leaving);
+      say(id(Server), 2, server_state::Leaving);
   }
 
   /// Whom a daemon tells of a server's death.
@@ -74,7 +77,7 @@
   /// All servers that stay say that they live.
   void beat(std::uint64_t Sequence, std::size_t FirstServer) {
     for (std::size_t Server = FirstServer; Server < ServerCount; ++Server)
-      say("i" + std::to_string(Server), Sequence);
+      say(id(Server), Sequence);
   }
 
   /// A daemon that does not read for the others.
--- a/tests/auto/process/late_daemons.h
+++ b/tests/auto/process/late_daemons.h
@@ -18,6 +18,17 @@
 /// its connection is there.
 inline constexpr milliseconds KnownWithin = LeavingBound - 3 * ThreadDelay;
 
+/// How long packets may wait at a host's link before the users' rules take the
+/// host for slowed.
+inline constexpr milliseconds LinkDelay{500};
+/// How long a thread may stand between its last look at a server and the
+/// request's first byte: a host's quota of processor time is for a tenth of a
+/// second.
+inline constexpr milliseconds QuotaPeriod{100};
+/// From when on no request may be placed at a server that has left.
+inline constexpr milliseconds UnusedWithin =
+    LeavingBound - LinkDelay - QuotaPeriod;
+
 /// Servers that may get work at a daemon that did not hear of the end of work
 /// in time.
 struct late_daemon {
--- a/tests/auto/process/store_fleet.h
+++ b/tests/auto/process/store_fleet.h
@@ -50,6 +50,7 @@
       Now += 10ms;
       wakeReads();
       for (std::size_t Index = 0; Index < Daemons.size(); ++Index) {
+        takeDelayed(Index);
         if (Daemons[Index].Paused || !takesTurn(Index))
           continue;
         endUnanswered(Index);
@@ -134,6 +135,17 @@
     return serversAt(Index, server_state::Live);
   }
 
+  /// Whether requests at a daemon may be sent to a server.
+  bool mayGetWork(std::size_t Index, std::string_view Server) const {
+    const auto &Version = Daemons[Index].Version;
+    return Version &&
+           std::ranges::any_of(
+               Version->View.Servers, [&](const backend_server &Each) {
+                 return Each.Address == std::string(Server) + ":1" &&
+                        Each.State == server_state::Live;
+               });
+  }
+
   std::uint64_t versionAt(std::size_t Index) const {
     return Daemons[Index].State.version();
   }
@@ -161,6 +173,16 @@
     Daemons[Index].GetsNoAnswer = Unanswered;
   }
 
+  /// The connection to the store that a daemon has kept goes silent.
+  void setKeptConnectionSilent(std::size_t Index, bool Silent) {
+    Daemons[Index].KeptConnectionSilent = Silent;
+  }
+
+  /// Datagrams to a daemon take that long; what is on its way arrives.
+  void setDelay(std::size_t Index, milliseconds Delay) {
+    Daemons[Index].Delay = Delay;
+  }
+
   /// A daemon does nothing and hears nothing.
   void setPaused(std::size_t Index, bool Paused) {
     Daemons[Index].Paused = Paused;
@@ -196,6 +218,10 @@
     /// The read that waits is on a connection that went silent.
     bool Hangs = false;
     bool GetsNoAnswer = false;
+    bool KeptConnectionSilent = false;
+    /// How long datagrams take to it.
+    milliseconds Delay{0};
+    std::deque<std::pair<steady_time, peer_message>> OnTheWay;
     /// When the calls end that get no answer.
     std::deque<std::pair<store_topic, steady_time>> Unanswered;
     bool Paused = false;
@@ -266,10 +292,27 @@
     if (Found == Indices.end() || Found->second >= Daemons.size() ||
         Loses(Found->second) || Daemons[Found->second].Paused)
       return;
-    if (Daemons[Found->second].Starved.count() > 0)
-      Daemons[Found->second].Datagrams.push_back(Message);
+    if (daemon &To = Daemons[Found->second]; To.Delay.count() > 0)
+      To.OnTheWay.emplace_back(Now + To.Delay, Message);
     else
-      take(Found->second, Message);
+      arrive(Found->second, Message);
+  }
+
+  void arrive(std::size_t Index, const peer_message &Message) {
+    if (Daemons[Index].Starved.count() > 0)
+      Daemons[Index].Datagrams.push_back(Message);
+    else
+      take(Index, Message);
+  }
+
+  /// Lets the datagrams arrive whose delay has passed.
+  void takeDelayed(std::size_t Index) {
+    auto &OnTheWay = Daemons[Index].OnTheWay;
+    while (!OnTheWay.empty() && Now >= OnTheWay.front().first) {
+      peer_message Message = std::move(OnTheWay.front().second);
+      OnTheWay.pop_front();
+      arrive(Index, Message);
+    }
   }
 
   void handOver(std::size_t Index, const endpoint_text &From) {
@@ -294,7 +337,8 @@
   void answer(std::size_t Index, const store_call &Call) {
     daemon &Daemon = Daemons[Index];
     ++Daemon.Calls;
-    if (Daemon.GetsNoAnswer && !std::holds_alternative<put_record>(Call)) {
+    bool Silent = Daemon.GetsNoAnswer || Daemon.KeptConnectionSilent;
+    if (Silent && !std::holds_alternative<put_record>(Call)) {
       store_topic Topic =
           std::visit([](const auto &Made) { return Made.Topic; }, Call);
       Daemon.Unanswered.emplace_back(Topic, Now + 1'000ms);
