Stamp datagrams by their sender's clock, and answers with what they answer

Cause: a datagram says how old its sender's knowledge is, and the receiver counted that age from when it took the datagram. What waited at a link or for a late thread was taken for younger than it is, by as much as it had waited. Fields 23 and 24 of a datagram are optional, so that daemons of two versions run side by side.

--- a/src/libs/peer/gen/peer_types.cpp
+++ b/src/libs/peer/gen/peer_types.cpp
@@ -1840,6 +1840,16 @@
 void Datagram::__set_serversQuestion(const std::vector<int64_t> & val) {
   this->serversQuestion = val;
 }
+
+void Datagram::__set_sentMilliseconds(const int64_t val) {
+  this->sentMilliseconds = val;
+__isset.sentMilliseconds = true;
+}
+
+void Datagram::__set_answerToMilliseconds(const int64_t val) {
+  this->answerToMilliseconds = val;
+__isset.answerToMilliseconds = true;
+}
 std::ostream& operator<<(std::ostream& out, const Datagram& obj)
 {
   obj.printTo(out);
@@ -2152,6 +2162,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sentMilliseconds);
+          this->__isset.sentMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->answerToMilliseconds);
+          this->__isset.answerToMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2330,6 +2356,16 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.sentMilliseconds) {
+    xfer += oprot->writeFieldBegin("sentMilliseconds", ::apache::thrift::protocol::T_I64, 23);
+    xfer += oprot->writeI64(this->sentMilliseconds);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.answerToMilliseconds) {
+    xfer += oprot->writeFieldBegin("answerToMilliseconds", ::apache::thrift::protocol::T_I64, 24);
+    xfer += oprot->writeI64(this->answerToMilliseconds);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2359,6 +2395,8 @@
   swap(a.serversDigest, b.serversDigest);
   swap(a.serversAgeMilliseconds, b.serversAgeMilliseconds);
   swap(a.serversQuestion, b.serversQuestion);
+  swap(a.sentMilliseconds, b.sentMilliseconds);
+  swap(a.answerToMilliseconds, b.answerToMilliseconds);
   swap(a.__isset, b.__isset);
 }
 
@@ -2385,6 +2423,8 @@
   serversDigest = other100.serversDigest;
   serversAgeMilliseconds = other100.serversAgeMilliseconds;
   serversQuestion = other100.serversQuestion;
+  sentMilliseconds = other100.sentMilliseconds;
+  answerToMilliseconds = other100.answerToMilliseconds;
   __isset = other100.__isset;
 }
 Datagram::Datagram(Datagram&& other101) noexcept {
@@ -2410,6 +2450,8 @@
   serversDigest = other101.serversDigest;
   serversAgeMilliseconds = other101.serversAgeMilliseconds;
   serversQuestion = std::move(other101.serversQuestion);
+  sentMilliseconds = other101.sentMilliseconds;
+  answerToMilliseconds = other101.answerToMilliseconds;
   __isset = other101.__isset;
 }
 Datagram& Datagram::operator=(const Datagram& other102) {
@@ -2435,6 +2477,8 @@
   serversDigest = other102.serversDigest;
   serversAgeMilliseconds = other102.serversAgeMilliseconds;
   serversQuestion = other102.serversQuestion;
+  sentMilliseconds = other102.sentMilliseconds;
+  answerToMilliseconds = other102.answerToMilliseconds;
   __isset = other102.__isset;
   return *this;
 }
@@ -2461,6 +2505,8 @@
   serversDigest = other103.serversDigest;
   serversAgeMilliseconds = other103.serversAgeMilliseconds;
   serversQuestion = std::move(other103.serversQuestion);
+  sentMilliseconds = other103.sentMilliseconds;
+  answerToMilliseconds = other103.answerToMilliseconds;
   __isset = other103.__isset;
   return *this;
 }
@@ -2489,6 +2535,8 @@
   out << ", " << "serversDigest=" << to_string(serversDigest);
   out << ", " << "serversAgeMilliseconds="; (__isset.serversAgeMilliseconds ? (out << to_string(serversAgeMilliseconds)) : (out << "<null>"));
   out << ", " << "serversQuestion=" << to_string(serversQuestion);
+  out << ", " << "sentMilliseconds="; (__isset.sentMilliseconds ? (out << to_string(sentMilliseconds)) : (out << "<null>"));
+  out << ", " << "answerToMilliseconds="; (__isset.answerToMilliseconds ? (out << to_string(answerToMilliseconds)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libs/peer/gen/peer_types.h
+++ b/src/libs/peer/gen/peer_types.h
@@ -735,7 +735,7 @@
 std::ostream& operator<<(std::ostream& out, const ServerStatement& obj);
 
 typedef struct _Datagram__isset {
-  _Datagram__isset() : kind(false), sequence(false), senderId(false), senderAddress(false), targetId(false), targetAddress(false), updates(false), configurationDigest(false), hostListRevision(false), changes(false), deaths(false), leaving(false), wallMilliseconds(false), counter(false), heirs(false), pathFaults(false), work(false), statements(false), readsStore(false), serversDigest(false), serversAgeMilliseconds(false), serversQuestion(false) {}
+  _Datagram__isset() : kind(false), sequence(false), senderId(false), senderAddress(false), targetId(false), targetAddress(false), updates(false), configurationDigest(false), hostListRevision(false), changes(false), deaths(false), leaving(false), wallMilliseconds(false), counter(false), heirs(false), pathFaults(false), work(false), statements(false), readsStore(false), serversDigest(false), serversAgeMilliseconds(false), serversQuestion(false), sentMilliseconds(false), answerToMilliseconds(false) {}
   bool kind :1;
   bool sequence :1;
   bool senderId :1;
@@ -758,6 +758,8 @@
   bool serversDigest :1;
   bool serversAgeMilliseconds :1;
   bool serversQuestion :1;
+  bool sentMilliseconds :1;
+  bool answerToMilliseconds :1;
 } _Datagram__isset;
 
 class Datagram : public virtual ::apache::thrift::TBase {
@@ -780,7 +782,9 @@
              counter(0),
              readsStore(0),
              serversDigest(0),
-             serversAgeMilliseconds(0) {
+             serversAgeMilliseconds(0),
+             sentMilliseconds(0),
+             answerToMilliseconds(0) {
   }
 
   virtual ~Datagram() noexcept;
@@ -806,6 +810,8 @@
   int64_t serversDigest;
   int32_t serversAgeMilliseconds;
   std::vector<int64_t>  serversQuestion;
+  int64_t sentMilliseconds;
+  int64_t answerToMilliseconds;
 
   _Datagram__isset __isset;
 
@@ -853,6 +859,10 @@
 
   void __set_serversQuestion(const std::vector<int64_t> & val);
 
+  void __set_sentMilliseconds(const int64_t val);
+
+  void __set_answerToMilliseconds(const int64_t val);
+
   bool operator == (const Datagram & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -901,6 +911,14 @@
       return false;
     if (!(serversQuestion == rhs.serversQuestion))
       return false;
+    if (__isset.sentMilliseconds != rhs.__isset.sentMilliseconds)
+      return false;
+    else if (__isset.sentMilliseconds && !(sentMilliseconds == rhs.sentMilliseconds))
+      return false;
+    if (__isset.answerToMilliseconds != rhs.__isset.answerToMilliseconds)
+      return false;
+    else if (__isset.answerToMilliseconds && !(answerToMilliseconds == rhs.answerToMilliseconds))
+      return false;
     return true;
   }
   bool operator != (const Datagram &rhs) const {
--- a/src/libs/peer/peer.thrift
+++ b/src/libs/peer/peer.thrift
@@ -97,6 +97,8 @@
   20: i64 serversDigest
   21: optional i32 serversAgeMilliseconds
   22: list<i64> serversQuestion
+  23: optional i64 sentMilliseconds
+  24: optional i64 answerToMilliseconds
 }
 
 struct FleetCopy {
--- a/src/libs/peer/peer_codec.cpp
+++ b/src/libs/peer/peer_codec.cpp
@@ -90,6 +90,10 @@
         static_cast<std::int32_t>(Message.ServersAge->count()));
   for (std::uint64_t Part : Message.ServersQuestion)
     Wire.serversQuestion.push_back(toWire(Part));
+  if (Message.Sent)
+    Wire.__set_sentMilliseconds(*Message.Sent);
+  if (Message.AnswerTo)
+    Wire.__set_answerToMilliseconds(*Message.AnswerTo);
   Wire.wallMilliseconds = Message.Time.WallMilliseconds;
   Wire.counter = static_cast<std::int32_t>(Message.Time.Counter);
   return pack(FleetSecret, "datagram", Wire);
@@ -122,6 +126,10 @@
     Message.ServersAge = milliseconds(std::max(0, Wire.serversAgeMilliseconds));
   for (std::int64_t Part : Wire.serversQuestion)
     Message.ServersQuestion.push_back(fromWire(Part));
+  if (Wire.__isset.sentMilliseconds)
+    Message.Sent = Wire.sentMilliseconds;
+  if (Wire.__isset.answerToMilliseconds)
+    Message.AnswerTo = Wire.answerToMilliseconds;
   Message.Time = {Wire.wallMilliseconds,
                   static_cast<std::uint32_t>(Wire.counter)};
   return Message;
--- a/src/libs/process/control_message.h
+++ b/src/libs/process/control_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "process/key_hand_over.h"
+#include "process/peer_clocks.h"
 #include "process/server_directory.h"
 #include "process/swim.h"
 #include "process/time_line.h"
@@ -56,6 +57,10 @@
   std::optional<milliseconds> ServersAge;
   /// The sender asks for what it lacks: its digest of the servers by parts.
   std::vector<std::uint64_t> ServersQuestion;
+  /// When the sender wrote this, by its clock.
+  std::optional<steady_stamp> Sent;
+  /// The stamp of the receiver's datagram that this one answers.
+  std::optional<steady_stamp> AnswerTo;
   hybrid_time Time;
 };
 
--- a/tests/auto/peer/peer_samples.h
+++ b/tests/auto/peer/peer_samples.h
@@ -20,6 +20,8 @@
   Message.Changes = {{"s", 6}};
   Message.Deaths = {{"s", 7, "x"}};
   Message.Leaving = {{"s", "y"}};
+  Message.Sent = 10;
+  Message.AnswerTo = -11;
   Message.Time = {8, 9};
   return Message;
 }
