Send no request by what nothing has confirmed for 1.4 s

What callers saw: requests that reached a server later than the users allow after it had said that it leaves, or was removed. Cause: the bound was a sum of delays that were assumed, and what happened beyond them was a note: a control thread that is late several times in a row, a datagram that waits at a link, a kept connection to the store that is silent. Class of fault: what a daemon knows was used without a look at its age. Change: - The age is enforced where it counts: a traffic thread places and sends requests only by what a read of the store has confirmed within 1.4 s (server_freshness:: UseFor). Till then they wait, and are sent as their first attempt. So the bound holds whatever the control thread, datagrams and reads do: 1,400 + 100 (last look to first byte) + 500 (link) = 2,000 ms. - The age is never taken for too low: it counts from the start of an own read, or from the earliest time at which a peer can have written its datagram. - A read that has no answer after 400 ms on a kept connection is made again at once on a fresh one. One that is silent, or fails, on a fresh connection shows that the store serves nobody: daemons then go on by what they know, for 2 s from each such read. Silence counts from what the thread has seen of the sockets, so that a late thread does not take its own delay for it. - A daemon whose thread was late reads sooner, by two turns: one to connect and one to take the answer. - Pauses after failed reads are 0.65 to 1.3 s (1.2 to 2.4 before), so that who hears nobody sees the store's return within 1.9 s, and the grace for entries that lapsed ends 4.4 s after the return at the latest, of the 5 s that the users allow. It counts from the read that succeeded. A line servers_unconfirmed and a metric tell how long requests were held. While the store is silent or refuses for all, no daemon holds requests back.

--- a/src/libs/daemon/outgoing_calls.h
+++ b/src/libs/daemon/outgoing_calls.h
@@ -69,10 +69,18 @@
 
   // The transport reports here.
 
-  bool mayStart(attempt_id) const { return true; }
+  bool mayStart(attempt_id Id) {
+    if constexpr (hears_progress)
+      To.onCallSent(Calls.at(Id).Ended.For);
+    return true;
+  }
 
   std::optional<error_kind> onHead(attempt_id Id, const backend_head &Head) {
-    Calls.at(Id).Ended.Status = Head.Status;
+    ended_call<Purpose> &Ended = Calls.at(Id).Ended;
+    Ended.Status = Head.Status;
+    if constexpr (hears_progress)
+      if (Ended.succeeded())
+        To.onCallAnswering(Ended.For);
     return std::nullopt;
   }
 
@@ -95,6 +103,13 @@
   }
 
 private:
+  /// An owner may want to hear that a call has left, on a connection that is
+  /// there, and that the head of a successful answer has come.
+  static constexpr bool hears_progress = requires(Owner & To, Purpose For) {
+    To.onCallSent(For);
+    To.onCallAnswering(For);
+  };
+
   struct call {
     ended_call<Purpose> Ended;
     std::string Target;
--- a/src/libs/daemon/store_control_thread.h
+++ b/src/libs/daemon/store_control_thread.h
@@ -13,6 +13,7 @@
 #include "process/published.h"
 #include "process/store_control_state.h"
 
+#include <atomic>
 #include <functional>
 #include <optional>
 #include <string>
@@ -54,12 +55,14 @@
                        datagram_socket Socket, endpoint_text Store,
                        std::string FleetSecret, store_control_state State,
                        process_metrics &Metrics,
-                       published<fleet_version> &Versions, Traffic &ToTraffic,
-                       Sink &ToPeers)
+                       published<fleet_version> &Versions,
+                       std::atomic<steady_time> &ServersUsableUntil,
+                       Traffic &ToTraffic, Sink &ToPeers)
       : Poller(std::move(Poller)), Inbox(std::move(Event)),
         Socket(std::move(Socket)), Store(std::move(Store)),
         State(std::move(State)), Metrics(Metrics), Versions(Versions),
-        ToTraffic(ToTraffic), ToPeers(ToPeers), Codec(std::move(FleetSecret)),
+        ServersUsableUntil(ServersUsableUntil), ToTraffic(ToTraffic),
+        ToPeers(ToPeers), Codec(std::move(FleetSecret)),
         Calls(this->Poller, *this, MostAnswerBytes) {
     this->Poller.watch(Inbox.descriptor(), true, false);
     this->Poller.watch(this->Socket.descriptor(), true, false);
@@ -78,7 +81,7 @@
 
   void onReady(const ready_descriptor &Ready, steady_time Now) {
     if (Ready.Descriptor == Socket.descriptor())
-      readDatagrams(Now);
+      readDatagrams();
     else if (Ready.Descriptor == Inbox.descriptor())
       readInbox(Now);
     else
@@ -94,6 +97,7 @@
     if (Now < Due)
       return;
     Lag.noteWake(Due, Now);
+    State.noteLate(std::chrono::duration_cast<milliseconds>(Now - Due), Now);
     store_control_actions Actions;
     State.tick(Now, Actions);
     perform(Actions);
@@ -106,6 +110,16 @@
 
   bool finished() const { return Finished; }
 
+  /// A call has left, or its answer begins.
+  template <typename Purpose> void onCallSent(const Purpose &For) {
+    if (auto Topic = topicRead(For))
+      State.onCallSent(*Topic, steadyNow());
+  }
+  template <typename Purpose> void onCallAnswering(const Purpose &For) {
+    if (auto Topic = topicRead(For))
+      State.onCallAnswering(*Topic, steadyNow());
+  }
+
   /// A call has ended.
   template <typename Purpose>
   void onCallEnded(const ended_call<Purpose> &Call) {
@@ -121,16 +135,24 @@
       std::variant<list_newest, read_records, put_record, fetch_copy>;
   using finished_call = ended_call<call_purpose>;
 
-  /// A call that waits for nothing is answered within this time, or its
-  /// connection is given up: the slowest store of the users' days takes a
-  /// third of a second.
+  /// A call that waits for nothing has its whole answer within this time, or
+  /// its connection is given up. Reads that get no answer at all are given up
+  /// sooner, by the control state.
   static constexpr milliseconds CallTimeout{1'000};
   static constexpr std::size_t MostDatagramsAtOnce = 256;
   /// A page of the store has a megabyte at most; a peer's copy, a record of
   /// the configuration and all servers.
   static constexpr std::size_t MostAnswerBytes = std::size_t{8} * 1024 * 1024;
 
-  void readDatagrams(steady_time Now) {
+  static std::optional<store_topic> topicRead(const call_purpose &For) {
+    if (const auto *List = std::get_if<list_newest>(&For))
+      return List->Topic;
+    if (const auto *Read = std::get_if<read_records>(&For))
+      return Read->Topic;
+    return std::nullopt;
+  }
+
+  void readDatagrams() {
     store_control_actions Actions;
     std::size_t Count = 0;
     for (; Count < MostDatagramsAtOnce; ++Count) {
@@ -144,7 +166,9 @@
             if (Message.ReadsStore)
               Lag.noteAge(milliseconds(wallNow().time_since_epoch().count() -
                                        Message.Time.WallMilliseconds));
-            State.onDatagram(Message, Now, Actions);
+            // An answer's stamp has to be later than what it answers, which
+            // may have come while earlier datagrams were taken.
+            State.onDatagram(Message, steadyNow(), Actions);
             return {};
           },
           [&](const failure &Failure) {
@@ -204,6 +228,23 @@
   void perform(store_control_actions &Actions) {
     for (store_control_action &Action : Actions)
       std::visit([&](auto &Part) { act(Part); }, Action);
+    moveUseOn(steadyNow());
+  }
+
+  /// Requests may be sent by what was published for that long. Comes after the
+  /// version that it is of.
+  void moveUseOn(steady_time Now) {
+    steady_time Until = State.serversUsableUntil();
+    steady_time Before = ServersUsableUntil.exchange(Until);
+    if (Before >= Now || Until <= Now || Before == steady_time{})
+      return;
+    auto Held = std::chrono::ceil<milliseconds>(Now - Before);
+    UseHeld += Held;
+    event_line("servers_unconfirmed", event_level::Warning)
+        .with("held_ms", Held.count());
+    Metrics.setGauge("servers_unconfirmed_milliseconds_total",
+                     static_cast<double>(UseHeld.count()));
+    ToTraffic.tellAll(servers_confirmed{});
   }
 
   void act(const send_datagram &Send) {
@@ -261,8 +302,7 @@
     std::visit(
         [&](auto &Made) {
           Calls.start(std::move(Made), Store, Encoded.Method, Encoded.Target,
-                      std::move(Encoded.Body), connection_choice::Reuse,
-                      Timeout);
+                      std::move(Encoded.Body), Start.Connection, Timeout);
         },
         Start.Call);
   }
@@ -409,6 +449,8 @@
   store_control_state State;
   process_metrics &Metrics;
   published<fleet_version> &Versions;
+  /// Until when requests may be sent by the version that is published.
+  std::atomic<steady_time> &ServersUsableUntil;
   Traffic &ToTraffic;
   Sink &ToPeers;
   peer_codec Codec;
@@ -416,6 +458,8 @@
   control_lag Lag;
   steady_time LastTurn = steadyNow();
   std::uint64_t StoreCalls = 0;
+  /// How long requests were held back, as nothing confirmed what is known.
+  milliseconds UseHeld{0};
   std::optional<request_limits> Limits;
   std::function<void(const request_limits &)> OnLimits;
   std::uint64_t BytesSent = 0;
--- a/src/libs/daemon/store_daemon.h
+++ b/src/libs/daemon/store_daemon.h
@@ -353,6 +353,7 @@
     Traffics.Retries = Settings.Retries;
     Traffics.MostBufferedBytes = Settings.MostBufferedBytes;
     Traffics.Versions = &Versions;
+    Traffics.ServersUsableUntil = &ServersUsableUntil;
     Traffic.add(std::make_unique<traffic_of_store>(
         std::move(Poller), std::move(Event), std::move(Traffics),
         RequestAnswers, Notices, Metrics));
@@ -371,7 +372,7 @@
     Control = std::make_unique<control>(
         std::move(Poller), std::move(Event), std::move(Socket), Settings.Store,
         Settings.FleetSecret, store_control_state(std::move(Controls)), Metrics,
-        Versions, Traffic, PeerAnswers);
+        Versions, ServersUsableUntil, Traffic, PeerAnswers);
     PeerQuestions.open([this](copy_question Question) {
       Control->post(store_control_message(Question));
     });
@@ -401,6 +402,8 @@
   proxy_member Self;
   process_metrics Metrics;
   published<fleet_version> Versions;
+  /// Until when requests may be sent to backend servers by what is published.
+  std::atomic<steady_time> ServersUsableUntil;
   memory_budget Memory;
   answer_route RequestAnswers;
   answer_route ReadyAnswers;
--- a/src/libs/process/server_directory.h
+++ b/src/libs/process/server_directory.h
@@ -85,8 +85,8 @@
   void onStoreAway() { StoreAway = true; }
   void onStoreBack() { StoreAway = false; }
   /// Nobody could read the store for so long that registrations may have
-  /// lapsed.
-  void beginGrace(steady_time Now) { GraceEnd = Now + ReturnGrace; }
+  /// lapsed; it answers again, as of \p Return.
+  void beginGrace(steady_time Return) { GraceEnd = Return + ReturnGrace; }
 
   /// Ends the grace of entries that did not come back. Returns whether any
   /// server has gone.
--- a/src/libs/process/store_control_state.cpp
+++ b/src/libs/process/store_control_state.cpp
@@ -110,8 +110,9 @@
     if (&Follower == &ServersFollower && Listing &&
         std::get<list_newest>(*Call).After.empty())
       Directory.beginListing();
-    Out.emplace_back(start_store_call{std::move(*Call)});
+    Out.emplace_back(start_store_call{std::move(*Call), Follower.connection()});
   };
+  endSilentCalls(Now, Out);
   if (Now >= readsConfigurationFrom())
     StartDue(ConfigurationFollower);
   if (auto Source = Seeker.next(completeVersion(), Now))
@@ -121,6 +122,9 @@
         Now > ServersFollower.lastAnswer() + LongestGap &&
         !ServersFollower.failing())
       ServersFollower.restart(Now);
+    // Where few reads come, nothing tells whether a kept connection is silent.
+    if (!isReader())
+      ServersFollower.useFreshConnection();
     StartDue(ServersFollower);
   }
   // Of two that start together, the one that registers last finds the other.
@@ -142,10 +146,13 @@
       Next = std::min(Next, *At);
   };
   if (auto Due = ConfigurationFollower.nextWake())
-    Consider(std::max(*Due, readsConfigurationFrom()));
+    Consider(ConfigurationFollower.callOut()
+                 ? *Due
+                 : std::max(*Due, readsConfigurationFrom()));
   Consider(Seeker.nextWake(completeVersion()));
   if (auto Due = ServersFollower.nextWake())
-    Consider(std::max(*Due, readsServersFrom()));
+    Consider(ServersFollower.callOut() ? *Due
+                                       : std::max(*Due, readsServersFrom()));
   if (Registered)
     Consider(MembersFollower.nextWake());
   else if (!PutOut)
@@ -284,7 +291,7 @@
     }
     noteStore(true, Now, Out);
     if (auto AsOf = Follower.completeAsOf())
-      confirmServers(*AsOf, Now);
+      confirmServers(*AsOf);
     Directory.expire(Now);
     logServerChanges("store");
     tellServers(Now, Out);
@@ -316,10 +323,41 @@
 
 void store_control_state::onCallFailed(store_topic Topic, steady_time Now,
                                        store_control_actions &Out) {
-  follower(Topic).onFailure(Now, isReader() ? topic_follower::EagerBackOff
-                                            : topic_follower::RelaxedBackOff);
-  if (Topic == store_topic::BackendServers)
-    noteStore(false, Now, Out);
+  bool Shown = follower(Topic).onFailure(
+      Now, isReader() ? topic_follower::EagerBackOff
+                      : topic_follower::RelaxedBackOff);
+  if (Topic != store_topic::BackendServers || !Shown)
+    return;
+  Freshness.onStoreSilent(Now);
+  noteStore(false, Now, Out);
+}
+
+void store_control_state::onCallSent(store_topic Topic, steady_time Now) {
+  follower(Topic).onSent(Now);
+}
+
+void store_control_state::onCallAnswering(store_topic Topic, steady_time Now) {
+  follower(Topic).onAnswering(Now);
+}
+
+void store_control_state::endSilentCalls(steady_time Now,
+                                         store_control_actions &Out) {
+  for (store_topic Topic : {store_topic::Configuration,
+                            store_topic::BackendServers, store_topic::Members})
+    switch (follower(Topic).takeSilence(Now)) {
+    case call_silence::None:
+      break;
+    case call_silence::Noticed:
+      if (Topic == store_topic::BackendServers)
+        Freshness.onStoreSilent(Now);
+      break;
+    case call_silence::Lost:
+      event_line("store_silent", event_level::Warning)
+          .with("topic", topicName(Topic));
+      Out.emplace_back(abandon_store_calls{Topic});
+      onCallFailed(Topic, Now, Out);
+      break;
+    }
 }
 
 void store_control_state::onPut(bool Succeeded, steady_time Now) {
@@ -333,7 +371,7 @@
                                      store_control_actions &Out) {
   std::vector<outgoing_gossip> Gossip;
   Members.receive(Message.Gossip, Now, Gossip);
-  sendGossip(Gossip, Now, Out);
+  sendGossip(Gossip, Now, Out, &Message);
   if (Message.Digest.Configuration > completeVersion()) {
     auto Sender = std::ranges::find(PublishedMembers, Message.Gossip.SenderId,
                                     &proxy_member::Id);
@@ -342,7 +380,7 @@
     if (isReader())
       hurryConfiguration(Now, Out);
   }
-  learnServers(Message, Now);
+  learnServers(Message, Now, Out);
   answerQuestion(Message, Now, Out);
   for (const work_report &Report : Message.Work)
     Out.emplace_back(
@@ -352,8 +390,31 @@
   publishIfChanged(Now, Out);
 }
 
+std::optional<steady_time>
+store_control_state::confirmedAsOf(const peer_message &Message,
+                                   steady_time Now) {
+  if (!Message.ServersAge || !Message.Sent)
+    return std::nullopt;
+  const std::string &Sender = Message.Gossip.SenderId;
+  if (Message.AnswerTo)
+    Clocks.onAnswer(Sender, *Message.AnswerTo, *Message.Sent, Now);
+  auto Sent = Clocks.sentAt(Sender, *Message.Sent, Now);
+  return Sent ? std::optional(*Sent - *Message.ServersAge) : std::nullopt;
+}
+
+void store_control_state::askClockOf(const gossip_message &Member,
+                                     steady_time Now,
+                                     store_control_actions &Out) {
+  if (!Clocks.takeQuestion(Member.SenderId, Now))
+    return;
+  std::vector<outgoing_gossip> Gossip;
+  Members.meet(std::span(&Member.SenderAddress, 1), Gossip);
+  sendGossip(Gossip, Now, Out);
+}
+
 void store_control_state::learnServers(const peer_message &Message,
-                                       steady_time Now) {
+                                       steady_time Now,
+                                       store_control_actions &Out) {
   if (Message.ReadsStore)
     LastReaderNews = Now;
   for (const server_statement &Statement : Message.Statements)
@@ -362,20 +423,22 @@
   // Only readers pass on what they hear.
   if (!isReader())
     Directory.takeStatements();
+  if (Message.ReadsStore)
+    askClockOf(Message.Gossip, Now, Out);
+  auto AsOf = confirmedAsOf(Message, Now);
   if (!ServersKnown || !Message.ServersAge)
     return;
-  steady_time AsOf = Now - *Message.ServersAge;
-  if (Message.ServersDigest == Directory.digest())
-    confirmServers(AsOf, Now);
-  else
-    Freshness.onDifference(Message.Gossip.SenderId, Message.ServersDigest, AsOf,
-                           Now);
+  if (Message.ServersDigest != Directory.digest())
+    Freshness.onDifference(Message.Gossip.SenderId, Message.ServersDigest,
+                           AsOf.value_or(Now - *Message.ServersAge), Now);
+  else if (AsOf)
+    confirmServers(*AsOf);
 }
 
-void store_control_state::confirmServers(steady_time AsOf, steady_time Now) {
+void store_control_state::confirmServers(steady_time AsOf) {
   auto Before = Freshness.confirmedAt();
   if (Before && AsOf - *Before >= Settings.RegistrationInterval)
-    Directory.beginGrace(Now);
+    Directory.beginGrace(AsOf);
   Freshness.confirm(AsOf);
 }
 
@@ -424,8 +487,11 @@
   std::vector<server_statement> Differing =
       Directory.statementsThatDiffer(Message.ServersQuestion, Now);
   Answers += 1 + Differing.size() / StatementsPerDatagram;
-  if (Answers <= MostAnswers)
-    sendStatements(Differing, {Message.Gossip.SenderAddress}, false, Now, Out);
+  if (Answers > MostAnswers)
+    return;
+  peer_message Frame;
+  Frame.AnswerTo = Message.Sent;
+  sendStatements(Differing, {Message.Gossip.SenderAddress}, Frame, Now, Out);
 }
 
 std::optional<milliseconds>
@@ -458,20 +524,21 @@
       Repeats.next(Directory.takeStatements(), Now);
   if (!isReader())
     return;
-  sendStatements(Statements, peersThatMayLive(), true, Now, Out);
+  peer_message Frame;
+  Frame.ReadsStore = true;
+  sendStatements(Statements, peersThatMayLive(), Frame, Now, Out);
 }
 
 void store_control_state::sendStatements(
     std::span<const server_statement> Statements,
-    const std::vector<endpoint_text> &To, bool ReadsStore, steady_time Now,
-    store_control_actions &Out) const {
+    const std::vector<endpoint_text> &To, const peer_message &Frame,
+    steady_time Now, store_control_actions &Out) const {
   do {
     auto Part =
         Statements.first(std::min(Statements.size(), StatementsPerDatagram));
     Statements = Statements.subspan(Part.size());
-    peer_message Message;
+    peer_message Message = Frame;
     Message.Statements.assign(Part.begin(), Part.end());
-    Message.ReadsStore = ReadsStore;
     sendNews(std::move(Message), To, Now, Out);
   } while (!Statements.empty());
 }
@@ -534,14 +601,20 @@
   Message.Digest.Configuration = version();
   Message.ServersDigest = Directory.digest();
   Message.ServersAge = serversAge(Now);
+  Message.Sent = stampOf(Now);
 }
 
 void store_control_state::sendGossip(std::vector<outgoing_gossip> &Gossip,
                                      steady_time Now,
-                                     store_control_actions &Out) const {
+                                     store_control_actions &Out,
+                                     const peer_message *Received) const {
   for (outgoing_gossip &Each : Gossip) {
     peer_message Message;
     Message.Gossip = std::move(Each.Message);
+    if (Received && Received->Gossip.Kind == gossip_kind::Ping &&
+        Message.Gossip.Kind == gossip_kind::Ack &&
+        Each.To == Received->Gossip.SenderAddress)
+      Message.AnswerTo = Received->Sent;
     addDigests(Message, Now);
     Out.emplace_back(send_datagram{std::move(Each.To), std::move(Message)});
   }
--- a/src/libs/process/store_control_state.h
+++ b/src/libs/process/store_control_state.h
@@ -4,6 +4,7 @@
 #include "process/copy_seeker.h"
 #include "process/keyed_store.h"
 #include "process/leaving_repeats.h"
+#include "process/peer_clocks.h"
 #include "process/server_directory.h"
 #include "process/server_freshness.h"
 #include "process/swim.h"
@@ -28,6 +29,7 @@
 /// A call to the store is to be made; its end is to be told.
 struct start_store_call {
   store_call Call;
+  connection_choice Connection = connection_choice::Reuse;
 };
 /// A peer is to be asked for a copy of what it knows; the end is to be told.
 struct fetch_copy {
@@ -78,6 +80,10 @@
 
   void tick(steady_time Now, store_control_actions &Out);
   steady_time nextWake() const;
+  /// The thread has woken that long after it was to.
+  void noteLate(milliseconds By, steady_time Now) {
+    Freshness.noteLate(By, Now);
+  }
 
   // What the store has told, in the order of the records of a page. onPage
   // comes after all records of the page.
@@ -95,6 +101,10 @@
   void onForgotten(store_topic Topic, steady_time Now);
   void onCallFailed(store_topic Topic, steady_time Now,
                     store_control_actions &Out);
+  /// A call that reads a topic has left on its connection; the head of a
+  /// successful answer is there.
+  void onCallSent(store_topic Topic, steady_time Now);
+  void onCallAnswering(store_topic Topic, steady_time Now);
   void onPut(bool Succeeded, steady_time Now);
 
   /// What this daemon knows, for a peer that lacks it; nothing until it is
@@ -126,6 +136,8 @@
   /// How long ago what is known of the backend servers was confirmed; nothing
   /// before.
   std::optional<milliseconds> serversAge(steady_time Now) const;
+  /// Until when requests may be sent to backend servers by what was published.
+  steady_time serversUsableUntil() const { return Freshness.usableUntil(); }
   /// How many changes among the backend servers became known so far, by what
   /// has told them: the store, a peer, a peer's copy, or the end of a grace.
   const std::map<std::string, std::uint64_t, std::less<>> &
@@ -176,9 +188,19 @@
   /// The version beyond which copies are of use.
   std::uint64_t completeVersion() const { return ready() ? version() : 0; }
   void hurryConfiguration(steady_time Now, store_control_actions &Out);
-  void learnServers(const peer_message &Message, steady_time Now);
+  void learnServers(const peer_message &Message, steady_time Now,
+                    store_control_actions &Out);
+  /// As of when, at least, the sender knew what the message says; nothing where
+  /// that can't be told.
+  std::optional<steady_time> confirmedAsOf(const peer_message &Message,
+                                           steady_time Now);
+  /// Measures how a member's clock stands, if that is due.
+  void askClockOf(const gossip_message &Member, steady_time Now,
+                  store_control_actions &Out);
+  /// Gives up calls that get no answer.
+  void endSilentCalls(steady_time Now, store_control_actions &Out);
   /// What is known of the servers holds at \p AsOf.
-  void confirmServers(steady_time AsOf, steady_time Now);
+  void confirmServers(steady_time AsOf);
   /// Asks peers where what is known of the servers differs or is old.
   void askForServers(steady_time Now, store_control_actions &Out);
   void askMember(std::string_view Id, steady_time Now,
@@ -186,10 +208,12 @@
   /// Tells the sender what it lacks, if it asks.
   void answerQuestion(const peer_message &Message, steady_time Now,
                       store_control_actions &Out);
-  /// Sends statements in as many datagrams as they take, in one at least.
+  /// Sends statements in as many datagrams as they take, in one at least;
+  /// \p Frame is what each of them says beside.
   void sendStatements(std::span<const server_statement> Statements,
-                      const std::vector<endpoint_text> &To, bool ReadsStore,
-                      steady_time Now, store_control_actions &Out) const;
+                      const std::vector<endpoint_text> &To,
+                      const peer_message &Frame, steady_time Now,
+                      store_control_actions &Out) const;
   /// Somebody who may know better, a reader rather than another member.
   std::optional<std::string> nextToAsk();
   /// Writes what has become known of the servers, and who has told it.
@@ -197,8 +221,10 @@
   void tellServers(steady_time Now, store_control_actions &Out);
   void suggestLostMember(steady_time Now);
   void meetListedMembers(steady_time Now, store_control_actions &Out);
+  /// \p Received is the datagram that it follows from, if it does.
   void sendGossip(std::vector<outgoing_gossip> &Gossip, steady_time Now,
-                  store_control_actions &Out) const;
+                  store_control_actions &Out,
+                  const peer_message *Received = nullptr) const;
   void sendNews(peer_message Message, std::vector<endpoint_text> To,
                 steady_time Now, store_control_actions &Out) const;
   /// What each datagram says of what its sender knows.
@@ -220,6 +246,7 @@
   topic_follower MembersFollower;
   server_directory Directory;
   server_freshness Freshness;
+  peer_clocks Clocks;
   leaving_repeats Repeats;
   std::optional<published_configuration> Configuration;
   /// Its record's value.
--- a/src/libs/process/topic_follower.cpp
+++ b/src/libs/process/topic_follower.cpp
@@ -9,7 +9,9 @@
   if (CallOut || Now < Due)
     return std::nullopt;
   CallOut = true;
-  CallStarted = Now;
+  CallStarted = Progress = Now;
+  Answering = SilenceNoticed = false;
+  Used = Next;
   if (!Position) {
     if (After.empty())
       ListingStarted = Now;
@@ -18,6 +20,22 @@
   return read_records{Topic, *Position, Terms.Wait};
 }
 
+void topic_follower::onAnswering(steady_time Now) {
+  Answering = true;
+  Next = Now < Progress + Terms.Wait + AnswerTime ? connection_choice::Reuse
+                                                  : connection_choice::Fresh;
+}
+
+call_silence topic_follower::takeSilence(steady_time Now) {
+  if (!CallOut || Answering || Now < Progress + Terms.Wait + AnswerTime)
+    return call_silence::None;
+  if (Used == connection_choice::Reuse ||
+      Now >= Progress + Terms.Wait + SilenceTime)
+    return call_silence::Lost;
+  return std::exchange(SilenceNoticed, true) ? call_silence::None
+                                             : call_silence::Noticed;
+}
+
 void topic_follower::onPage(const keyed_page &Page, steady_time Now) {
   CallOut = false;
   EndedListing = false;
@@ -62,8 +80,13 @@
   Due = Now;
 }
 
-void topic_follower::onFailure(steady_time Now, const back_off &Pauses) {
+bool topic_follower::onFailure(steady_time Now, const back_off &Pauses) {
   CallOut = false;
+  Next = connection_choice::Fresh;
+  if (Used == connection_choice::Reuse && !Answering) {
+    Due = Now;
+    return false;
+  }
   constexpr std::size_t MostDoublings = 6;
   milliseconds BackOff = std::min(
       Pauses.Longest, Pauses.First * (1 << std::min(Failures, MostDoublings)));
@@ -71,6 +94,7 @@
   std::uniform_int_distribution<std::int64_t> Spread(BackOff.count() / 2,
                                                      BackOff.count());
   Due = Now + milliseconds(Spread(Random));
+  return !Answering && Now < Progress + Terms.Wait + 2 * SilenceTime;
 }
 
 bool topic_follower::hurry(steady_time Now) {
@@ -79,7 +103,11 @@
 }
 
 std::optional<steady_time> topic_follower::nextWake() const {
-  return CallOut ? std::nullopt : std::optional(Due);
+  if (!CallOut)
+    return Due;
+  if (Answering)
+    return std::nullopt;
+  return Progress + Terms.Wait + (SilenceNoticed ? SilenceTime : AnswerTime);
 }
 
 } // namespace endiverail
--- a/src/libs/process/topic_follower.h
+++ b/src/libs/process/topic_follower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection/backend_connection.h"
 #include "process/keyed_store.h"
 
 #include <cstdint>
@@ -25,6 +26,15 @@
   milliseconds Longest{0};
 };
 
+/// What is to be made of a call's silence.
+enum class call_silence {
+  None,
+  /// The store does not answer; the call may still be answered.
+  Noticed,
+  /// The call is to be given up, as one that has failed.
+  Lost,
+};
+
 /// Follows one topic of the store: lists the newest records once, then reads on
 /// from where the listing ended, and lists again when the store has deleted
 /// records that were not read yet. One call is out at a time.
@@ -34,8 +44,13 @@
   static constexpr back_off EagerBackOff{milliseconds(100), milliseconds(800)};
   /// Of a daemon that hears the news from others: while the store is away, all
   /// daemons try, and each refused call is charged.
-  static constexpr back_off RelaxedBackOff{milliseconds(1'200),
-                                           milliseconds(2'400)};
+  static constexpr back_off RelaxedBackOff{milliseconds(650),
+                                           milliseconds(1'300)};
+  /// From a call, and what the store may hold it, to the first byte of its
+  /// answer. A store that is slow has that time, too.
+  static constexpr milliseconds AnswerTime{400};
+  /// A call without a byte of an answer is given up then.
+  static constexpr milliseconds SilenceTime{600};
 
   topic_follower(store_topic Topic, follow_terms Terms, std::uint64_t Seed)
       : Topic(Topic), Terms(Terms), Random(Seed) {}
@@ -43,12 +58,27 @@
   /// The call that is due, if there is one. Its end has to be told.
   std::optional<store_call> next(steady_time Now);
 
+  /// What the call that is out goes on: a connection that was kept may have
+  /// gone silent, so that only an answer in time makes it worth keeping.
+  connection_choice connection() const { return Used; }
+  /// The next call is to go on a connection of its own.
+  void useFreshConnection() { Next = connection_choice::Fresh; }
+
+  /// The call has left, on its connection.
+  void onSent(steady_time Now) { Progress = Now; }
+  /// The head of a successful answer is there.
+  void onAnswering(steady_time Now);
+  /// What the call's silence says by now; Noticed once for a call.
+  call_silence takeSilence(steady_time Now);
+
   /// The call has brought a page.
   void onPage(const keyed_page &Page, steady_time Now);
   /// The store has deleted records that were not read.
   void onForgotten(steady_time Now);
-  /// The call has failed, or its answer makes no sense.
-  void onFailure(steady_time Now, const back_off &Pauses = EagerBackOff);
+  /// The call has failed, or its answer makes no sense. Returns whether that
+  /// shows that the store serves nobody: a kept connection may have failed by
+  /// itself, and what a late thread takes for a time-out may be its own delay.
+  bool onFailure(steady_time Now, const back_off &Pauses = EagerBackOff);
 
   /// Reads at once, as somebody knows more. Returns whether a call is out that
   /// has to be abandoned for it.
@@ -69,6 +99,8 @@
   bool failing() const { return Failures > 0; }
   /// Offset of the next record to read; nothing before a listing has ended.
   std::optional<std::uint64_t> position() const { return Position; }
+  bool callOut() const { return CallOut; }
+  /// When a call is due, or the silence of the one that is out says something.
   std::optional<steady_time> nextWake() const;
 
 private:
@@ -81,6 +113,12 @@
   std::optional<std::uint64_t> ListedFrom;
   std::string After;
   bool CallOut = false;
+  connection_choice Used = connection_choice::Fresh;
+  connection_choice Next = connection_choice::Fresh;
+  /// When the call that is out was last seen to move on.
+  steady_time Progress;
+  bool Answering = false;
+  bool SilenceNoticed = false;
   bool EndedListing = false;
   std::size_t Failures = 0;
   steady_time Due;
--- a/src/libs/process/traffic_message.h
+++ b/src/libs/process/traffic_message.h
@@ -34,6 +34,9 @@
   /// When it was handed over; unset where nobody looks at the delay.
   std::optional<steady_time> Published{};
 };
+/// What is known of the backend servers may be used again, after a time in
+/// which nothing had confirmed it.
+struct servers_confirmed {};
 /// The fleet has decided to eject a backend server or to take it back.
 struct ejection_changed {
   std::string Service;
@@ -73,8 +76,9 @@
 /// What a traffic thread is told.
 using traffic_message =
     std::variant<run_request, answer_written, caller_gone, version_changed,
-                 ejection_changed, server_death, inherited_keys, peer_work,
-                 retries_changed, answer_remaining, finish_traffic>;
+                 servers_confirmed, ejection_changed, server_death,
+                 inherited_keys, peer_work, retries_changed, answer_remaining,
+                 finish_traffic>;
 
 /// An owner has evidence for, or against, a backend server.
 struct ejection_wish {
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -23,6 +23,7 @@
 #include "version/peer_choice.h"
 
 #include <algorithm>
+#include <atomic>
 #include <cstdint>
 #include <iterator>
 #include <map>
@@ -52,6 +53,9 @@
   /// server before a request is sent to it; none where versions come by message
   /// only. Outlives the thread.
   const published<fleet_version> *Versions = nullptr;
+  /// Until when requests may be sent to backend servers by the version that was
+  /// handed over; none where versions don't age. Outlives the thread.
+  const std::atomic<steady_time> *ServersUsableUntil = nullptr;
 };
 
 /// Runs the requests of the services that belong to it. One thread owns it;
@@ -138,12 +142,9 @@
     if (!Settings.Versions || !Active ||
         Active->Attempt->Target.Route != attempt_route::Slot)
       return true;
-    fleet_version_ref Latest = Settings.Versions->load();
-    auto Pool = Latest->View.pool(Active->Request.Service->Definition.Pool);
-    return std::ranges::any_of(Pool, [&](const backend_server &Server) {
-      return Server.Address == Active->Attempt->Target.Server &&
-             Server.State != server_state::Leaving;
-    });
+    // In this order: a version is handed over before its use is moved on.
+    return !serversUnconfirmed(Clock.now()) &&
+           isUsable(*Active, Active->Attempt->Target.Server);
   }
 
   std::optional<error_kind> onHead(attempt_id Id, backend_head Head) {
@@ -201,6 +202,22 @@
 private:
   static constexpr int FirstServerError = 500;
 
+  /// Whether nothing has confirmed for too long what is known of the backend
+  /// servers: one of them may have left since.
+  bool serversUnconfirmed(steady_time Now) const {
+    return Settings.ServersUsableUntil &&
+           Now >= Settings.ServersUsableUntil->load();
+  }
+
+  /// Whether a server takes requests by the latest version.
+  bool isUsable(const active_request &Active, std::string_view Server) const {
+    fleet_version_ref Latest = Settings.Versions->load();
+    auto Pool = Latest->View.pool(Active.Request.Service->Definition.Pool);
+    return std::ranges::any_of(Pool, [&](const backend_server &Each) {
+      return Each.Address == Server && Each.State != server_state::Leaving;
+    });
+  }
+
   std::size_t mostUnwritten() const {
     return MostUnwritten + Settings.MostBufferedBytes;
   }
@@ -291,6 +308,11 @@
     }
   }
 
+  void take(servers_confirmed &, steady_time Now) {
+    for (const std::string &Name : Services | std::views::keys)
+      startNext(Name, Now);
+  }
+
   void take([[maybe_unused]] ejection_changed &Change,
             [[maybe_unused]] steady_time Now) {
     if constexpr (ejecting_scheduler<Policy>) {
@@ -550,7 +572,10 @@
                   "no slot came free in time", Now);
     if constexpr (ejecting_scheduler<Policy>)
       askOpinion(Found->second, Now);
-    while (auto Assignment = Scheduler.next(Now))
+    auto Next = [&] {
+      return serversUnconfirmed(Now) ? std::nullopt : Scheduler.next(Now);
+    };
+    while (auto Assignment = Next())
       startAttempt(Requests.at(Assignment->Request),
                    {Assignment->Server, attempt_route::Slot, "",
                     std::move(Assignment->Instance), Assignment->Doubt,
@@ -901,7 +926,9 @@
     state &State = stateOf(Active);
     Deaths.onEnd(Attempt.Target.Server, Attempt.Id);
     releaseSlot(Active, Attempt, Now);
-    State.Scheduler.markLeaving(Attempt.Target.Server, Now);
+    bool Leaving = !isUsable(Active, Attempt.Target.Server);
+    if (Leaving)
+      State.Scheduler.markLeaving(Attempt.Target.Server, Now);
     --Active.Attempts;
     if (Active.CallerGone) {
       if (Active.HoldsKey)
@@ -909,7 +936,8 @@
       drop(Active);
       return;
     }
-    Active.Failed.push_back(Attempt.Target.Server);
+    if (Leaving)
+      Active.Failed.push_back(Attempt.Target.Server);
     std::string Name = Active.Request.Service->Definition.Name;
     request_id Id = Active.Request.Id;
     State.Scheduler.resubmit(waiting(Active, State), Now);
--- a/tests/auto/process/store_fleet.h
+++ b/tests/auto/process/store_fleet.h
@@ -37,7 +37,7 @@
                      address(Index) + "0"};
     Settings.Seeds = {address(0)};
     Settings.Seed = Index + 1;
-    Daemons.emplace_back(store_control_state(Settings));
+    Daemons.emplace_back(store_control_state(Settings)).LastTurn = Now;
     Indices[address(Index)] = Index;
   }
 
@@ -54,9 +54,14 @@
         if (Daemons[Index].Paused || !takesTurn(Index))
           continue;
         endUnanswered(Index);
-        if (Now >= Daemons[Index].State.nextWake()) {
+        daemon &Daemon = Daemons[Index];
+        steady_time Due = std::max(Daemon.State.nextWake(),
+                                   std::exchange(Daemon.LastTurn, Now));
+        if (Now >= Due) {
+          Daemon.State.noteLate(
+              std::chrono::duration_cast<milliseconds>(Now - Due), Now);
           store_control_actions Actions;
-          Daemons[Index].State.tick(Now, Actions);
+          Daemon.State.tick(Now, Actions);
           perform(Index, Actions);
         }
         endWaiting(Index);
@@ -74,10 +79,12 @@
     store_topic Topic = Daemon.Waiting->Topic;
     Daemon.Waiting.reset();
     store_control_actions Actions;
-    if (std::exchange(Daemon.Hangs, false) || !Daemon.Reaches)
+    if (std::exchange(Daemon.Hangs, false) || !Daemon.Reaches) {
       Daemon.State.onCallFailed(Topic, Now, Actions);
-    else
+    } else {
+      noteAnswering(Index, Topic);
       Daemon.State.onPage(Topic, {{}, false, ConfigurationEnd}, Now, Actions);
+    }
     perform(Index, Actions);
   }
 
@@ -135,10 +142,15 @@
     return serversAt(Index, server_state::Live);
   }
 
+  /// Whether requests at a daemon may be sent to any server.
+  bool sendsRequests(std::size_t Index) const {
+    return Now < Daemons[Index].State.serversUsableUntil();
+  }
+
   /// Whether requests at a daemon may be sent to a server.
   bool mayGetWork(std::size_t Index, std::string_view Server) const {
     const auto &Version = Daemons[Index].Version;
-    return Version &&
+    return Version && sendsRequests(Index) &&
            std::ranges::any_of(
                Version->View.Servers, [&](const backend_server &Each) {
                  return Each.Address == std::string(Server) + ":1" &&
@@ -228,9 +240,12 @@
     /// The pause between two turns; 0 for a daemon that is never late.
     milliseconds Starved{0};
     steady_time NextTurn;
+    steady_time LastTurn;
     /// What waits for the next turn.
     std::vector<peer_message> Datagrams;
     std::vector<store_call> Answers;
+    /// Calls that wait for their connections.
+    std::vector<store_call> Connecting;
   };
 
   /// Servers of that state in the version that a daemon has published.
@@ -244,9 +259,9 @@
   void perform(std::size_t Index, store_control_actions &Actions) {
     for (store_control_action &Action : Actions) {
       if (auto *Start = std::get_if<start_store_call>(&Action))
-        answer(Index, Start->Call);
-      if (std::holds_alternative<abandon_store_calls>(Action))
-        Daemons[Index].Waiting.reset();
+        answer(Index, *Start);
+      if (const auto *Abandon = std::get_if<abandon_store_calls>(&Action))
+        abandon(Index, Abandon->Topic);
       if (auto *Fetch = std::get_if<fetch_copy>(&Action))
         handOver(Index, Fetch->From);
       if (auto *Send = std::get_if<send_datagram>(&Action))
@@ -268,18 +283,56 @@
   /// Lets a starved daemon take what has waited, if its turn has come.
   bool takesTurn(std::size_t Index) {
     daemon &Daemon = Daemons[Index];
-    if (Daemon.Starved.count() == 0)
-      return true;
-    if (Now < Daemon.NextTurn)
+    bool Starved = Daemon.Starved.count() > 0;
+    if (Starved && Now < Daemon.NextTurn)
       return false;
     Daemon.NextTurn = Now + Daemon.Starved;
     for (const peer_message &Message : std::exchange(Daemon.Datagrams, {}))
       take(Index, Message);
     for (const store_call &Call : std::exchange(Daemon.Answers, {}))
       answerNow(Index, Call);
+    for (const store_call &Call : std::exchange(Daemon.Connecting, {})) {
+      noteSent(Index, Call);
+      if (Starved)
+        Daemon.Answers.push_back(Call);
+      else
+        answerNow(Index, Call);
+    }
     return true;
   }
 
+  void abandon(std::size_t Index, store_topic Topic) {
+    daemon &Daemon = Daemons[Index];
+    auto Reads = [&](const store_call &Call) {
+      return topicRead(Call) == Topic;
+    };
+    if (Daemon.Waiting && Daemon.Waiting->Topic == Topic) {
+      Daemon.Waiting.reset();
+      Daemon.Hangs = false;
+    }
+    std::erase_if(Daemon.Unanswered,
+                  [&](const auto &Call) { return Call.first == Topic; });
+    std::erase_if(Daemon.Answers, Reads);
+    std::erase_if(Daemon.Connecting, Reads);
+  }
+
+  /// The topic that a call reads, if it reads one.
+  static std::optional<store_topic> topicRead(const store_call &Call) {
+    if (std::holds_alternative<put_record>(Call))
+      return std::nullopt;
+    return std::visit([](const auto &Made) { return Made.Topic; }, Call);
+  }
+
+  void noteSent(std::size_t Index, const store_call &Call) {
+    if (auto Topic = topicRead(Call))
+      Daemons[Index].State.onCallSent(*Topic, Now);
+  }
+
+  void noteAnswering(std::size_t Index, store_topic Topic) {
+    if (Daemons[Index].Reaches)
+      Daemons[Index].State.onCallAnswering(Topic, Now);
+  }
+
   void take(std::size_t Index, const peer_message &Message) {
     store_control_actions Actions;
     Daemons[Index].State.onDatagram(Message, Now, Actions);
@@ -292,8 +345,8 @@
     if (Found == Indices.end() || Found->second >= Daemons.size() ||
         Loses(Found->second) || Daemons[Found->second].Paused)
       return;
-    if (daemon &To = Daemons[Found->second]; To.Delay.count() > 0)
-      To.OnTheWay.emplace_back(Now + To.Delay, Message);
+    if (daemon &Receiver = Daemons[Found->second]; Receiver.Delay.count() > 0)
+      Receiver.OnTheWay.emplace_back(Now + Receiver.Delay, Message);
     else
       arrive(Found->second, Message);
   }
@@ -334,20 +387,20 @@
                                  [](const daemon &Each) { return Each.Calls; });
   }
 
-  void answer(std::size_t Index, const store_call &Call) {
+  void answer(std::size_t Index, const start_store_call &Start) {
     daemon &Daemon = Daemons[Index];
+    const store_call &Call = Start.Call;
+    bool Kept = Start.Connection == connection_choice::Reuse;
+    bool Silent = Daemon.GetsNoAnswer || (Kept && Daemon.KeptConnectionSilent);
     ++Daemon.Calls;
-    bool Silent = Daemon.GetsNoAnswer || Daemon.KeptConnectionSilent;
-    if (Silent && !std::holds_alternative<put_record>(Call)) {
-      store_topic Topic =
-          std::visit([](const auto &Made) { return Made.Topic; }, Call);
-      Daemon.Unanswered.emplace_back(Topic, Now + 1'000ms);
-      return;
-    }
-    if (Daemon.Starved.count() > 0)
+    if (auto Topic = topicRead(Call); Silent && Topic)
+      Daemon.Unanswered.emplace_back(*Topic, Now + 1'000ms);
+    else if (Daemon.Starved.count() == 0)
+      answerNow(Index, Call);
+    else if (Kept)
       Daemon.Answers.push_back(Call);
     else
-      answerNow(Index, Call);
+      Daemon.Connecting.push_back(Call);
   }
 
   void answerNow(std::size_t Index, const store_call &Call) {
@@ -368,6 +421,7 @@
   void list(std::size_t Index, store_topic Topic,
             store_control_actions &Actions) {
     store_control_state &State = Daemons[Index].State;
+    noteAnswering(Index, Topic);
     if (!Daemons[Index].Reaches)
       return State.onCallFailed(Topic, Now, Actions);
     keyed_page Page;
@@ -398,6 +452,7 @@
       Daemon.WaitingSince = Now;
       return;
     }
+    noteAnswering(Index, Read.Topic);
     keyed_page Page;
     Page.End = End;
     std::uint64_t Records = End - std::min(End, Read.From);
--- a/tests/auto/process/traffic_fixture.h
+++ b/tests/auto/process/traffic_fixture.h
@@ -6,6 +6,7 @@
 #include "process/pool_scheduler.h"
 #include "process/traffic_thread.h"
 
+#include <atomic>
 #include <memory>
 #include <string>
 #include <utility>
@@ -24,17 +25,21 @@
   explicit basic_traffic_fixture(std::size_t ServerCount = 3) {
     Traffic = std::make_unique<traffic_under_test>(
         valueOf(poller::create()), valueOf(event_descriptor::create()),
-        settings(&Versions), Answers, Notices, Metrics, hand_clock{&Now});
+        settings(&Versions, &ServersUsableUntil), Answers, Notices, Metrics,
+        hand_clock{&Now});
     auto Service = std::make_shared<accepted_service>();
     Service->Definition = definition(ServerCount);
     this->Service = Service;
     publish("self", ServerCount);
   }
 
-  static traffic_settings settings(const published<fleet_version> *Versions) {
+  static traffic_settings
+  settings(const published<fleet_version> *Versions,
+           const std::atomic<steady_time> *ServersUsableUntil) {
     traffic_settings Settings{
         std::string(Secret), {1'000'000, std::chrono::seconds(60)}, 5};
     Settings.Versions = Versions;
+    Settings.ServersUsableUntil = ServersUsableUntil;
     return Settings;
   }
 
@@ -91,6 +96,14 @@
     Versions.store(std::move(Version));
   }
 
+  /// Nothing has confirmed the version for too long; or something has now.
+  void setConfirmed(bool Confirmed) {
+    using namespace std::chrono_literals;
+    ServersUsableUntil = Confirmed ? Now + 1h : Now;
+    if (Confirmed)
+      tell(servers_confirmed{});
+  }
+
   /// Sends a caller's request; its connection stands for it.
   std::uint64_t send(std::string Method, std::string Target,
                      std::string Key = "", bool Forwarded = false) {
@@ -147,6 +160,7 @@
   notice_collector Notices;
   process_metrics Metrics;
   published<fleet_version> Versions{std::make_shared<fleet_version>()};
+  std::atomic<steady_time> ServersUsableUntil{Now + std::chrono::hours(1)};
   accepted_service_ref Service;
   std::unique_ptr<traffic_under_test> Traffic;
   request_id LastRequest = 0;
--- a/tests/auto/process/tst_topic_follower.cpp
+++ b/tests/auto/process/tst_topic_follower.cpp
@@ -109,3 +109,52 @@
   CHECK(Follower.completeAsOf() == Read);
   CHECK_FALSE(Follower.next(Now));
 }
+
+TEST_CASE_METHOD(follower_fixture, "a kept connection that goes silent is left "
+                                   "at once, and says nothing of the store") {
+  due<list_newest>();
+  CHECK(Follower.connection() == connection_choice::Fresh);
+  Follower.onAnswering(Now);
+  Follower.onPage(page({}, 5), Now);
+  Now += 500ms;
+  due<read_records>();
+  CHECK(Follower.connection() == connection_choice::Reuse);
+  Now += topic_follower::AnswerTime;
+  CHECK(Follower.nextWake() == Now);
+  CHECK(Follower.takeSilence(Now) == call_silence::Lost);
+  CHECK_FALSE(Follower.onFailure(Now));
+  due<read_records>();
+  CHECK(Follower.connection() == connection_choice::Fresh);
+}
+
+TEST_CASE_METHOD(follower_fixture, "a store that is silent on a fresh "
+                                   "connection is noticed, then given up") {
+  due<list_newest>();
+  Follower.onSent(Now + 20ms);
+  Now += topic_follower::AnswerTime;
+  CHECK(Follower.takeSilence(Now) == call_silence::None);
+  Now += 20ms;
+  CHECK(Follower.takeSilence(Now) == call_silence::Noticed);
+  CHECK(Follower.takeSilence(Now) == call_silence::None);
+  Now = *Follower.nextWake();
+  CHECK(Follower.takeSilence(Now) == call_silence::Lost);
+  CHECK(Follower.onFailure(Now));
+  CHECK(Follower.nextWake() > Now);
+}
+
+TEST_CASE_METHOD(follower_fixture, "an answer that has begun is waited for") {
+  due<list_newest>();
+  Follower.onAnswering(Now);
+  CHECK_FALSE(Follower.nextWake());
+  Now += 5s;
+  CHECK(Follower.takeSilence(Now) == call_silence::None);
+  CHECK_FALSE(Follower.onFailure(Now));
+  CHECK(Follower.nextWake() > Now);
+}
+
+TEST_CASE_METHOD(follower_fixture, "a failure that a late thread takes says "
+                                   "nothing of the store") {
+  due<list_newest>();
+  Now += 2s;
+  CHECK_FALSE(Follower.onFailure(Now));
+}
--- a/tests/auto/process/tst_traffic_thread.cpp
+++ b/tests/auto/process/tst_traffic_thread.cpp
@@ -2,6 +2,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+#include <string>
+#include <vector>
+
 using namespace endiverail;
 using namespace endiverail::test;
 using namespace std::chrono_literals;
@@ -491,3 +495,54 @@
   CHECK_FALSE(transport().connect(First.Id));
   CHECK(attempts().empty());
 }
+
+TEST_CASE_METHOD(shared_traffic_fixture,
+                 "a request is sent to no server while nothing confirms what "
+                 "is known of the servers") {
+  std::string Method = GENERATE("GET", "POST");
+  setConfirmed(false);
+  std::uint64_t Caller = send(Method, "/s/x");
+  CHECK(attempts().empty());
+  CHECK_FALSE(answer(Caller).Head);
+  setConfirmed(true);
+  REQUIRE(attempts().size() == 1);
+  transport().answer(attempts().begin()->first, 200, "ok");
+  CHECK(answer(Caller).Body == "ok");
+}
+
+TEST_CASE_METHOD(shared_traffic_fixture,
+                 "a request whose connection is made while nothing confirms "
+                 "what is known of the servers waits, and is sent as its first "
+                 "attempt") {
+  std::string Method = GENERATE("GET", "POST");
+  std::uint64_t Caller = send(Method, "/s/x");
+  REQUIRE(attempts().size() == 1);
+  setConfirmed(false);
+  CHECK_FALSE(transport().connect(attempts().begin()->first));
+  CHECK(attempts().empty());
+  CHECK_FALSE(answer(Caller).Head);
+  setConfirmed(true);
+  REQUIRE(attempts().size() == 1);
+  attempt_id Second = attempts().begin()->first;
+  CHECK(transport().connect(Second));
+  transport().answer(Second, 200, "ok");
+  CHECK(answer(Caller).Body == "ok");
+  CHECK(Metrics.text().find("endiverail_retries_total{") == std::string::npos);
+}
+
+TEST_CASE_METHOD(shared_traffic_fixture,
+                 "all servers stay in use after requests were held back") {
+  constexpr std::size_t ServerCount = 3;
+  std::vector<std::uint64_t> Callers;
+  for (std::size_t Index = 0; Index < ServerCount; ++Index)
+    Callers.push_back(send("GET", "/s/x"));
+  REQUIRE(attempts().size() == ServerCount);
+  setConfirmed(false);
+  for (std::size_t Index = 0; Index < ServerCount; ++Index)
+    CHECK_FALSE(transport().connect(attempts().begin()->first));
+  setConfirmed(true);
+  std::set<std::string> Servers;
+  for (const auto &[Id, Attempt] : attempts())
+    Servers.insert(Attempt.Server);
+  CHECK(Servers.size() == ServerCount);
+}
--- a/tests/auto/process/tst_unconfirmed_servers.cpp
+++ b/tests/auto/process/tst_unconfirmed_servers.cpp
@@ -76,11 +76,11 @@
           "one whose entry has lapsed") {
   std::size_t Count = GENERATE(44, 111);
   deployment Fleet(Count);
+  Fleet.Loses = [&](std::size_t Index) { return Index == Fleet.Affected; };
   Fleet.setStarved(Fleet.Affected, 2s);
   Fleet.pass(2s);
   Fleet.setStarved(Fleet.Affected, 0ms);
-  Fleet.Loses = [&](std::size_t Index) { return Index == Fleet.Affected; };
-  Fleet.pass(1s);
+  Fleet.pass(500ms);
   Fleet.endWork(0, true);
   Fleet.pass(UnusedWithin);
   CHECK_FALSE(Fleet.mayGetWork(Fleet.Affected, deployment::id(0)));
@@ -106,3 +106,36 @@
   Fleet.pass(UnusedWithin);
   CHECK_FALSE(Fleet.mayGetWork(Fleet.Affected, deployment::id(0)));
 }
+
+TEST_CASE("while the store is away for all no daemon holds requests back") {
+  std::size_t Count = GENERATE(44, 111);
+  bool Silent = GENERATE(false, true);
+  INFO(Count << " daemons, " << (Silent ? "silent" : "refusing"));
+  deployment Fleet(Count);
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    if (Silent)
+      Fleet.setUnanswered(Index, true);
+    else
+      Fleet.setReaches(Index, false);
+  std::size_t Held = 0;
+  for (milliseconds Time(0); Time < 9s; Time += 10ms) {
+    Fleet.pass(10ms);
+    for (std::size_t Index = 0; Index < Count; ++Index)
+      Held += Fleet.sendsRequests(Index) ? 0 : 1;
+  }
+  CHECK(Held == 0);
+}
+
+TEST_CASE("a daemon that starts while the store is silent sends requests as "
+          "soon as a peer has told it of the servers and the store's silence "
+          "shows") {
+  deployment Fleet(44);
+  for (std::size_t Index = 0; Index < 44; ++Index)
+    Fleet.setUnanswered(Index, true);
+  Fleet.pass(2s);
+  Fleet.start(44);
+  Fleet.setUnanswered(44, true);
+  Fleet.pass(1s);
+  CHECK(Fleet.usableAt(44) == deployment::ServerCount);
+  CHECK(Fleet.sendsRequests(44));
+}
