Don't take a daemon's own silence for the store's absence

What callers saw: a server whose entry was removed got requests for 2.5 s more. Cause: a daemon that was not confirmed for an interval of registration, because its thread stood still or no datagram reached it, gave entries that were removed after its next read the grace of those that lapse while nobody can read. Change: the grace needs a read that the store did not answer in that time. Measured: "a daemon that stood still does not take a server that has left for one whose entry has lapsed" failed at 44 and 111 daemons, and passes.

--- a/src/libs/process/store_control_state.cpp
+++ b/src/libs/process/store_control_state.cpp
@@ -437,7 +437,9 @@
 
 void store_control_state::confirmServers(steady_time AsOf) {
   auto Before = Freshness.confirmedAt();
-  if (Before && AsOf - *Before >= Settings.RegistrationInterval)
+  // A daemon that was silent itself knows nothing of the store's absence.
+  if (Before && AsOf - *Before >= Settings.RegistrationInterval &&
+      Freshness.storeSilentSince(*Before))
     Directory.beginGrace(AsOf);
   Freshness.confirm(AsOf);
 }
