--- a/src/libs/process/store_control_state.cpp
+++ b/src/libs/process/store_control_state.cpp
@@ -323,10 +323,12 @@
 
 void store_control_state::onCallFailed(store_topic Topic, steady_time Now,
                                        store_control_actions &Out) {
+  bool OfServers = Topic == store_topic::BackendServers;
   bool Shown = follower(Topic).onFailure(
-      Now, isReader() ? topic_follower::EagerBackOff
-                      : topic_follower::RelaxedBackOff);
-  if (Topic != store_topic::BackendServers || !Shown)
+      Now, isReader()  ? topic_follower::EagerBackOff
+           : OfServers ? topic_follower::PromptBackOff
+                       : topic_follower::RelaxedBackOff);
+  if (!OfServers || !Shown)
     return;
   Freshness.onStoreSilent(Now);
   noteStore(false, Now, Out);
--- a/src/libs/process/topic_follower.h
+++ b/src/libs/process/topic_follower.h
@@ -44,8 +44,12 @@
   static constexpr back_off EagerBackOff{milliseconds(100), milliseconds(800)};
   /// Of a daemon that hears the news from others: while the store is away, all
   /// daemons try, and each refused call is charged.
-  static constexpr back_off RelaxedBackOff{milliseconds(650),
-                                           milliseconds(1'300)};
+  static constexpr back_off RelaxedBackOff{milliseconds(1'200),
+                                           milliseconds(2'400)};
+  /// Of such a daemon for what has to be known soon after the store's return,
+  /// also where nobody is heard.
+  static constexpr back_off PromptBackOff{milliseconds(650),
+                                          milliseconds(1'300)};
   /// From a call, and what the store may hold it, to the first byte of its
   /// answer. A store that is slow has that time, too.
   static constexpr milliseconds AnswerTime{400};
