Look for the store's return sooner only where nobody is heard

Change: pauses after failed reads are 1.2 to 2.4 s again; a daemon that has heard no datagram for a second waits 1.3 s at most. What a read without an answer shows holds for 3 s, until the next one has shown it again. A constant's name follows the style (lint). Measured: test_store, test_unconfirmed_servers, test_starved_daemon, test_reader_absence and test_leaving_bound pass.

--- a/src/libs/daemon/outgoing_calls.h
+++ b/src/libs/daemon/outgoing_calls.h
@@ -70,7 +70,7 @@
   // The transport reports here.
 
   bool mayStart(attempt_id Id) {
-    if constexpr (hears_progress)
+    if constexpr (HearsProgress)
       To.onCallSent(Calls.at(Id).Ended.For);
     return true;
   }
@@ -78,7 +78,7 @@
   std::optional<error_kind> onHead(attempt_id Id, const backend_head &Head) {
     ended_call<Purpose> &Ended = Calls.at(Id).Ended;
     Ended.Status = Head.Status;
-    if constexpr (hears_progress)
+    if constexpr (HearsProgress)
       if (Ended.succeeded())
         To.onCallAnswering(Ended.For);
     return std::nullopt;
@@ -105,7 +105,7 @@
 private:
   /// An owner may want to hear that a call has left, on a connection that is
   /// there, and that the head of a successful answer has come.
-  static constexpr bool hears_progress = requires(Owner & To, Purpose For) {
+  static constexpr bool HearsProgress = requires(Owner & To, Purpose For) {
     To.onCallSent(For);
     To.onCallAnswering(For);
   };
--- a/src/libs/process/server_freshness.h
+++ b/src/libs/process/server_freshness.h
@@ -30,7 +30,7 @@
   static constexpr milliseconds UseFor{1'400};
   /// A store that did not answer a read is taken to answer nobody for that
   /// long: the next read comes and goes without an answer in that time.
-  static constexpr milliseconds UnconfirmableFor{2'000};
+  static constexpr milliseconds UnconfirmableFor{3'000};
   /// A difference that lasts for longer is asked for: what is on its way needs
   /// a few milliseconds.
   static constexpr milliseconds DifferenceTime{50};
--- a/src/libs/process/store_control_state.cpp
+++ b/src/libs/process/store_control_state.cpp
@@ -125,6 +125,9 @@
     // Where few reads come, nothing tells whether a kept connection is silent.
     if (!isReader())
       ServersFollower.useFreshConnection();
+    // Nobody else can tell that the store is back.
+    if (ServersFollower.failing() && Now >= lonelyFrom())
+      ServersFollower.shortenPause(topic_follower::LonelyPause);
     StartDue(ServersFollower);
   }
   // Of two that start together, the one that registers last finds the other.
@@ -153,6 +156,9 @@
   if (auto Due = ServersFollower.nextWake())
     Consider(ServersFollower.callOut() ? *Due
                                        : std::max(*Due, readsServersFrom()));
+  if (ServersFollower.failing() && !ServersFollower.callOut())
+    Consider(std::max(lonelyFrom(), ServersFollower.failedAt() +
+                                        topic_follower::LonelyPause));
   if (Registered)
     Consider(MembersFollower.nextWake());
   else if (!PutOut)
@@ -323,12 +329,10 @@
 
 void store_control_state::onCallFailed(store_topic Topic, steady_time Now,
                                        store_control_actions &Out) {
-  bool OfServers = Topic == store_topic::BackendServers;
   bool Shown = follower(Topic).onFailure(
-      Now, isReader()  ? topic_follower::EagerBackOff
-           : OfServers ? topic_follower::PromptBackOff
-                       : topic_follower::RelaxedBackOff);
-  if (!OfServers || !Shown)
+      Now, isReader() ? topic_follower::EagerBackOff
+                      : topic_follower::RelaxedBackOff);
+  if (Topic != store_topic::BackendServers || !Shown)
     return;
   Freshness.onStoreSilent(Now);
   noteStore(false, Now, Out);
@@ -371,6 +375,7 @@
 void store_control_state::onDatagram(const peer_message &Message,
                                      steady_time Now,
                                      store_control_actions &Out) {
+  LastHeard = Now;
   std::vector<outgoing_gossip> Gossip;
   Members.receive(Message.Gossip, Now, Gossip);
   sendGossip(Gossip, Now, Out, &Message);
--- a/src/libs/process/store_control_state.h
+++ b/src/libs/process/store_control_state.h
@@ -149,6 +149,8 @@
   /// Without news from those who read the store, each daemon reads the
   /// configuration for itself.
   static constexpr milliseconds ReaderSilence{1'600};
+  /// Members ping each other twice a second.
+  static constexpr milliseconds LonelyAfter{1'000};
   /// A reader that has not read for that long lists anew: a listing is then
   /// smaller than the records in between.
   static constexpr milliseconds LongestGap{3'000};
@@ -180,6 +182,8 @@
   bool isReader() const;
   /// From when on nobody is taken to read the store for all.
   steady_time readersSilentFrom() const;
+  /// From when on no peer is taken to be heard.
+  steady_time lonelyFrom() const { return LastHeard + LonelyAfter; }
   /// From when on this daemon reads for itself.
   steady_time readsServersFrom() const;
   steady_time readsConfigurationFrom() const;
@@ -271,6 +275,7 @@
   bool Settled = false;
   steady_time LastPublished;
   steady_time LastReaderNews;
+  steady_time LastHeard;
   steady_time LastHurry;
   std::size_t NextToAsk = 0;
   steady_time AnswersSince;
--- a/src/libs/process/topic_follower.cpp
+++ b/src/libs/process/topic_follower.cpp
@@ -82,6 +82,7 @@
 
 bool topic_follower::onFailure(steady_time Now, const back_off &Pauses) {
   CallOut = false;
+  FailedAt = Now;
   Next = connection_choice::Fresh;
   if (Used == connection_choice::Reuse && !Answering) {
     Due = Now;
--- a/src/libs/process/topic_follower.h
+++ b/src/libs/process/topic_follower.h
@@ -3,6 +3,7 @@
 #include "connection/backend_connection.h"
 #include "process/keyed_store.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <random>
@@ -46,10 +47,8 @@
   /// daemons try, and each refused call is charged.
   static constexpr back_off RelaxedBackOff{milliseconds(1'200),
                                            milliseconds(2'400)};
-  /// Of such a daemon for what has to be known soon after the store's return,
-  /// also where nobody is heard.
-  static constexpr back_off PromptBackOff{milliseconds(650),
-                                          milliseconds(1'300)};
+  /// The longest pause where nobody is heard.
+  static constexpr milliseconds LonelyPause{1'300};
   /// From a call, and what the store may hold it, to the first byte of its
   /// answer. A store that is slow has that time, too.
   static constexpr milliseconds AnswerTime{400};
@@ -84,6 +83,11 @@
   /// itself, and what a late thread takes for a time-out may be its own delay.
   bool onFailure(steady_time Now, const back_off &Pauses = EagerBackOff);
 
+  /// Waits no longer than \p Most after the call that has failed.
+  void shortenPause(milliseconds Most) { Due = std::min(Due, FailedAt + Most); }
+  /// When the last call failed.
+  steady_time failedAt() const { return FailedAt; }
+
   /// Reads at once, as somebody knows more. Returns whether a call is out that
   /// has to be abandoned for it.
   bool hurry(steady_time Now);
@@ -126,6 +130,7 @@
   bool EndedListing = false;
   std::size_t Failures = 0;
   steady_time Due;
+  steady_time FailedAt;
   steady_time LastAnswer;
   steady_time CallStarted;
   steady_time ListingStarted;
