Hold signals before any thread starts, so that a planned stop outlasts them

What callers saw: requests that a daemon had taken were cut without an answer 0.8 s after its SIGTERM (LOST), when a SIGHUP came during its planned stop. Cause: signals were held after the thread that writes log lines had started. As long as the main thread waits for signals it gets them; while it ends the daemon, or reads settings, the kernel gives them to that thread, where their default action ends the process. Measured: test_process_signals, with the program as a process, failed in all three cases before, also for a SIGHUP right before the SIGTERM, and passes.

--- a/src/app/endiveraild/main.cpp
+++ b/src/app/endiveraild/main.cpp
@@ -56,7 +56,6 @@
 template <typename Daemon, typename Settings, typename Wait>
 result<exit_code> serve(const Settings &With,
                         const endpoint_text &CallerAddress, Wait &&WaitForEnd) {
-  holdSignals();
   BOOST_LEAF_AUTO(Running, Daemon::create(With));
   event_line("started")
       .with("daemon", With.Id)
@@ -74,6 +73,8 @@
     return exit_code::Usage;
   }
   BOOST_LEAF_AUTO(Text, readFile(FLAGS_settings));
+  // Before any thread starts, that of the log lines included.
+  holdSignals();
   if (FLAGS_platform) {
     BOOST_LEAF_AUTO(Settings, readStoreDaemonSettings(FLAGS_settings, Text));
     if (FLAGS_check)
