Run the long cases of two tests beside each other

Change: cases with a tag that PARTS names run as a test of their own; the store's return is a case for a server that leaves and one for a server that is gone. All cases run, with the same checks.

--- a/cmake/endiverail.cmake
+++ b/cmake/endiverail.cmake
@@ -26,14 +26,22 @@
   target_link_libraries(${Name} PRIVATE ${Arg_DEPENDS})
 endfunction()
 
-# endiverail_add_test(name SOURCES a.cpp ... DEPENDS lib ...)
+# endiverail_add_test(name SOURCES a.cpp ... DEPENDS lib ... [PARTS tag ...])
+# The cases of each tag in PARTS run as a test of their own, beside the others.
 function(endiverail_add_test Name)
-  cmake_parse_arguments(Arg "" "" "SOURCES;DEPENDS" ${ARGN})
+  cmake_parse_arguments(Arg "" "" "SOURCES;DEPENDS;PARTS" ${ARGN})
   add_executable(test_${Name} ${Arg_SOURCES})
   endiverail_common(test_${Name})
   target_link_libraries(test_${Name} PRIVATE ${Arg_DEPENDS} endiverail_testmain)
-  add_test(NAME ${Name} COMMAND test_${Name})
-  set_tests_properties(${Name} PROPERTIES
+  set(Others "")
+  set(Tests ${Name})
+  foreach(Part ${Arg_PARTS})
+    add_test(NAME ${Name}_${Part} COMMAND test_${Name} "[${Part}]")
+    string(APPEND Others "~[${Part}]")
+    list(APPEND Tests ${Name}_${Part})
+  endforeach()
+  add_test(NAME ${Name} COMMAND test_${Name} ${Others})
+  set_tests_properties(${Tests} PROPERTIES
     TIMEOUT 600
     # Fuzzing takes the same path in every run; scripts/fuzz takes new ones.
     ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=1000")
--- a/tests/auto/process/tst_store_return.cpp
+++ b/tests/auto/process/tst_store_return.cpp
@@ -8,10 +8,12 @@
 using namespace endiverail;
 using namespace endiverail::test;
 
-TEST_CASE("once the store has been back for three seconds daemons that no "
-          "datagram reaches send no request to a server that has left") {
+namespace {
+
+/// A server leaves, or its entry is removed, three seconds after the store's
+/// return.
+void endWorkAfterReturn(bool Gone) {
   std::size_t Count = GENERATE(44, 111);
-  bool Gone = GENERATE(false, true);
   milliseconds Absence =
       GENERATE(2'000ms, 2'700ms, 3'000ms, 3'700ms, 9'000ms, 9'700ms);
   INFO(Count << " daemons, away for " << Absence.count() << " ms, "
@@ -40,6 +42,20 @@
   CHECK(Late == std::vector<std::size_t>{});
 }
 
+} // namespace
+
+TEST_CASE("once the store has been back for three seconds daemons that no "
+          "datagram reaches send no request to a server that leaves",
+          "[leaving]") {
+  endWorkAfterReturn(false);
+}
+
+TEST_CASE("once the store has been back for three seconds daemons that no "
+          "datagram reaches send no request to a server that is gone",
+          "[gone]") {
+  endWorkAfterReturn(true);
+}
+
 TEST_CASE("while the store is away for all no daemon holds requests back") {
   std::size_t Count = GENERATE(44, 111);
   bool Silent = GENERATE(false, true);
--- a/tests/auto/process/tst_unconfirmed_servers.cpp
+++ b/tests/auto/process/tst_unconfirmed_servers.cpp
@@ -31,7 +31,8 @@
 }
 
 TEST_CASE("a daemon whose connection to the store is silent and that no "
-          "datagram reaches sends no request to a server that has left") {
+          "datagram reaches sends no request to a server that has left",
+          "[silent_connection]") {
   std::size_t Count = GENERATE(44, 111);
   bool Gone = GENERATE(false, true);
   bool Reader = GENERATE(false, true);
