Take out what nothing calls in peer_clocks

Cause: a function to forget a peer was written and never called. Change: it is gone; no other code changes. Measured: store_control_state.cpp and tst_peer_clocks.cpp compile; no test was run again.

--- a/src/libs/process/peer_clocks.h
+++ b/src/libs/process/peer_clocks.h
@@ -70,11 +70,6 @@
     return true;
   }
 
-  void forget(std::string_view Peer) {
-    if (auto Found = Peers.find(Peer); Found != Peers.end())
-      Peers.erase(Found);
-  }
-
 private:
   struct peer {
     /// Our clock less the peer's, at least.
