Show which backend servers get no requests, and why

Lines and metrics told of requests that failed, not of servers that got none, so the hypotheses could not be told apart.

Each daemon now records for an idle server why the last request was not sent there. idle_server_tried says which daemon sent a request to an idle server; servers_idle gives, once a second and service at most, the number of idle servers by reason, the limit in force and the longest idle ones; endiverail_idle_servers has the numbers by reason. No placing is changed: canAccept is the absence of an obstacle, as before.

Test: the reasons, each by its cause.

--- a/src/libs/process/metrics.cpp
+++ b/src/libs/process/metrics.cpp
@@ -59,6 +59,13 @@
   ServerChanges[std::string(Source)] = Count;
 }
 
+void process_metrics::setIdleServers(std::string_view Service,
+                                     std::string_view Reason,
+                                     std::size_t Count) {
+  std::lock_guard Lock(Mutex);
+  IdleServers[{std::string(Service), std::string(Reason)}] = Count;
+}
+
 std::string process_metrics::text() const {
   std::lock_guard Lock(Mutex);
   std::string Text;
@@ -99,6 +106,11 @@
   for (const auto &[Source, Count] : ServerChanges)
     fmt::format_to(Out, "endiverail_server_changes_total{{source=\"{}\"}} {}\n",
                    Source, Count);
+  Text += "# TYPE endiverail_idle_servers gauge\n";
+  for (const auto &[Key, Count] : IdleServers)
+    fmt::format_to(
+        Out, "endiverail_idle_servers{{service=\"{}\",reason=\"{}\"}} {}\n",
+        Key.Service, Key.Reason, Count);
   for (const auto &[Name, Value] : Gauges)
     fmt::format_to(Out, "# TYPE endiverail_{0} gauge\nendiverail_{0} {1}\n",
                    Name, Value);
--- a/src/libs/process/metrics.h
+++ b/src/libs/process/metrics.h
@@ -55,6 +55,10 @@
   /// Sets the number of changes to the list of backend servers that were
   /// learned from \p Source since the process started.
   void setServerChanges(std::string_view Source, std::uint64_t Count);
+  /// Sets the number of backend servers of \p Service that get no requests for
+  /// \p Reason.
+  void setIdleServers(std::string_view Service, std::string_view Reason,
+                      std::size_t Count);
 
   /// All metrics in the Prometheus text format.
   std::string text() const;
@@ -79,6 +83,12 @@
   std::map<std::string, std::uint64_t, std::less<>> Retries;
   std::map<std::string, std::uint64_t, std::less<>> Forwards;
   std::map<std::string, std::uint64_t, std::less<>> ServerChanges;
+  struct service_reason {
+    std::string Service;
+    std::string Reason;
+    auto operator<=>(const service_reason &) const = default;
+  };
+  std::map<service_reason, std::size_t> IdleServers;
   std::map<std::string, double, std::less<>> Gauges;
 };
 
--- a/src/libs/process/pool_scheduler.cpp
+++ b/src/libs/process/pool_scheduler.cpp
@@ -251,15 +251,28 @@
          Retries.available(Request.Rank);
 }
 
+/// Returns why the request can't be sent to the server now, if so.
+std::optional<idle_reason>
+pool_scheduler::obstacleTo(const waiting_request &Request,
+                           const pooled_server &Server, steady_time Now) const {
+  if (!isReachable(Server, Now))
+    return idle_reason::Unreachable;
+  std::size_t Capacity = capacityFor(Request, Server, Now);
+  if (Server.used() >= Capacity)
+    return Server.InUse >= Capacity ? idle_reason::FullLocally
+                                    : idle_reason::FullRemotely;
+  if (Server.RecentStarts >= maxUnconfirmedStarts(Server) &&
+      Now < Server.RecentStartsSince + FastFailureWindow)
+    return idle_reason::Unconfirmed;
+  if (std::ranges::find(Request.Avoid, Server.Address) != Request.Avoid.end())
+    return idle_reason::Avoided;
+  return std::nullopt;
+}
+
 bool pool_scheduler::canAccept(const waiting_request &Request,
                                const pooled_server &Server,
                                steady_time Now) const {
-  return isReachable(Server, Now) &&
-         Server.used() < capacityFor(Request, Server, Now) &&
-         (Server.RecentStarts < maxUnconfirmedStarts(Server) ||
-          Now >= Server.RecentStartsSince + FastFailureWindow) &&
-         std::ranges::find(Request.Avoid, Server.Address) ==
-             Request.Avoid.end();
+  return !obstacleTo(Request, Server, Now);
 }
 
 bool pool_scheduler::isReachable(const pooled_server &Server,
@@ -304,6 +317,21 @@
          TrialPartition.Index;
 }
 
+/// Records for each idle server why the request is not sent to it, in case it
+/// isn't.
+void pool_scheduler::recordNotTried(const waiting_request &Request,
+                                    steady_time IdleThreshold, double Excess,
+                                    steady_time Now) {
+  for (pooled_server &Server : Servers) {
+    if (!Server.usable() || Server.LastUsed >= IdleThreshold)
+      continue;
+    Server.NotTried = obstacleTo(Request, Server, Now)
+                          .value_or(Excess <= 0 ? idle_reason::WithinLimit
+                                                : idle_reason::OtherEntry);
+    Server.NotTriedAt = Now;
+  }
+}
+
 /// Returns an idle server that no proxy has used yet, or one of those with the
 /// lowest failure probability when more servers are idle than allowed. Each
 /// trial is owned by one entry; the others take it over after a delay.
@@ -327,8 +355,10 @@
       std::ranges::count_if(Servers, [&](const pooled_server &Server) {
         return countsAsHealthy(Server, Now);
       });
-  double Excess = static_cast<double>(std::ranges::count_if(Servers, IsIdle)) -
-                  maxIdleServers(Request, Healthy, Now);
+  IdleLimit = maxIdleServers(Request, Healthy, Now);
+  double Excess =
+      static_cast<double>(std::ranges::count_if(Servers, IsIdle)) - IdleLimit;
+  recordNotTried(Request, IdleThreshold, Excess, Now);
   if (Excess <= 0) {
     DeferredTrial.reset();
     return nullptr;
@@ -411,13 +441,18 @@
       Server->RecentStartsSince = Now;
     }
     ++Server->RecentStarts;
+    std::optional<milliseconds> IdleFor;
+    if (Server->LastUsed < idleThreshold(Now))
+      IdleFor =
+          std::chrono::duration_cast<milliseconds>(Now - Server->LastUsed);
     Server->LastUsed = Now;
     Server->NeverUsed = false;
     StartRate.record(Now);
     return slot_assignment{
         Request.Id,       Server->Address,
         Server->Instance, Server->Health.unhealthyProbability(Now),
-        Server->used(),   Server->Slots};
+        Server->used(),   Server->Slots,
+        IdleFor};
   }
   return std::nullopt;
 }
@@ -574,4 +609,25 @@
   return Rows;
 }
 
+pool_use pool_scheduler::use(steady_time Now) const {
+  pool_use Use;
+  Use.IdleLimit = IdleLimit;
+  Use.ManyFail = PoolFailures.exceeds(HighFailureShare, Now);
+  for (const pooled_server &Server : Servers) {
+    if (!Server.usable())
+      continue;
+    ++Use.Servers;
+    steady_time IdleSince = Server.LastUsed + IdleAfter;
+    if (Now < IdleSince)
+      continue;
+    Use.Idle.push_back(
+        {Server.Address,
+         std::chrono::duration_cast<milliseconds>(Now - Server.LastUsed),
+         Server.NotTriedAt < IdleSince ? idle_reason::NoRequest
+                                       : Server.NotTried});
+  }
+  std::ranges::sort(Use.Idle, std::greater{}, &idle_server::IdleFor);
+  return Use;
+}
+
 } // namespace endiverail
--- a/src/libs/process/pool_scheduler.h
+++ b/src/libs/process/pool_scheduler.h
@@ -3,6 +3,7 @@
 #include "process/health_estimator.h"
 #include "process/outlier_detector.h"
 #include "process/pool_failure_rate.h"
+#include "process/pool_use.h"
 #include "process/rank_queue.h"
 #include "process/retry_budget.h"
 #include "process/service_scheduler.h"
@@ -86,6 +87,8 @@
   std::size_t waiting() const;
   bool hasServers() const;
   std::vector<server_status> status(steady_time Now) const;
+  /// Returns which backend servers get no requests, and why.
+  pool_use use(steady_time Now) const;
   /// Returns the delay after which a request that is rejected now should be
   /// retried. Rejected requests are given successive times, spaced by the rate
   /// at which requests start here, so that the retries don't arrive together.
@@ -120,6 +123,10 @@
     std::optional<steady_time> LastFailed;
     /// Whether no proxy has been seen using the server.
     bool NeverUsed = true;
+    /// Why the last request that was placed while the server was idle has not
+    /// been sent to it.
+    idle_reason NotTried = idle_reason::NoRequest;
+    steady_time NotTriedAt;
     /// Until this time the server is limited to FullLimit requests, after it
     /// rejected one for lack of capacity.
     steady_time FullUntil;
@@ -146,6 +153,9 @@
                 steady_time Now) const;
   std::size_t maxUnconfirmedStarts(const pooled_server &Server) const;
   bool mayRetry(const waiting_request &Request) const;
+  std::optional<idle_reason> obstacleTo(const waiting_request &Request,
+                                        const pooled_server &Server,
+                                        steady_time Now) const;
   bool canAccept(const waiting_request &Request, const pooled_server &Server,
                  steady_time Now) const;
   bool isReachable(const pooled_server &Server, steady_time Now) const;
@@ -156,6 +166,8 @@
   bool ownsTrialOf(const pooled_server &Server) const;
   void recordPoolFailure(const pooled_server &Server, attempt_signal Signal,
                          steady_time Now);
+  void recordNotTried(const waiting_request &Request, steady_time IdleThreshold,
+                      double Excess, steady_time Now);
   pooled_server *chooseIdleServer(const waiting_request &Request,
                                   steady_time Now);
   pooled_server *takeOverTrial(pooled_server &Server, steady_time Now);
@@ -165,6 +177,8 @@
   service_definition Definition;
   std::string DataCentre;
   trial_partition TrialPartition;
+  /// Maximum number of idle servers for the last request that was placed.
+  double IdleLimit = 0;
   /// The trial of an idle server that is left to the entry that owns it.
   std::optional<deferred_trial> DeferredTrial;
   std::vector<pooled_server> Servers;
--- a/src/libs/process/request_log.h
+++ b/src/libs/process/request_log.h
@@ -3,9 +3,13 @@
 #include "base/error_kind.h"
 #include "log/event_line.h"
 #include "process/active_request.h"
+#include "process/pool_use.h"
+#include "process/service_scheduler.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <ranges>
 #include <string_view>
 
 namespace endiverail {
@@ -95,5 +99,38 @@
       .with("after_ms", millisecondsBetween(Active.Request.Arrived, Now));
 }
 
+/// A request is sent to a backend server that was idle.
+inline void idleServerTried(const active_request &Active,
+                            const slot_assignment &Assignment) {
+  event_line("idle_server_tried")
+      .with("request", Active.Request.Name)
+      .with("service", Active.Request.Service->Definition.Name)
+      .with("server", Assignment.Server)
+      .with("instance", Assignment.Instance)
+      .with("doubt", Assignment.FailureProbability)
+      .with("slots_used", Assignment.SlotsUsed)
+      .with("idle_ms", Assignment.IdleFor->count());
+}
+
+/// Backend servers get no requests although more of them should.
+inline void serversIdle(std::string_view Service, const pool_use &Use) {
+  constexpr std::size_t MaxListed = 8;
+  event_line Line("servers_idle", event_level::Warning);
+  Line.with("service", Service)
+      .with("servers", Use.Servers)
+      .with("idle", Use.Idle.size())
+      .with("limit", Use.IdleLimit)
+      .with("many_fail", Use.ManyFail);
+  for (idle_reason Reason : IdleReasons)
+    if (auto Count = std::ranges::count(Use.Idle, Reason, &idle_server::Reason))
+      Line.with(idleReasonName(Reason), Count);
+  nlohmann::ordered_json Listed = nlohmann::ordered_json::array();
+  for (const idle_server &Idle : Use.Idle | std::views::take(MaxListed))
+    Listed.push_back({{"server", Idle.Server},
+                      {"idle_ms", Idle.IdleFor.count()},
+                      {"reason", idleReasonName(Idle.Reason)}});
+  Line.with("longest", std::move(Listed));
+}
+
 } // namespace request_log
 } // namespace endiverail
--- a/src/libs/process/request_scheduler.h
+++ b/src/libs/process/request_scheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "process/pool_scheduler.h"
+#include "process/pool_use.h"
 #include "process/service_scheduler.h"
 
 #include <concepts>
@@ -57,6 +58,8 @@
   {Scheduler.setRemoteSlots(Server, Count, Now)};
   /// How long a request is queued when no server has capacity for it.
   { Scheduler.maxQueueTime(Request) } -> std::same_as<milliseconds>;
+  /// Which backend servers get no requests.
+  { Scheduler.use(Now) } -> std::same_as<pool_use>;
   /// The delay after which a rejected request should be retried.
   { Scheduler.reserveRetryDelay(Now) } -> std::same_as<milliseconds>;
 };
--- a/src/libs/process/service_scheduler.h
+++ b/src/libs/process/service_scheduler.h
@@ -28,6 +28,8 @@
   double FailureProbability = 0;
   std::size_t SlotsUsed = 0;
   std::size_t Slots = 0;
+  /// How long no request is known to have reached the server, if it was idle.
+  std::optional<milliseconds> IdleFor{};
 };
 
 /// State of a backend server as its owner sees it.
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -14,6 +14,7 @@
 #include "process/mailbox.h"
 #include "process/message_dialect.h"
 #include "process/metrics.h"
+#include "process/pool_use.h"
 #include "process/published.h"
 #include "process/request_log.h"
 #include "process/request_timers.h"
@@ -586,13 +587,17 @@
     auto Next = [&] {
       return serversUnconfirmed(Now) ? std::nullopt : Scheduler.next(Now);
     };
-    while (auto Assignment = Next())
-      startAttempt(Requests.at(Assignment->Request),
+    while (auto Assignment = Next()) {
+      active_request &Active = Requests.at(Assignment->Request);
+      if (Assignment->IdleFor)
+        request_log::idleServerTried(Active, *Assignment);
+      startAttempt(Active,
                    {Assignment->Server, attempt_route::Slot, "",
                     std::move(Assignment->Instance),
                     Assignment->FailureProbability, Assignment->SlotsUsed,
                     Assignment->Slots},
                    Now);
+    }
     if constexpr (ejecting_scheduler<Policy>)
       if (auto Trial = Scheduler.nextTrial();
           Trial && Scheduler.waiting() > 0 && *Trial > Now)
@@ -1171,9 +1176,26 @@
     NextReport = Now + ReportPeriod;
     Quarantine.expire(Now);
     Keys.expire(Now);
-    for (const auto &[Name, State] : Services)
+    for (const auto &[Name, State] : Services) {
       Control.notify(service_status_report{Name, State.Scheduler.waiting(),
                                            State.Scheduler.status(Now)});
+      reportUse(Name, State, Now);
+    }
+  }
+
+  void reportUse([[maybe_unused]] const std::string &Name,
+                 [[maybe_unused]] const state &State,
+                 [[maybe_unused]] steady_time Now) {
+    if constexpr (sharing_scheduler<Policy>) {
+      pool_use Use = State.Scheduler.use(Now);
+      for (idle_reason Reason : IdleReasons)
+        Metrics.setIdleServers(Name, idleReasonName(Reason),
+                               static_cast<std::size_t>(std::ranges::count(
+                                   Use.Idle, Reason, &idle_server::Reason)));
+      if (static_cast<double>(Use.Idle.size()) > Use.IdleLimit ||
+          (Use.ManyFail && !Use.Idle.empty()))
+        request_log::serversIdle(Name, Use);
+    }
   }
 
   // Lookups.
--- a/tests/auto/process/tst_pool_scheduler.cpp
+++ b/tests/auto/process/tst_pool_scheduler.cpp
@@ -557,6 +557,38 @@
   CHECK(Used == std::set<std::string>{"i", "j"});
 }
 
+TEST_CASE_METHOD(pool_fixture, "an idle server is listed with the reason why "
+                               "it got no request") {
+  struct row {
+    idle_reason Reason;
+    std::function<void(pool_fixture &)> Cause;
+  };
+  auto Row = GENERATE(row{idle_reason::NoRequest, [](pool_fixture &) {}},
+                      row{idle_reason::Unreachable,
+                          [](pool_fixture &Pool) {
+                            for (int Count = 0; Count < 3; ++Count)
+                              Pool.Scheduler.observe(
+                                  "a", attempt_signal::Unreachable, Pool.Now);
+                            Pool.place();
+                          }},
+                      row{idle_reason::Avoided, [](pool_fixture &Pool) {
+                            waiting_request Request = Pool.request(true);
+                            Request.Avoid = {"a"};
+                            Pool.place(Request);
+                          }});
+  INFO(idleReasonName(Row.Reason));
+  Now += 3s;
+  for (std::string Other : {"b", "c", "d"})
+    Scheduler.observe(Other, attempt_signal::Accepted, Now);
+  Row.Cause(*this);
+  pool_use Use = Scheduler.use(Now);
+  REQUIRE(Use.Idle.size() == 1);
+  CHECK(Use.Servers == 4);
+  CHECK(Use.Idle[0].Server == "a");
+  CHECK(Use.Idle[0].IdleFor == 3s);
+  CHECK(Use.Idle[0].Reason == Row.Reason);
+}
+
 TEST_CASE_METHOD(pool_fixture, "a restarted instance is treated as a new one") {
   for (int Count = 0; Count < 3; ++Count)
     Scheduler.observe("a", attempt_signal::Failed, Now);
