--- a/tests/auto/process/simulated_fleet.h
+++ b/tests/auto/process/simulated_fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "floor_check.h"
 #include "process/pool_scheduler.h"
 #include "process/service_state.h"
 
@@ -14,6 +15,29 @@
 
 namespace endiverail::test {
 
+enum class server_fault {
+  /// Requests fail immediately.
+  Errors,
+  /// Requests are never answered.
+  Hang,
+  /// The answers of requests that have run are lost.
+  LostAnswers,
+  /// No connection can be made.
+  Unreachable,
+};
+
+/// A fault of some of the servers for some time.
+struct simulated_fault {
+  server_fault Kind = server_fault::Errors;
+  steady_time::duration From{};
+  steady_time::duration For{};
+  /// The part of the pool that is affected, from a share of it to another.
+  double FirstServer = 0;
+  double LastServer = 1;
+  /// Share of the affected servers' requests.
+  double Strength = 1;
+};
+
 /// Parameters of a simulation.
 struct simulated_load {
   std::size_t Servers = 40;
@@ -33,6 +57,20 @@
   /// requests that they have.
   std::optional<steady_time::duration> SilentSince{};
   double SilentShare = 0;
+  /// How long the entries know the pool before the first request.
+  steady_time::duration IdleBefore{};
+  /// Whether requests may be repeated.
+  bool Idempotent = false;
+  /// Whether attempts are given up, as slow or at the caller's timeout.
+  bool Timeouts = false;
+  std::vector<simulated_fault> Faults{};
+  /// When the last ones of the entries are lost, and their number.
+  steady_time::duration EntriesLostAt{};
+  std::size_t LostEntries = 0;
+  /// Share of the entries with lossy links, and share of their datagrams and
+  /// requests that are lost; a lost request is sent again a second later.
+  double LossyEntries = 0;
+  double Loss = 0;
   std::uint64_t Seed = 1;
 };
 
@@ -49,6 +87,7 @@
   int RejectedLate = 0;
   /// Servers that stopped answering.
   int Silent = 0;
+  floor_check::result Floor;
 
   double share(int Count) const {
     return Count / static_cast<double>(Submitted);
@@ -63,14 +102,14 @@
     Unanswered += Other.Unanswered;
     RejectedLate += Other.RejectedLate;
     Silent += Other.Silent;
+    Floor += Other.Floor;
     return *this;
   }
 };
 
 /// Simulates entries that share one pool of backend servers by exchanging
 /// reports, as the daemons do, and servers with slots and queues. The requests
-/// may not be repeated, take about 460 ms and have a target time of 4 s;
-/// callers wait for 5 s.
+/// take about 460 ms and have a target time of 4 s; callers wait for 5 s.
 class simulated_fleet {
 public:
   explicit simulated_fleet(const simulated_load &Load)
@@ -87,8 +126,12 @@
       Entry.Slots = Slots;
       Listed.push_back(Entry);
       Servers[Entry.Address].Unhealthy = chance(Load.UnhealthyShare);
+      Servers[Entry.Address].Position = (static_cast<double>(Index) + 0.5) /
+                                        static_cast<double>(Load.Servers);
+      Floor.addServer(Entry.Address);
       changeHealth(Entry.Address);
     }
+    Now = Begin - Load.IdleBefore;
     for (std::size_t Index = 0; Index < Load.Entries; ++Index) {
       Entries.push_back(std::make_unique<state>(Definition, Index));
       Entries.back()->Scheduler.configure(Definition, Listed, Now);
@@ -96,8 +139,15 @@
       Entries.back()->Scheduler.setRetryLimits(
           retry_allowance{0.2, 62}.limitsFor(Load.Entries));
       Entries.back()->Work.setEntries(Load.Entries);
-      sendReports(Index);
+      Lost.push_back(false);
     }
+    Now = Begin;
+    for (std::size_t Index = 0; Index < Load.Entries; ++Index)
+      sendReports(Index);
+    for (const simulated_fault &Fault : Load.Faults)
+      addFault(Fault);
+    if (Load.LostEntries > 0)
+      at(Load.EntriesLostAt, [this] { loseEntries(); });
     nextArrival();
     if (Load.SilentSince)
       at(*Load.SilentSince, [this] { silenceServers(); });
@@ -112,6 +162,7 @@
       Action();
     }
     Result.Unanswered = static_cast<int>(Requests.size());
+    Result.Floor = Floor.evaluate(Begin, End - CallerTimeout);
     return Result;
   }
 
@@ -123,6 +174,7 @@
   static constexpr milliseconds Target{4'000};
   static constexpr milliseconds CallerTimeout{5'000};
   static constexpr milliseconds NetworkDelay{1};
+  static constexpr milliseconds RetransmissionTime{1'000};
   /// Shares of single errors of healthy servers and of immediate failures of
   /// unhealthy ones.
   static constexpr double ErrorShare = 0.012;
@@ -136,12 +188,23 @@
     attempt_target To;
     steady_time Started;
     bool Accepted = false;
+    bool SlowReported = false;
+  };
+  /// An attempt at a server.
+  struct job {
+    request_id Id = 0;
+    std::size_t Attempt = 0;
+    bool operator==(const job &) const = default;
   };
   struct server {
     bool Unhealthy = false;
     bool Silent = false;
+    /// Place in the pool, from 0 to 1.
+    double Position = 0;
     std::size_t Running = 0;
-    std::deque<request_id> Queue;
+    std::deque<job> Queue;
+    /// Jobs that have a slot and are never finished.
+    std::vector<job> Hanging;
   };
 
   void at(steady_time::duration After, std::function<void()> Action) {
@@ -176,6 +239,46 @@
       }
   }
 
+  void addFault(const simulated_fault &Fault) {
+    for (const auto &[Name, Server] : Servers)
+      if (isAffected(Server, Fault))
+        Floor.addFault(Name, Begin + Fault.From,
+                       Begin + Fault.From + Fault.For);
+  }
+
+  static bool isAffected(const server &Server, const simulated_fault &Fault) {
+    return Server.Position >= Fault.FirstServer &&
+           Server.Position < Fault.LastServer;
+  }
+
+  /// The fault that hits a request at the server now, if any.
+  std::optional<server_fault> faultOf(const server &Server) {
+    for (const simulated_fault &Fault : Load.Faults)
+      if (Now >= Begin + Fault.From && Now < Begin + Fault.From + Fault.For &&
+          isAffected(Server, Fault) && chance(Fault.Strength))
+        return Fault.Kind;
+    return std::nullopt;
+  }
+
+  void loseEntries() {
+    for (std::size_t Index = Load.Entries - Load.LostEntries;
+         Index < Load.Entries; ++Index)
+      Lost[Index] = true;
+    std::vector<request_id> Ended;
+    for (const auto &[Id, Request] : Requests)
+      if (Lost[Request.Entry])
+        Ended.push_back(Id);
+    for (request_id Id : Ended) {
+      ++Result.Failed;
+      remove(Id, false);
+    }
+  }
+
+  bool isLossy(std::size_t Entry) const {
+    return static_cast<double>(Entry) <
+           Load.LossyEntries * static_cast<double>(Load.Entries);
+  }
+
   void nextArrival() {
     auto Since = Now - Begin;
     bool Burst =
@@ -195,8 +298,13 @@
     std::size_t Entry = std::uniform_int_distribution<std::size_t>(
         ToLargeEntry ? 0 : LargeEntries,
         (ToLargeEntry ? LargeEntries : Load.Entries) - 1)(Random);
-    Requests[Id] = {Entry, Now, 0, {}, {}, {}, false};
+    while (Lost[Entry])
+      Entry = (Entry + 1) % Load.Entries;
+    Requests[Id] = {Entry, Now, 0, {}, {}, {}, false, false};
     ++Result.Submitted;
+    Floor.addRequest(Now);
+    if (Load.Timeouts)
+      at(CallerTimeout, [this, Id] { endAtTimeout(Id); });
     if (auto Dropped = Entries[Entry]->Scheduler.submit(waiting(Id), Now))
       reject(*Dropped);
     if (Requests.contains(Id))
@@ -209,6 +317,7 @@
     const request &Request = Requests.at(Id);
     waiting_request Waiting;
     Waiting.Id = Id;
+    Waiting.Idempotent = Load.Idempotent;
     Waiting.Arrived = Request.Arrived;
     Waiting.Target = Target;
     Waiting.Deadline = Request.Arrived + CallerTimeout;
@@ -220,6 +329,12 @@
   void reject(request_id Id) {
     ++Result.Rejected;
     Result.RejectedLate += Now - Requests.at(Id).Arrived > Target / 8 ? 1 : 0;
+    remove(Id, false);
+  }
+
+  void remove(request_id Id, bool Served) {
+    if (!Served)
+      Floor.addUnserved(Requests.at(Id).Arrived);
     Requests.erase(Id);
   }
 
@@ -234,67 +349,157 @@
       Request.To.Slots = Assignment->Slots;
       Request.Started = Now;
       Request.Accepted = false;
+      Request.SlowReported = false;
       ++Request.Attempts;
       Entry.recordUse(Assignment->Server);
-      request_id Id = Assignment->Request;
+      job Job{Assignment->Request, Request.Attempts};
       if (auto After = state::acceptedAfter(Request.To))
-        at(*After, [this, Index, Id, Attempt = Request.Attempts] {
-          auto Found = Requests.find(Id);
-          if (Found != Requests.end() && Found->second.Attempts == Attempt)
-            accept(Found->second);
+        at(*After, [this, Index, Job] {
+          if (request *Running = find(Job))
+            accept(*Running);
           dispatch(Index);
         });
-      at(NetworkDelay, [this, Id] { arriveAtServer(Id); });
+      if (Load.Timeouts)
+        at(slowThreshold(Request), [this, Job] { reportSlow(Job); });
+      bool Delayed = isLossy(Index) && chance(Load.Loss);
+      at(Delayed ? RetransmissionTime : NetworkDelay,
+         [this, Job] { arriveAtServer(Job); });
     }
   }
 
+  /// The request, if this attempt of it is still running.
+  request *find(const job &Job) {
+    auto Found = Requests.find(Job.Id);
+    return Found != Requests.end() && Found->second.Attempts == Job.Attempt &&
+                   !Found->second.To.Server.empty()
+               ? &Found->second
+               : nullptr;
+  }
+
+  steady_time::duration slowThreshold(const request &Request) {
+    constexpr double SlowFactor = 2.5;
+    return std::chrono::duration_cast<steady_time::duration>(
+        Entries[Request.Entry]->answerTimes(Kind).usual() * SlowFactor *
+        Request.To.queueingFactor());
+  }
+
+  void reportSlow(const job &Job) {
+    request *Request = find(Job);
+    if (!Request)
+      return;
+    state &Entry = *Entries[Request->Entry];
+    Entry.recordSignal(Request->To.Server, attempt_signal::Slow, Now);
+    Request->SlowReported = true;
+    if (Load.Idempotent && Entry.Scheduler.isSlow(Request->To.Server, Now) &&
+        Request->Attempts < MaxAttempts &&
+        Entry.Scheduler.retries().available(rank::Normal)) {
+      withdraw(Job);
+      return finishAttempt(Job, error_kind::BackendTimeout);
+    }
+    at(slowThreshold(*Request), [this, Job] { reportSlow(Job); });
+  }
+
+  void endAtTimeout(request_id Id) {
+    auto Found = Requests.find(Id);
+    if (Found == Requests.end())
+      return;
+    std::size_t Index = Found->second.Entry;
+    if (Found->second.To.Server.empty()) {
+      Entries[Index]->Scheduler.cancel(Id);
+      return reject(Id);
+    }
+    job Job{Id, Found->second.Attempts};
+    withdraw(Job);
+    Found->second.Attempts = MaxAttempts;
+    finishAttempt({Id, MaxAttempts}, error_kind::BackendTimeout);
+  }
+
+  /// Ends the attempt at its server, as closing the connection does.
+  void withdraw(const job &Job) {
+    server &Server = Servers[Requests.at(Job.Id).To.Server];
+    std::erase(Server.Queue, Job);
+    if (std::erase(Server.Hanging, Job) > 0)
+      startNext(Server);
+  }
+
   void accept(request &Request) {
     if (!std::exchange(Request.Accepted, true))
       Entries[Request.Entry]->recordSignal(Request.To.Server,
                                            attempt_signal::Accepted, Now);
   }
 
-  void arriveAtServer(request_id Id) {
-    server &Server = Servers[Requests.at(Id).To.Server];
+  void arriveAtServer(const job &Job) {
+    request *Request = find(Job);
+    if (!Request)
+      return;
+    std::string Name = Request->To.Server;
+    server &Server = Servers[Name];
+    auto Fault = faultOf(Server);
+    if (Fault == server_fault::Unreachable) {
+      at(NetworkDelay, [this, Job] {
+        if (find(Job))
+          finishAttempt(Job, error_kind::BackendUnreachable);
+      });
+      return;
+    }
+    Floor.addArrival(Name, Now);
     if (Server.Silent)
       return;
     if (Server.Running < Slots)
-      startWork(Id);
+      startWork(Name, Job, Fault);
     else if (Server.Queue.size() < ServerQueue)
-      Server.Queue.push_back(Id);
+      Server.Queue.push_back(Job);
     else
-      at(NetworkDelay,
-         [this, Id] { finishAttempt(Id, error_kind::BackendShed); });
+      at(NetworkDelay, [this, Job] {
+        if (find(Job))
+          finishAttempt(Job, error_kind::BackendShed);
+      });
   }
 
-  void startWork(request_id Id) {
-    std::string Name = Requests.at(Id).To.Server;
+  void startWork(const std::string &Name, const job &Job,
+                 std::optional<server_fault> Fault) {
     server &Server = Servers[Name];
     ++Server.Running;
+    if (Fault == server_fault::Hang) {
+      Server.Hanging.push_back(Job);
+      return;
+    }
     bool Fails = Server.Unhealthy && chance(UnhealthyFailureRate);
     double Work =
         std::lognormal_distribution<double>(std::log(0.44), 0.3)(Random);
     std::optional<error_kind> Failure;
-    if (Fails || chance(ErrorShare))
+    if (Fails || chance(ErrorShare) || Fault == server_fault::Errors)
       Failure = error_kind::BackendError;
+    else if (Fault == server_fault::LostAnswers)
+      Failure = error_kind::BackendCut;
+    Fails = Fails || Fault == server_fault::Errors;
     at(std::chrono::duration_cast<steady_time::duration>(
            std::chrono::duration<double>(Fails ? 0.002 : Work)),
-       [this, Id, Name, Failure] {
+       [this, Job, Name, Failure] {
          server &Server = Servers[Name];
          if (Server.Silent)
            return;
-         --Server.Running;
-         if (!Server.Queue.empty()) {
-           request_id Next = Server.Queue.front();
-           Server.Queue.pop_front();
-           startWork(Next);
-         }
-         finishAttempt(Id, Failure);
+         if (Failure)
+           Floor.addFailure(Name, Now);
+         startNext(Server);
+         if (find(Job))
+           finishAttempt(Job, Failure);
        });
   }
 
-  void finishAttempt(request_id Id, std::optional<error_kind> Failure) {
-    request &Request = Requests.at(Id);
+  /// Frees a slot of the server and gives it to the next queued attempt.
+  void startNext(server &Server) {
+    --Server.Running;
+    while (!Server.Queue.empty()) {
+      job Next = Server.Queue.front();
+      Server.Queue.pop_front();
+      if (request *Queued = find(Next))
+        return startWork(Queued->To.Server, Next, faultOf(Server));
+    }
+  }
+
+  void finishAttempt(const job &Job, std::optional<error_kind> Failure) {
+    request &Request = Requests.at(Job.Id);
     state &Entry = *Entries[Request.Entry];
     std::size_t Index = Request.Entry;
     Entry.Scheduler.release(Request.To.Server, rank::Normal, Now);
@@ -304,44 +509,50 @@
           Request.To.Server,
           Entry.signalOf(*Failure, Kind, Request.To, Now - Request.Started),
           Now);
-      fail(Id, *Failure);
+      fail(Job.Id, *Failure);
       return dispatch(Index);
     }
     accept(Request);
-    Entry.recordSignal(Request.To.Server, attempt_signal::Good, Now);
+    if (!Request.SlowReported)
+      Entry.recordSignal(Request.To.Server, attempt_signal::Good, Now);
     Entry.answerTimes(Kind).add(
         std::chrono::duration_cast<microseconds>(
             std::chrono::duration<double>(Now - Request.Started) /
             Request.To.queueingFactor()),
         Now);
     ++(Now - Request.Arrived <= Target ? Result.InTime : Result.Late);
-    Requests.erase(Id);
+    remove(Job.Id, true);
     dispatch(Index);
   }
 
   void fail(request_id Id, error_kind Failure) {
     request &Request = Requests.at(Id);
     pool_scheduler &Scheduler = Entries[Request.Entry]->Scheduler;
-    if (Failure == error_kind::BackendShed && Request.Attempts < MaxAttempts &&
+    bool NotRun = Failure == error_kind::BackendShed ||
+                  Failure == error_kind::BackendUnreachable;
+    if ((NotRun || Load.Idempotent) && Request.Attempts < MaxAttempts &&
         Scheduler.retries().take(rank::Normal)) {
       Request.Avoid.push_back(Request.To.Server);
+      Request.To = {};
       return Scheduler.resubmit(waiting(Id), Now);
     }
     if (Failure == error_kind::BackendShed)
       return reject(Id);
     ++Result.Failed;
-    Requests.erase(Id);
+    remove(Id, false);
   }
 
   /// Sends the work reports of one entry to the others, as the traffic threads
   /// of the daemons do.
   void sendReports(std::size_t Index) {
+    if (Lost[Index])
+      return;
     state &Entry = *Entries[Index];
     if (!Entry.Work.empty() && Entry.Work.due(Now)) {
       work_report Report = Entry.Work.take("s", Now);
       at(NetworkDelay, [this, Index, Report] {
         for (std::size_t Other = 0; Other < Entries.size(); ++Other)
-          if (Other != Index) {
+          if (Other != Index && !Lost[Other] && !isDatagramLost(Index, Other)) {
             for (const server_work &Work : Report.Servers)
               Entries[Other]->applyRemoteWork(std::to_string(Index), Work, Now);
             dispatch(Other);
@@ -351,6 +562,10 @@
     at(milliseconds(5), [this, Index] { sendReports(Index); });
   }
 
+  bool isDatagramLost(std::size_t From, std::size_t To) {
+    return (isLossy(From) || isLossy(To)) && chance(Load.Loss);
+  }
+
   const steady_time Begin{std::chrono::hours(1)};
   steady_time Now = Begin;
   simulated_load Load;
@@ -359,10 +574,12 @@
   work_kind Kind;
   std::map<std::string, server> Servers;
   std::vector<std::unique_ptr<state>> Entries;
+  std::vector<bool> Lost;
   std::map<request_id, request> Requests;
   std::multimap<steady_time, std::function<void()>> Events;
   request_id LastId = 0;
   simulated_result Result;
+  floor_check Floor;
 };
 
 /// Simulates the same load with several seeds, as the result of a single run
