Let reported slots of lost proxies expire by the clock

Reports of slots in use by other proxies were dropped after ReportLifetime only when the next report about the same server arrived. Slots that lost proxies had reported stayed in use until somebody sent to that server; it seemed full, and trials of idle servers need a free slot, too.

remote_slots now hands out the servers whose reports have expired, and the traffic thread passes their slots to the scheduler before it places requests.

--- a/src/libs/process/service_state.h
+++ b/src/libs/process/service_state.h
@@ -60,7 +60,7 @@
     if constexpr (sharing_scheduler<Policy>) {
       RemoteSlots.record(Proxy, Reported, Now);
       Scheduler.setRemoteSlots(Reported.Server,
-                               RemoteSlots.used(Reported.Server, Now), Now);
+                               RemoteSlots.used(Reported.Server), Now);
       auto Observe = [&](std::uint32_t Count, attempt_signal Signal) {
         for (; Count > 0; --Count)
           Scheduler.observe(Reported.Server, Signal, Now);
@@ -73,6 +73,13 @@
     }
   }
 
+  /// Frees the slots whose reports have expired: their proxies may be lost.
+  void expireRemoteWork([[maybe_unused]] steady_time Now) {
+    if constexpr (sharing_scheduler<Policy>)
+      for (const endpoint_text &Server : RemoteSlots.takeExpired(Now))
+        Scheduler.setRemoteSlots(Server, RemoteSlots.used(Server), Now);
+  }
+
   /// Time after which an attempt that has not failed counts as accepted. No
   /// value if the request is queued behind others at the server, as a missing
   /// answer tells nothing then.
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -579,6 +579,7 @@
     if (Found == Services.end())
       return;
     Policy &Scheduler = Found->second.Scheduler;
+    Found->second.expireRemoteWork(Now);
     for (const waiting_request &Expired : Scheduler.takeExpired(Now))
       respondWithError(Requests.at(Expired.Id), error_kind::DeadlineBeforeRun,
                        "no slot came free in time", Now);
--- a/src/libs/process/work_report.h
+++ b/src/libs/process/work_report.h
@@ -6,7 +6,9 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <numeric>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -147,28 +149,50 @@
       Found = Usages.insert(Usages.end(), usage{std::string(Proxy), 0, Now});
     Found->InUse = Work.InUse;
     Found->LastReported = Now;
+    std::erase_if(Usages, [&](const usage &Usage) {
+      return Usage.InUse == 0 || isExpired(Usage, Now);
+    });
   }
 
-  std::size_t used(std::string_view Server, steady_time Now) {
+  std::size_t used(std::string_view Server) const {
     auto Found = Servers.find(Server);
     if (Found == Servers.end())
       return 0;
-    std::erase_if(Found->second, [&](const usage &Usage) {
-      return Usage.InUse == 0 || Now > Usage.LastReported + ReportLifetime;
-    });
-    std::size_t Sum = 0;
-    for (const usage &Usage : Found->second)
-      Sum += Usage.InUse;
-    return Sum;
+    return std::transform_reduce(Found->second.begin(), Found->second.end(),
+                                 std::size_t{0}, std::plus{},
+                                 std::mem_fn(&usage::InUse));
+  }
+
+  /// Removes the reports that have expired; returns their servers. Checks only
+  /// once per ExpiryInterval.
+  std::vector<endpoint_text> takeExpired(steady_time Now) {
+    std::vector<endpoint_text> Changed;
+    if (Now < NextExpiry)
+      return Changed;
+    NextExpiry = Now + ExpiryInterval;
+    for (auto &[Server, Usages] : Servers)
+      if (std::erase_if(Usages, [&](const usage &Usage) {
+            return isExpired(Usage, Now);
+          }) > 0)
+        Changed.push_back(Server);
+    return Changed;
   }
 
 private:
+  static constexpr milliseconds ExpiryInterval{100};
+
   struct usage {
     std::string Proxy;
     std::uint32_t InUse = 0;
     steady_time LastReported;
   };
+
+  static bool isExpired(const usage &Usage, steady_time Now) {
+    return Now > Usage.LastReported + ReportLifetime;
+  }
+
   std::map<endpoint_text, std::vector<usage>, std::less<>> Servers;
+  steady_time NextExpiry;
 };
 
 } // namespace endiverail
--- a/tests/auto/process/simulated_fleet.h
+++ b/tests/auto/process/simulated_fleet.h
@@ -340,6 +340,7 @@
 
   void dispatch(std::size_t Index) {
     state &Entry = *Entries[Index];
+    Entry.expireRemoteWork(Now);
     for (const waiting_request &Late : Entry.Scheduler.takeExpired(Now))
       reject(Late.Id);
     while (auto Assignment = Entry.Scheduler.next(Now)) {
--- a/tests/auto/process/tst_service_state.cpp
+++ b/tests/auto/process/tst_service_state.cpp
@@ -47,6 +47,32 @@
                        targetWith(Row.SlotsUsed), Row.Taken) == Row.Signal);
 }
 
+TEST_CASE("slots that a lost proxy has reported become free") {
+  state State(service_definition{}, 1);
+  backend_server Server;
+  Server.Address = "a";
+  Server.Slots = 1;
+  steady_time Now{1h};
+  State.Scheduler.configure(service_definition{}, std::span(&Server, 1), Now);
+  // The server has one slot, and a queue of three.
+  server_work Work;
+  Work.Server = "a";
+  Work.InUse = 4;
+  State.applyRemoteWork("lost", Work, Now);
+  waiting_request Request;
+  Request.Id = 1;
+  Request.Arrived = Now;
+  Request.Target = 40s;
+  Request.Deadline = Now + 60s;
+  Request.UsualTime = 500ms;
+  State.Scheduler.submit(Request, Now);
+  State.expireRemoteWork(Now);
+  CHECK_FALSE(State.Scheduler.next(Now));
+  Now += remote_slots::ReportLifetime + 100ms;
+  State.expireRemoteWork(Now);
+  CHECK(State.Scheduler.next(Now));
+}
+
 TEST_CASE("a queued request is not counted as accepted without an answer") {
   CHECK(state::acceptedAfter(targetWith(6)) == FastFailureWindow);
   CHECK_FALSE(state::acceptedAfter(targetWith(7)));
