Count a server as used when a request has reached it

The time of a server's last use was set when a request was started, or when another proxy reported more slots in use, and always to the time of hearing. So a server counted as used that got nothing (no connection, a lost packet, a lost proxy), and a report that was up to 500 ms late made the use look that much younger.

A request in flight now only postpones the next trial by 150 ms; the use counts from the arrival, which the sender sees as a connection that is up and 50 ms without a failure, or as an answer. Reports carry the time since the last arrival, and the first arrival at an idle server is reported at once, as is the start of the request, so that no other entry tries the same server. The field is optional on the wire; older daemons skip it.

--- a/src/libs/peer/gen/peer_types.cpp
+++ b/src/libs/peer/gen/peer_types.cpp
@@ -1104,6 +1104,11 @@
 void ServerWork::__set_accepted(const int32_t val) {
   this->accepted = val;
 }
+
+void ServerWork::__set_reachedMillisecondsAgo(const int32_t val) {
+  this->reachedMillisecondsAgo = val;
+__isset.reachedMillisecondsAgo = true;
+}
 std::ostream& operator<<(std::ostream& out, const ServerWork& obj)
 {
   obj.printTo(out);
@@ -1188,6 +1193,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->reachedMillisecondsAgo);
+          this->__isset.reachedMillisecondsAgo = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1233,6 +1246,11 @@
   xfer += oprot->writeI32(this->accepted);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.reachedMillisecondsAgo) {
+    xfer += oprot->writeFieldBegin("reachedMillisecondsAgo", ::apache::thrift::protocol::T_I32, 8);
+    xfer += oprot->writeI32(this->reachedMillisecondsAgo);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1247,6 +1265,7 @@
   swap(a.slow, b.slow);
   swap(a.erred, b.erred);
   swap(a.accepted, b.accepted);
+  swap(a.reachedMillisecondsAgo, b.reachedMillisecondsAgo);
   swap(a.__isset, b.__isset);
 }
 
@@ -1258,6 +1277,7 @@
   slow = other28.slow;
   erred = other28.erred;
   accepted = other28.accepted;
+  reachedMillisecondsAgo = other28.reachedMillisecondsAgo;
   __isset = other28.__isset;
 }
 ServerWork::ServerWork(ServerWork&& other29) noexcept {
@@ -1268,6 +1288,7 @@
   slow = other29.slow;
   erred = other29.erred;
   accepted = other29.accepted;
+  reachedMillisecondsAgo = other29.reachedMillisecondsAgo;
   __isset = other29.__isset;
 }
 ServerWork& ServerWork::operator=(const ServerWork& other30) {
@@ -1278,6 +1299,7 @@
   slow = other30.slow;
   erred = other30.erred;
   accepted = other30.accepted;
+  reachedMillisecondsAgo = other30.reachedMillisecondsAgo;
   __isset = other30.__isset;
   return *this;
 }
@@ -1289,6 +1311,7 @@
   slow = other31.slow;
   erred = other31.erred;
   accepted = other31.accepted;
+  reachedMillisecondsAgo = other31.reachedMillisecondsAgo;
   __isset = other31.__isset;
   return *this;
 }
@@ -1302,6 +1325,7 @@
   out << ", " << "slow=" << to_string(slow);
   out << ", " << "erred=" << to_string(erred);
   out << ", " << "accepted=" << to_string(accepted);
+  out << ", " << "reachedMillisecondsAgo="; (__isset.reachedMillisecondsAgo ? (out << to_string(reachedMillisecondsAgo)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libs/peer/gen/peer_types.h
+++ b/src/libs/peer/gen/peer_types.h
@@ -489,7 +489,7 @@
 std::ostream& operator<<(std::ostream& out, const PathFault& obj);
 
 typedef struct _ServerWork__isset {
-  _ServerWork__isset() : server(false), inUse(false), good(false), failed(false), slow(false), erred(false), accepted(false) {}
+  _ServerWork__isset() : server(false), inUse(false), good(false), failed(false), slow(false), erred(false), accepted(false), reachedMillisecondsAgo(false) {}
   bool server :1;
   bool inUse :1;
   bool good :1;
@@ -497,6 +497,7 @@
   bool slow :1;
   bool erred :1;
   bool accepted :1;
+  bool reachedMillisecondsAgo :1;
 } _ServerWork__isset;
 
 class ServerWork : public virtual ::apache::thrift::TBase {
@@ -513,7 +514,8 @@
                failed(0),
                slow(0),
                erred(0),
-               accepted(0) {
+               accepted(0),
+               reachedMillisecondsAgo(0) {
   }
 
   virtual ~ServerWork() noexcept;
@@ -524,6 +526,7 @@
   int32_t slow;
   int32_t erred;
   int32_t accepted;
+  int32_t reachedMillisecondsAgo;
 
   _ServerWork__isset __isset;
 
@@ -541,6 +544,8 @@
 
   void __set_accepted(const int32_t val);
 
+  void __set_reachedMillisecondsAgo(const int32_t val);
+
   bool operator == (const ServerWork & rhs) const
   {
     if (!(server == rhs.server))
@@ -557,6 +562,10 @@
       return false;
     if (!(accepted == rhs.accepted))
       return false;
+    if (__isset.reachedMillisecondsAgo != rhs.__isset.reachedMillisecondsAgo)
+      return false;
+    else if (__isset.reachedMillisecondsAgo && !(reachedMillisecondsAgo == rhs.reachedMillisecondsAgo))
+      return false;
     return true;
   }
   bool operator != (const ServerWork &rhs) const {
--- a/src/libs/peer/peer.thrift
+++ b/src/libs/peer/peer.thrift
@@ -54,6 +54,7 @@
   5: i32 slow
   6: i32 erred
   7: i32 accepted
+  8: optional i32 reachedMillisecondsAgo
 }
 
 struct WorkReport {
--- a/src/libs/peer/wire_conversion.cpp
+++ b/src/libs/peer/wire_conversion.cpp
@@ -201,6 +201,9 @@
   Result.failed = static_cast<std::int32_t>(Work.Failed);
   Result.slow = static_cast<std::int32_t>(Work.Slow);
   Result.erred = static_cast<std::int32_t>(Work.ErrorAfterWork);
+  if (Work.ReachedAgo)
+    Result.__set_reachedMillisecondsAgo(
+        static_cast<std::int32_t>(Work.ReachedAgo->count()));
   return Result;
 }
 
@@ -211,7 +214,11 @@
           countFromWire(Work.accepted),
           countFromWire(Work.failed),
           countFromWire(Work.slow),
-          countFromWire(Work.erred)};
+          countFromWire(Work.erred),
+          Work.__isset.reachedMillisecondsAgo
+              ? std::optional(
+                    milliseconds(std::max(0, Work.reachedMillisecondsAgo)))
+              : std::nullopt};
 }
 
 wire::WorkReport toWire(const work_report &Report) {
--- a/src/libs/process/active_request.h
+++ b/src/libs/process/active_request.h
@@ -54,6 +54,8 @@
   bool Accepted = false;
   /// Error that the peer reported for the backend server.
   std::optional<error_kind> PeerError;
+  /// The connection is established and the request is being sent.
+  bool Connected = false;
 
   bool goesToPeer() const { return Target.Route == attempt_route::Peer; }
 };
--- a/src/libs/process/outlier_detector.h
+++ b/src/libs/process/outlier_detector.h
@@ -26,6 +26,13 @@
   Shed,
 };
 
+/// Whether the signal comes soon after a request has reached the server. The
+/// end of a long request doesn't show that the server gets new ones.
+constexpr bool showsArrival(attempt_signal Signal) {
+  return Signal == attempt_signal::Accepted ||
+         Signal == attempt_signal::Failed || Signal == attempt_signal::Shed;
+}
+
 /// Exponentially decaying counts of all signals and of bad ones.
 class failure_rate {
 public:
--- a/src/libs/process/pool_scheduler.cpp
+++ b/src/libs/process/pool_scheduler.cpp
@@ -69,6 +69,9 @@
 /// request of the entry that owns the trial and for the takeover delay of the
 /// others.
 constexpr milliseconds IdleAfter{1'700};
+/// A request that has not reached its server after this time may be lost on the
+/// way. Covers the report of its arrival to the other entries.
+constexpr milliseconds ArrivalTimeout{150};
 /// How long the other entries wait, with too many servers idle, for the entry
 /// that owns the trial: it may have no request, or be lost. A random delay of
 /// up to the same length is added so that they don't take over all at once.
@@ -340,7 +343,8 @@
                                  steady_time Now) {
   steady_time IdleThreshold = idleThreshold(Now);
   auto IsIdle = [&](const pooled_server &Server) {
-    return isReachable(Server, Now) && Server.LastUsed < IdleThreshold;
+    return isReachable(Server, Now) && Server.LastUsed < IdleThreshold &&
+           Now >= Server.PendingUntil;
   };
   auto CanTry = [&](const pooled_server &Server) {
     return IsIdle(Server) && canAccept(Request, Server, Now);
@@ -445,8 +449,7 @@
     if (Server->LastUsed < idleThreshold(Now))
       IdleFor =
           std::chrono::duration_cast<milliseconds>(Now - Server->LastUsed);
-    Server->LastUsed = Now;
-    Server->NeverUsed = false;
+    Server->PendingUntil = Now + ArrivalTimeout;
     StartRate.record(Now);
     return slot_assignment{
         Request.Id,       Server->Address,
@@ -475,16 +478,13 @@
 }
 
 void pool_scheduler::observe(std::string_view Address, attempt_signal Signal,
-                             steady_time Now) {
+                             steady_time Now, milliseconds Age) {
   pooled_server *Server = find(Address);
   if (!Server)
     return;
   Server->NeverUsed = false;
-  // These signals come soon after a request has reached the server. The end of
-  // a long request doesn't show that the server gets new ones.
-  if (Signal == attempt_signal::Accepted || Signal == attempt_signal::Failed ||
-      Signal == attempt_signal::Shed)
-    Server->LastUsed = Now;
+  if (showsArrival(Signal))
+    Server->LastUsed = std::max(Server->LastUsed, Now - Age);
   if (Signal == attempt_signal::Failed ||
       Signal == attempt_signal::ErrorAfterWork)
     Server->LastFailed = Now;
@@ -547,13 +547,24 @@
   pooled_server *Server = find(Address);
   if (!Server)
     return;
-  if (Slots > Server->RemoteSlots) {
-    Server->LastUsed = Now;
-    Server->NeverUsed = false;
-  }
+  if (Slots > Server->RemoteSlots)
+    Server->PendingUntil = Now + ArrivalTimeout;
   Server->RemoteSlots = Slots;
 }
 
+void pool_scheduler::recordReached(std::string_view Address, steady_time At) {
+  pooled_server *Server = find(Address);
+  if (!Server)
+    return;
+  Server->LastUsed = std::max(Server->LastUsed, At);
+  Server->NeverUsed = false;
+}
+
+bool pool_scheduler::isIdle(std::string_view Address, steady_time Now) const {
+  const pooled_server *Server = find(Address);
+  return Server && Server->usable() && Now >= Server->LastUsed + IdleAfter;
+}
+
 std::uint32_t pool_scheduler::localSlots(std::string_view Address) const {
   const pooled_server *Server = find(Address);
   return Server ? static_cast<std::uint32_t>(Server->InUse) : 0;
--- a/src/libs/process/pool_scheduler.h
+++ b/src/libs/process/pool_scheduler.h
@@ -64,8 +64,13 @@
   /// Releases the slot of an attempt.
   void release(std::string_view Server, rank Rank, steady_time Now);
   /// Updates the state of a backend server from the signal of an attempt, made
-  /// by this process or by another proxy.
-  void observe(std::string_view Server, attempt_signal Signal, steady_time Now);
+  /// by this process or by another proxy, which reports it \p Age later.
+  void observe(std::string_view Server, attempt_signal Signal, steady_time Now,
+               milliseconds Age = milliseconds(0));
+  /// Records that a request has reached a backend server.
+  void recordReached(std::string_view Server, steady_time At);
+  /// Returns whether no request is known to have reached the server for long.
+  bool isIdle(std::string_view Server, steady_time Now) const;
   /// Marks a backend server as leaving, so that it gets no new requests.
   void markLeaving(std::string_view Server, steady_time Now);
   /// Returns whether a backend server is probably hanging or slow.
@@ -121,6 +126,8 @@
     steady_time LastUsed;
     /// When the server last failed a request.
     std::optional<steady_time> LastFailed;
+    /// Until this time a request that has been sent to the server may reach it.
+    steady_time PendingUntil;
     /// Whether no proxy has been seen using the server.
     bool NeverUsed = true;
     /// Why the last request that was placed while the server was idle has not
--- a/src/libs/process/request_scheduler.h
+++ b/src/libs/process/request_scheduler.h
@@ -56,6 +56,8 @@
     requires(T Scheduler, std::string_view Server, std::size_t Count,
              const waiting_request &Request, steady_time Now) {
   {Scheduler.setRemoteSlots(Server, Count, Now)};
+  {Scheduler.recordReached(Server, Now)};
+  { Scheduler.isIdle(Server, Now) } -> std::same_as<bool>;
   /// How long a request is queued when no server has capacity for it.
   { Scheduler.maxQueueTime(Request) } -> std::same_as<milliseconds>;
   /// Which backend servers get no requests.
--- a/src/libs/process/service_state.h
+++ b/src/libs/process/service_state.h
@@ -41,16 +41,35 @@
   /// report to other proxies.
   void recordSignal(std::string_view Server, attempt_signal Signal,
                     steady_time Now) {
-    Scheduler.observe(Server, Signal, Now);
-    if constexpr (sharing_scheduler<Policy>)
+    if constexpr (sharing_scheduler<Policy>) {
+      if (showsArrival(Signal))
+        recordReached(Server, Now);
       Work.recordSignal(Server, Signal);
+    }
+    Scheduler.observe(Server, Signal, Now);
+  }
+
+  /// Records that a request has reached a server. The other proxies are told at
+  /// once if it was idle, as one of them may be about to try it, too.
+  void recordReached([[maybe_unused]] std::string_view Server,
+                     [[maybe_unused]] steady_time Now) {
+    if constexpr (sharing_scheduler<Policy>) {
+      if (Scheduler.isIdle(Server, Now))
+        Work.expedite();
+      Scheduler.recordReached(Server, Now);
+      Work.recordReached(Server, Now);
+    }
   }
 
   /// Adds the number of a server's slots in use here to the next report to
-  /// other proxies.
-  void recordUse([[maybe_unused]] std::string_view Server) {
-    if constexpr (sharing_scheduler<Policy>)
+  /// other proxies, which is sent at once if the server was idle.
+  void recordUse([[maybe_unused]] std::string_view Server,
+                 [[maybe_unused]] steady_time Now) {
+    if constexpr (sharing_scheduler<Policy>) {
       Work.recordUse(Server, Scheduler.localSlots(Server));
+      if (Scheduler.isIdle(Server, Now))
+        Work.expedite();
+    }
   }
 
   /// Applies the report of another proxy about a server.
@@ -61,9 +80,12 @@
       RemoteSlots.record(Proxy, Reported, Now);
       Scheduler.setRemoteSlots(Reported.Server,
                                RemoteSlots.used(Reported.Server), Now);
+      milliseconds Age = Reported.ReachedAgo.value_or(milliseconds(0));
+      if (Reported.ReachedAgo)
+        Scheduler.recordReached(Reported.Server, Now - Age);
       auto Observe = [&](std::uint32_t Count, attempt_signal Signal) {
         for (; Count > 0; --Count)
-          Scheduler.observe(Reported.Server, Signal, Now);
+          Scheduler.observe(Reported.Server, Signal, Now, Age);
       };
       Observe(Reported.Accepted, attempt_signal::Accepted);
       Observe(Reported.Good, attempt_signal::Good);
@@ -80,14 +102,11 @@
         Scheduler.setRemoteSlots(Server, RemoteSlots.used(Server), Now);
   }
 
-  /// Time after which an attempt that has not failed counts as accepted. No
-  /// value if the request is queued behind others at the server, as a missing
-  /// answer tells nothing then.
-  static std::optional<milliseconds>
-  acceptedAfter(const attempt_target &Target) {
-    return Target.SlotsUsed > Target.Slots && Target.Slots != 0
-               ? std::nullopt
-               : std::optional(FastFailureWindow);
+  /// Whether an attempt that has not failed within FastFailureWindow counts as
+  /// accepted. If the request is queued behind others at the server, a missing
+  /// answer tells nothing.
+  static bool mayAssumeAccepted(const attempt_target &Target) {
+    return Target.SlotsUsed <= Target.Slots || Target.Slots == 0;
   }
 
   /// The signal given by an attempt that failed after \p Taken.
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -141,14 +141,17 @@
   /// Checks the backend server against the published version, whose message may
   /// not have reached this thread yet.
   bool mayStart(attempt_id Id) {
-    const active_request *Active = findByAttempt(Id);
-    if (!Settings.Versions || !Active ||
-        Active->Attempt->Target.Route != attempt_route::Slot)
+    active_request *Active = findByAttempt(Id);
+    if (!Active)
       return true;
     // The order matters: the control thread publishes a version before it
     // extends ServersUsableUntil.
-    return !serversUnconfirmed(Clock.now()) &&
-           isUsable(*Active, Active->Attempt->Target.Server);
+    Active->Attempt->Connected =
+        !Settings.Versions ||
+        Active->Attempt->Target.Route != attempt_route::Slot ||
+        (!serversUnconfirmed(Clock.now()) &&
+         isUsable(*Active, Active->Attempt->Target.Server));
+    return Active->Attempt->Connected;
   }
 
   std::optional<error_kind> onHead(attempt_id Id, backend_response_head Head) {
@@ -662,8 +665,8 @@
                     steady_time Now) {
     const caller_request &Request = Active.Request;
     attempt_id Id = NextAttempt++;
-    Active.Attempt =
-        running_attempt{Id, Target, Now, std::nullopt, 0, false, std::nullopt};
+    Active.Attempt = running_attempt{Id, Target, Now,          std::nullopt,
+                                     0,  false,  std::nullopt, false};
     ++Active.Attempts;
     ByAttempt[Id] = Request.Id;
     auto Left =
@@ -686,11 +689,10 @@
     if (Target.Route == attempt_route::Slot) {
       Timers.add(Now + slowThreshold(Active),
                  {Request.Id, Id, timer_kind::Slow});
-      stateOf(Active).recordUse(Target.Server);
+      stateOf(Active).recordUse(Target.Server, Now);
       if constexpr (sharing_scheduler<Policy>)
-        if (auto After = state::acceptedAfter(Target))
-          Timers.add(Now + *After,
-                     {Request.Id, Id, timer_kind::AssumeAccepted});
+        Timers.add(Now + FastFailureWindow,
+                   {Request.Id, Id, timer_kind::AssumeAccepted});
       // A retryable attempt is given up early enough for another one, but not
       // before nearly all responses would have arrived: a request that takes
       // long takes as long on another server.
@@ -840,7 +842,7 @@
     state &State = stateOf(Active);
     State.Scheduler.release(Attempt.Target.Server, Active.Request.Kind->Rank,
                             Now);
-    State.recordUse(Attempt.Target.Server);
+    State.recordUse(Attempt.Target.Server, Now);
   }
 
   void reportEvidence([[maybe_unused]] const active_request &Active,
@@ -1113,16 +1115,30 @@
     }
     if (!Running || Active.Attempt->Id != Due.Attempt || Active.Attempt->Head)
       return;
-    if (Due.Kind == timer_kind::AssumeAccepted) {
-      recordAccepted(Active, Now);
-      // The scheduler may assign more requests to the server now.
-      startNext(std::string(Active.Request.Service->Definition.Name), Now);
-    } else if (Due.Kind == timer_kind::Slow)
+    if (Due.Kind == timer_kind::AssumeAccepted)
+      assumeAccepted(Active, Now);
+    else if (Due.Kind == timer_kind::Slow)
       reportSlow(Active, Now);
     else
       timeOutAttempt(Active, Now);
   }
 
+  /// Records that an attempt which has not failed has reached its server, and
+  /// that it was accepted if it got a slot there.
+  void assumeAccepted(active_request &Active, steady_time Now) {
+    const running_attempt &Attempt = *Active.Attempt;
+    if (!Attempt.Connected) {
+      Timers.add(Now + FastFailureWindow,
+                 {Active.Request.Id, Attempt.Id, timer_kind::AssumeAccepted});
+      return;
+    }
+    stateOf(Active).recordReached(Attempt.Target.Server, Now);
+    if (state::mayAssumeAccepted(Attempt.Target))
+      recordAccepted(Active, Now);
+    // The scheduler may assign more requests to the server now.
+    startNext(std::string(Active.Request.Service->Definition.Name), Now);
+  }
+
   /// Reports an attempt without a response as slow, and again at each further
   /// interval. If all slots of a backend server hang, there is no other signal.
   void reportSlow(active_request &Active, steady_time Now) {
--- a/src/libs/process/work_report.h
+++ b/src/libs/process/work_report.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <numeric>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,6 +27,9 @@
   std::uint32_t Failed = 0;
   std::uint32_t Slow = 0;
   std::uint32_t ErrorAfterWork = 0;
+  /// Time from the last arrival of a request to the report; no value if none
+  /// has arrived since the proxy's last report.
+  std::optional<milliseconds> ReachedAgo{};
 
   bool operator==(const server_work &) const = default;
 };
@@ -77,6 +81,14 @@
              Signal == attempt_signal::Slow;
   }
 
+  /// Records that a request has reached the server.
+  void recordReached(std::string_view Server, steady_time Now) {
+    changedEntry(Server).LastReached = Now;
+  }
+
+  /// Makes the next report due immediately.
+  void expedite() { Urgent = true; }
+
   /// Whether a report is due.
   bool due(steady_time Now) const {
     return Urgent || (Changed && Now >= LastTaken + Interval) ||
@@ -98,8 +110,12 @@
     for (entry &Entry : Entries) {
       if (!Entry.Changed && Now < Entry.LastReported + RefreshInterval)
         continue;
+      if (Entry.LastReached)
+        Entry.Work.ReachedAgo =
+            std::chrono::duration_cast<milliseconds>(Now - *Entry.LastReached);
       Report.Servers.push_back(Entry.Work);
-      Entry = {server_work{Entry.Work.Server, Entry.Work.InUse}, Now, false};
+      Entry = {server_work{Entry.Work.Server, Entry.Work.InUse}, Now, false,
+               std::nullopt};
     }
     std::erase_if(Entries,
                   [](const entry &Entry) { return Entry.Work.InUse == 0; });
@@ -113,17 +129,24 @@
     server_work Work;
     steady_time LastReported;
     bool Changed = false;
+    /// When a request last reached the server, if since the last report.
+    std::optional<steady_time> LastReached;
   };
 
   server_work &changedWork(std::string_view Server) {
+    return changedEntry(Server).Work;
+  }
+
+  entry &changedEntry(std::string_view Server) {
     Changed = true;
     auto Found = std::ranges::find_if(
         Entries, [&](const entry &E) { return E.Work.Server == Server; });
     if (Found == Entries.end())
       Found = Entries.insert(
-          Entries.end(), entry{server_work{std::string(Server)}, {}, false});
+          Entries.end(),
+          entry{server_work{std::string(Server)}, {}, false, {}});
     Found->Changed = true;
-    return Found->Work;
+    return *Found;
   }
 
   milliseconds Interval = MinInterval;
--- a/tests/auto/peer/peer_samples.h
+++ b/tests/auto/peer/peer_samples.h
@@ -20,6 +20,9 @@
   Message.Changes = {{"s", 6}};
   Message.Deaths = {{"s", 7, "x"}};
   Message.Leaving = {{"s", "y"}};
+  Message.Work = {{"s",
+                   {{"x", 1, 2, 3, 4, 5, 6, milliseconds(70)},
+                    {"y", 7, 0, 0, 0, 0, 0, std::nullopt}}}};
   Message.Sent = 10;
   Message.AnswerTo = -11;
   Message.Time = {8, 9};
--- a/tests/auto/peer/tst_peer_codec.cpp
+++ b/tests/auto/peer/tst_peer_codec.cpp
@@ -26,6 +26,7 @@
   CHECK(Back.Deaths[0].Fingerprint == 7);
   CHECK(Back.Leaving[0].Server == "y");
   CHECK(Back.Time == Sent.Time);
+  CHECK(Back.Work == Sent.Work);
 }
 
 TEST_CASE("pulls and replies come back as they were") {
--- a/tests/auto/process/simulated_fleet.h
+++ b/tests/auto/process/simulated_fleet.h
@@ -189,6 +189,7 @@
     steady_time Started;
     bool Accepted = false;
     bool SlowReported = false;
+    bool Connected = false;
   };
   /// An attempt at a server.
   struct job {
@@ -300,7 +301,7 @@
         (ToLargeEntry ? LargeEntries : Load.Entries) - 1)(Random);
     while (Lost[Entry])
       Entry = (Entry + 1) % Load.Entries;
-    Requests[Id] = {Entry, Now, 0, {}, {}, {}, false, false};
+    Requests[Id] = {Entry, Now, 0, {}, {}, {}, false, false, false};
     ++Result.Submitted;
     Floor.addRequest(Now);
     if (Load.Timeouts)
@@ -351,15 +352,11 @@
       Request.Started = Now;
       Request.Accepted = false;
       Request.SlowReported = false;
+      Request.Connected = false;
       ++Request.Attempts;
-      Entry.recordUse(Assignment->Server);
+      Entry.recordUse(Assignment->Server, Now);
       job Job{Assignment->Request, Request.Attempts};
-      if (auto After = state::acceptedAfter(Request.To))
-        at(*After, [this, Index, Job] {
-          if (request *Running = find(Job))
-            accept(*Running);
-          dispatch(Index);
-        });
+      at(FastFailureWindow, [this, Job] { assumeAccepted(Job); });
       if (Load.Timeouts)
         at(slowThreshold(Request), [this, Job] { reportSlow(Job); });
       bool Delayed = isLossy(Index) && chance(Load.Loss);
@@ -377,6 +374,21 @@
                : nullptr;
   }
 
+  void assumeAccepted(const job &Job) {
+    request *Request = find(Job);
+    if (!Request)
+      return;
+    std::size_t Index = Request->Entry;
+    if (!Request->Connected) {
+      at(FastFailureWindow, [this, Job] { assumeAccepted(Job); });
+      return;
+    }
+    Entries[Index]->recordReached(Request->To.Server, Now);
+    if (state::mayAssumeAccepted(Request->To))
+      accept(*Request);
+    dispatch(Index);
+  }
+
   steady_time::duration slowThreshold(const request &Request) {
     constexpr double SlowFactor = 2.5;
     return std::chrono::duration_cast<steady_time::duration>(
@@ -436,7 +448,8 @@
     std::string Name = Request->To.Server;
     server &Server = Servers[Name];
     auto Fault = faultOf(Server);
-    if (Fault == server_fault::Unreachable) {
+    Request->Connected = Fault != server_fault::Unreachable;
+    if (!Request->Connected) {
       at(NetworkDelay, [this, Job] {
         if (find(Job))
           finishAttempt(Job, error_kind::BackendUnreachable);
@@ -477,12 +490,12 @@
     at(std::chrono::duration_cast<steady_time::duration>(
            std::chrono::duration<double>(Fails ? 0.002 : Work)),
        [this, Job, Name, Failure] {
-         server &Server = Servers[Name];
-         if (Server.Silent)
+         server &At = Servers[Name];
+         if (At.Silent)
            return;
          if (Failure)
            Floor.addFailure(Name, Now);
-         startNext(Server);
+         startNext(At);
          if (find(Job))
            finishAttempt(Job, Failure);
        });
@@ -504,7 +517,7 @@
     state &Entry = *Entries[Request.Entry];
     std::size_t Index = Request.Entry;
     Entry.Scheduler.release(Request.To.Server, rank::Normal, Now);
-    Entry.recordUse(Request.To.Server);
+    Entry.recordUse(Request.To.Server, Now);
     if (Failure) {
       Entry.recordSignal(
           Request.To.Server,
--- a/tests/auto/process/tst_service_state.cpp
+++ b/tests/auto/process/tst_service_state.cpp
@@ -73,7 +73,54 @@
   CHECK(State.Scheduler.next(Now));
 }
 
+TEST_CASE("a server counts as used from the time at which a request has "
+          "reached it") {
+  state State(service_definition{}, 1);
+  backend_server Server;
+  Server.Address = "a";
+  steady_time Now{1h};
+  State.Scheduler.configure(service_definition{}, std::span(&Server, 1), Now);
+  Now += 10s;
+  REQUIRE(State.Scheduler.isIdle("a", Now));
+  server_work Work;
+  Work.Server = "a";
+  Work.InUse = Work.Accepted = 1;
+  SECTION("more slots in use do not show an arrival") {
+    Work.Accepted = 0;
+    State.applyRemoteWork("other", Work, Now);
+    CHECK(State.Scheduler.isIdle("a", Now));
+  }
+  SECTION("a late report") {
+    Work.ReachedAgo = 400ms;
+    State.applyRemoteWork("other", Work, Now);
+    CHECK_FALSE(State.Scheduler.isIdle("a", Now + 900ms));
+    CHECK(State.Scheduler.isIdle("a", Now + 1'450ms));
+  }
+}
+
+TEST_CASE("the arrival of a request at an idle server is reported "
+          "immediately") {
+  state State(service_definition{}, 1);
+  backend_server Server;
+  Server.Address = "a";
+  steady_time Now{1h};
+  State.Scheduler.configure(service_definition{}, std::span(&Server, 1), Now);
+  Now += 10s;
+  State.recordUse("a", Now);
+  CHECK(State.Work.due(Now));
+  State.Work.take("s", Now);
+  Now += 10ms;
+  State.recordReached("a", Now);
+  CHECK(State.Work.due(Now));
+  Now += 10ms;
+  work_report Report = State.Work.take("s", Now);
+  REQUIRE(Report.Servers.size() == 1);
+  CHECK(Report.Servers[0].ReachedAgo == 10ms);
+  State.recordReached("a", Now);
+  CHECK_FALSE(State.Work.due(Now));
+}
+
 TEST_CASE("a queued request is not counted as accepted without an answer") {
-  CHECK(state::acceptedAfter(targetWith(6)) == FastFailureWindow);
-  CHECK_FALSE(state::acceptedAfter(targetWith(7)));
+  CHECK(state::mayAssumeAccepted(targetWith(6)));
+  CHECK_FALSE(state::mayAssumeAccepted(targetWith(7)));
 }
--- a/tests/auto/process/tst_traffic_thread.cpp
+++ b/tests/auto/process/tst_traffic_thread.cpp
@@ -539,6 +539,26 @@
   CHECK(Metrics.text().find("endiverail_retries_total{") == std::string::npos);
 }
 
+TEST_CASE_METHOD(shared_traffic_fixture,
+                 "a request has not reached its server as long as there is no "
+                 "connection") {
+  auto Reached = [&] {
+    return std::ranges::any_of(Notices.Notices, [](const auto &Notice) {
+      const auto *Report = std::get_if<work_report>(&Notice);
+      return Report && std::ranges::any_of(Report->Servers, [](const auto &S) {
+               return S.ReachedAgo.has_value() || S.Accepted > 0;
+             });
+    });
+  };
+  send("POST", "/s/x");
+  REQUIRE(attempts().size() == 1);
+  advance(600ms);
+  CHECK_FALSE(Reached());
+  CHECK(transport().connect(attempts().begin()->first));
+  advance(600ms);
+  CHECK(Reached());
+}
+
 TEST_CASE_METHOD(shared_traffic_fixture,
                  "all servers are used after requests were held back") {
   constexpr std::size_t ServerCount = 3;
