Let any entry try an idle server soon, not only the owner of the trial

A server that is not used for 1.5 to 1.7 s is tried by one entry that owns its trial, with that entry's next request. The others took over only with the second request that each of them placed after the server had become due, and only for one server at a time. With 111 entries and 150 requests a second an entry gets a request every 0.74 s, and a pool of which a third is used by trials only needs 20 to 30 of them a second. So healthy servers stayed idle for over two seconds, though reachable and with room, while the limit of idle servers was exceeded: in the simulated fleet their reason is 'other-entry' or 'no-request' at nearly all entries.

Entries now take turns: at any time as many of them are entitled as it takes to get six requests of the pool in 300 ms, more the longer nobody has tried; each chooses one of the due servers at random, those that are probably healthy first. Where an entry has many requests, the owner still comes first, so that entries with the same information don't try the same server.

--- a/src/libs/process/pool_failure_rate.h
+++ b/src/libs/process/pool_failure_rate.h
@@ -24,6 +24,11 @@
            RecentFailures > Share * Requests * decayFactor(Now);
   }
 
+  /// Requests per second of the whole pool.
+  double requestsPerSecond(steady_time Now) const {
+    return Requests * decayFactor(Now) / DecayTimeSeconds;
+  }
+
 private:
   /// Chosen so that most of the counted requests are no older than the interval
   /// in which the requirements count failures.
--- a/src/libs/process/pool_scheduler.cpp
+++ b/src/libs/process/pool_scheduler.cpp
@@ -64,18 +64,24 @@
 /// time divided by this number, even if the pool's usual answer time leaves no
 /// time for queueing.
 constexpr int MinQueueTimeDivisor = 8;
-/// A server without new requests for this long is idle. The requirements count
-/// servers that get nothing for two seconds; the difference allows for the next
-/// request of the entry that owns the trial and for the takeover delay of the
-/// others.
+/// A server without new requests for this long is idle, or earlier by up to
+/// MaxTrialLead when there are few requests. The requirements count servers
+/// that get nothing for two seconds; the difference allows for the next request
+/// of an entry that may try the server, and for one that is lost on its way.
 constexpr milliseconds IdleAfter{1'700};
+constexpr milliseconds MaxTrialLead{200};
 /// A request that has not reached its server after this time may be lost on the
 /// way. Covers the report of its arrival to the other entries.
 constexpr milliseconds ArrivalTimeout{150};
-/// How long the other entries wait, with too many servers idle, for the entry
-/// that owns the trial: it may have no request, or be lost. A random delay of
-/// up to the same length is added so that they don't take over all at once.
-constexpr milliseconds TrialTakeoverDelay{100};
+/// Time in which each entry is entitled once to try an idle server. At any
+/// time, as many entries are entitled as it takes to get this number of
+/// requests in that time: an entry may get its next request only after seconds.
+constexpr milliseconds TrialRound{300};
+constexpr double RequestsPerTrialRound = 6;
+/// The other entries leave a trial to the entry that owns it for the time in
+/// which it gets this number of requests, unless that takes too long.
+constexpr double OwnerRequests = 3;
+constexpr milliseconds MaxOwnerTime{200};
 /// Maximum share of the healthy servers that may be idle. At least seven tenths
 /// of them have to be in use while many requests fail, and when that will
 /// happen can't be predicted.
@@ -292,112 +298,148 @@
          (!Server.LastFailed || Now > *Server.LastFailed + HealthyAfter);
 }
 
-/// A server that was last used before the returned time is idle. A trial that
-/// another entry owns is sent with that entry's next request, or when others
-/// take it over; servers count as idle earlier by that delay.
-steady_time pool_scheduler::idleThreshold(steady_time Now) const {
-  if (TrialPartition.Entries <= 1)
-    return Now - IdleAfter;
-  double Rate = std::max(1.0, StartRate.perSecond(Now));
-  auto TakeoverDelay = std::chrono::duration_cast<milliseconds>(
-      std::chrono::duration<double>(1 / Rate));
-  return Now - (IdleAfter - std::min(TakeoverDelay, 2 * TrialTakeoverDelay));
-}
-
 /// Maximum number of idle servers before this request has to try one of them.
 double pool_scheduler::maxIdleServers(const waiting_request &Request,
                                       std::ptrdiff_t Healthy,
                                       steady_time Now) const {
   auto Count = static_cast<double>(Healthy);
-  if (mayRetry(Request) || PoolFailures.exceeds(HighFailureShare, Now))
+  if (mayRetry(Request) || manyFail(Now))
     return MaxIdleShareUnderFailures * Count;
   return std::max(MaxIdleShare * Count,
                   MaxIdleShareOfLargePool * Count - LargePoolReserve);
 }
 
+/// Position of this entry among those that try the server while it is idle.
+std::size_t pool_scheduler::trialTurn(const pooled_server &Server) const {
+  return (stableHash(Server.Address) + TrialPartition.Index) %
+         TrialPartition.Entries;
+}
+
 bool pool_scheduler::ownsTrialOf(const pooled_server &Server) const {
-  return stableHash(Server.Address) % TrialPartition.Entries ==
-         TrialPartition.Index;
+  return TrialPartition.Index < TrialPartition.Entries &&
+         trialTurn(Server) == 0;
+}
+
+/// How long a server has to be without requests to be idle.
+milliseconds pool_scheduler::idleTime(steady_time Now) const {
+  if (TrialPartition.Entries <= 1)
+    return IdleAfter;
+  double Rate = std::max(1.0, StartRate.perSecond(Now));
+  auto Lead = std::chrono::duration_cast<milliseconds>(
+      std::chrono::duration<double>(1 / Rate));
+  return IdleAfter - std::min(Lead, MaxTrialLead);
+}
+
+/// Returns whether it is this entry's turn to try a server that needs a trial
+/// since \p Since.
+bool pool_scheduler::isTrialDue(const pooled_server &Server, steady_time Since,
+                                steady_time Now) const {
+  if (Now < Since)
+    return false;
+  auto OwnerTime =
+      std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(
+          OwnerRequests / std::max(1.0, StartRate.perSecond(Now))));
+  if (Now < Since + OwnerTime && OwnerTime <= MaxOwnerTime)
+    return ownsTrialOf(Server);
+  steady_time::duration Round = TrialRound;
+  auto Begin = Round * static_cast<std::int64_t>(trialTurn(Server)) /
+               static_cast<std::int64_t>(TrialPartition.Entries);
+  auto Elapsed = Now - Since;
+  // The longer no entry has tried the server, the more of them may.
+  auto Length = trialTurnLength(Now) + std::min(Elapsed, Round) / 4;
+  return Elapsed >= Begin && (Elapsed - Begin) % Round < Length;
+}
+
+/// How long an entry is entitled to try an idle server in each round.
+steady_time::duration pool_scheduler::trialTurnLength(steady_time Now) const {
+  steady_time::duration Round = TrialRound;
+  auto Length = std::chrono::duration_cast<steady_time::duration>(
+      std::chrono::duration<double>(
+          RequestsPerTrialRound /
+          std::max(1.0, PoolFailures.requestsPerSecond(Now))));
+  return std::clamp(
+      Length, Round / static_cast<std::int64_t>(TrialPartition.Entries), Round);
 }
 
 /// Records for each idle server why the request is not sent to it, in case it
 /// isn't.
 void pool_scheduler::recordNotTried(const waiting_request &Request,
-                                    steady_time IdleThreshold, double Excess,
-                                    steady_time Now) {
+                                    bool TooMany, steady_time Now) {
+  auto Reason = [&](const pooled_server &Server) {
+    if (auto Obstacle = obstacleTo(Request, Server, Now))
+      return *Obstacle;
+    if (Now < Server.PendingUntil)
+      return idle_reason::Pending;
+    return TooMany ? idle_reason::OtherEntry : idle_reason::WithinLimit;
+  };
   for (pooled_server &Server : Servers) {
-    if (!Server.usable() || Server.LastUsed >= IdleThreshold)
+    if (!Server.usable() || Now < Server.LastUsed + idleTime(Now))
       continue;
-    Server.NotTried = obstacleTo(Request, Server, Now)
-                          .value_or(Excess <= 0 ? idle_reason::WithinLimit
-                                                : idle_reason::OtherEntry);
+    Server.NotTried = Reason(Server);
     Server.NotTriedAt = Now;
   }
 }
 
-/// Returns an idle server that no proxy has used yet, or one of those with the
-/// lowest failure probability when more servers are idle than allowed. Each
-/// trial is owned by one entry; the others take it over after a delay.
+bool pool_scheduler::manyFail(steady_time Now) const {
+  return PoolFailures.exceeds(HighFailureShare, Now);
+}
+
+/// Returns one of the idle servers that no proxy has used yet, or one of those
+/// with the lowest failure probability when more servers are idle than allowed.
 pool_scheduler::pooled_server *
 pool_scheduler::chooseIdleServer(const waiting_request &Request,
                                  steady_time Now) {
-  steady_time IdleThreshold = idleThreshold(Now);
-  auto IsIdle = [&](const pooled_server &Server) {
-    return isReachable(Server, Now) && Server.LastUsed < IdleThreshold &&
-           Now >= Server.PendingUntil;
-  };
-  auto CanTry = [&](const pooled_server &Server) {
-    return IsIdle(Server) && canAccept(Request, Server, Now);
+  milliseconds IdleTime = idleTime(Now);
+  auto IdleSince = [&](const pooled_server *Server) {
+    return Server->LastUsed + IdleTime;
   };
-  auto NeverUsed =
-      std::ranges::find_if(Servers, [&](const pooled_server &Server) {
-        return Server.NeverUsed && ownsTrialOf(Server) && CanTry(Server);
-      });
-  if (NeverUsed != Servers.end())
-    return &*NeverUsed;
+  std::vector<pooled_server *> Idle;
+  std::vector<pooled_server *> Due;
+  for (pooled_server &Server : Servers) {
+    if (!isReachable(Server, Now) || Now < IdleSince(&Server) ||
+        Now < Server.PendingUntil)
+      continue;
+    Idle.push_back(&Server);
+    if (Server.NeverUsed && canAccept(Request, Server, Now) &&
+        isTrialDue(Server, IdleSince(&Server), Now))
+      Due.push_back(&Server);
+  }
   auto Healthy =
       std::ranges::count_if(Servers, [&](const pooled_server &Server) {
         return countsAsHealthy(Server, Now);
       });
   IdleLimit = maxIdleServers(Request, Healthy, Now);
-  double Excess =
-      static_cast<double>(std::ranges::count_if(Servers, IsIdle)) - IdleLimit;
-  recordNotTried(Request, IdleThreshold, Excess, Now);
-  if (Excess <= 0) {
-    DeferredTrial.reset();
-    return nullptr;
+  auto Allowed = static_cast<std::size_t>(IdleLimit);
+  bool TooMany = Idle.size() > Allowed;
+  recordNotTried(Request, TooMany, Now);
+  if (Due.empty() && TooMany) {
+    auto FirstExcess = Idle.begin() + static_cast<std::ptrdiff_t>(Allowed);
+    std::ranges::nth_element(Idle, FirstExcess, {}, IdleSince);
+    steady_time Since = IdleSince(*FirstExcess);
+    std::size_t Excess = Idle.size() - Allowed;
+    std::erase_if(Idle, [&](const pooled_server *Server) {
+      return !canAccept(Request, *Server, Now);
+    });
+    std::ranges::stable_sort(Idle, {}, [&](const pooled_server *Server) {
+      return Server->Health.unhealthyProbability(Now);
+    });
+    Idle.resize(std::min(Idle.size(), Excess));
+    std::ranges::copy_if(
+        Idle, std::back_inserter(Due), [&](const pooled_server *Server) {
+          return isTrialDue(*Server, std::max(Since, IdleSince(Server)), Now);
+        });
   }
-  std::vector<pooled_server *> Due;
-  for (pooled_server &Server : Servers)
-    if (CanTry(Server))
-      Due.push_back(&Server);
-  std::ranges::stable_sort(Due, {}, [&](const pooled_server *Server) {
-    return Server->Health.unhealthyProbability(Now);
-  });
-  // All servers in excess of the limit may be tried at the same time, each by
-  // the entry that owns it.
-  Due.resize(std::min(Due.size(), static_cast<std::size_t>(std::ceil(Excess))));
-  auto Own = std::ranges::find_if(
-      Due, [&](const pooled_server *Server) { return ownsTrialOf(*Server); });
-  if (Own != Due.end())
-    return *Own;
-  return Due.empty() ? nullptr : takeOverTrial(*Due.front(), Now);
-}
-
-/// Returns the server once the entry that owns its trial has not sent one for
-/// the takeover delay.
-pool_scheduler::pooled_server *
-pool_scheduler::takeOverTrial(pooled_server &Server, steady_time Now) {
-  std::uniform_int_distribution<std::int64_t> Spread(
-      0, TrialTakeoverDelay.count());
-  if (!DeferredTrial || DeferredTrial->Server != Server.Address)
-    DeferredTrial =
-        deferred_trial{Server.Address,
-                       Now + TrialTakeoverDelay + milliseconds(Spread(Random))};
-  if (Now < DeferredTrial->Until)
+  if (Due.empty())
     return nullptr;
-  DeferredTrial.reset();
-  return &Server;
+  // Entries with the same information choose different servers, but none that
+  // is probably unhealthy while there are others.
+  auto Unhealthy = std::ranges::partition(Due, [&](const pooled_server *Each) {
+    return Each->Health.unhealthyProbability(Now) <= UnhealthyThreshold;
+  });
+  auto Choices = Due.size() - Unhealthy.size();
+  std::uniform_int_distribution<std::size_t> Position(
+      0, (Choices > 0 ? Choices : Due.size()) - 1);
+  return Due[Position(Random)];
 }
 
 pool_scheduler::pooled_server *
@@ -446,7 +488,7 @@
     }
     ++Server->RecentStarts;
     std::optional<milliseconds> IdleFor;
-    if (Server->LastUsed < idleThreshold(Now))
+    if (Now >= Server->LastUsed + idleTime(Now))
       IdleFor =
           std::chrono::duration_cast<milliseconds>(Now - Server->LastUsed);
     Server->PendingUntil = Now + ArrivalTimeout;
@@ -562,7 +604,7 @@
 
 bool pool_scheduler::isIdle(std::string_view Address, steady_time Now) const {
   const pooled_server *Server = find(Address);
-  return Server && Server->usable() && Now >= Server->LastUsed + IdleAfter;
+  return Server && Server->usable() && Now >= Server->LastUsed + idleTime(Now);
 }
 
 std::uint32_t pool_scheduler::localSlots(std::string_view Address) const {
@@ -623,12 +665,12 @@
 pool_use pool_scheduler::use(steady_time Now) const {
   pool_use Use;
   Use.IdleLimit = IdleLimit;
-  Use.ManyFail = PoolFailures.exceeds(HighFailureShare, Now);
+  Use.ManyFail = manyFail(Now);
   for (const pooled_server &Server : Servers) {
     if (!Server.usable())
       continue;
     ++Use.Servers;
-    steady_time IdleSince = Server.LastUsed + IdleAfter;
+    steady_time IdleSince = Server.LastUsed + idleTime(Now);
     if (Now < IdleSince)
       continue;
     Use.Idle.push_back(
--- a/src/libs/process/pool_scheduler.h
+++ b/src/libs/process/pool_scheduler.h
@@ -21,8 +21,9 @@
 
 namespace endiverail {
 
-/// The part of a pool's servers for which this process sends trial requests on
-/// behalf of all \p Entries entries. An index out of range owns no servers.
+/// The position of this process among the \p Entries entries, which take turns
+/// at trying an idle server. The first in turn owns the trial. An index out of
+/// range owns no trials.
 struct trial_partition {
   std::size_t Index = 0;
   std::size_t Entries = 1;
@@ -143,14 +144,10 @@
     bool usable() const { return !Leaving && !Delisted; }
   };
 
-  struct deferred_trial {
-    endpoint_text Server;
-    steady_time Until;
-  };
-
   pooled_server *find(std::string_view Address);
   const pooled_server *find(std::string_view Address) const;
   bool mostAreFailing() const;
+  bool manyFail(steady_time Now) const;
   /// Number of requests that the server may have, running and queued, with the
   /// last of them still answered within its target time.
   std::size_t capacityFor(const waiting_request &Request,
@@ -167,17 +164,20 @@
                  steady_time Now) const;
   bool isReachable(const pooled_server &Server, steady_time Now) const;
   bool countsAsHealthy(const pooled_server &Server, steady_time Now) const;
-  steady_time idleThreshold(steady_time Now) const;
   double maxIdleServers(const waiting_request &Request, std::ptrdiff_t Healthy,
                         steady_time Now) const;
+  milliseconds idleTime(steady_time Now) const;
+  std::size_t trialTurn(const pooled_server &Server) const;
   bool ownsTrialOf(const pooled_server &Server) const;
+  steady_time::duration trialTurnLength(steady_time Now) const;
+  bool isTrialDue(const pooled_server &Server, steady_time Since,
+                  steady_time Now) const;
   void recordPoolFailure(const pooled_server &Server, attempt_signal Signal,
                          steady_time Now);
-  void recordNotTried(const waiting_request &Request, steady_time IdleThreshold,
-                      double Excess, steady_time Now);
+  void recordNotTried(const waiting_request &Request, bool TooMany,
+                      steady_time Now);
   pooled_server *chooseIdleServer(const waiting_request &Request,
                                   steady_time Now);
-  pooled_server *takeOverTrial(pooled_server &Server, steady_time Now);
   pooled_server *chooseServer(const waiting_request &Request, steady_time Now);
   void removeDelisted();
 
@@ -186,8 +186,6 @@
   trial_partition TrialPartition;
   /// Maximum number of idle servers for the last request that was placed.
   double IdleLimit = 0;
-  /// The trial of an idle server that is left to the entry that owns it.
-  std::optional<deferred_trial> DeferredTrial;
   std::vector<pooled_server> Servers;
   std::vector<rank_queue> Queues;
   retry_budget Retries;
--- a/src/libs/process/pool_use.cpp
+++ b/src/libs/process/pool_use.cpp
@@ -16,6 +16,8 @@
     return "unconfirmed";
   case idle_reason::Avoided:
     return "avoided";
+  case idle_reason::Pending:
+    return "pending";
   case idle_reason::WithinLimit:
     return "within-limit";
   case idle_reason::OtherEntry:
--- a/src/libs/process/pool_use.h
+++ b/src/libs/process/pool_use.h
@@ -23,9 +23,11 @@
   Unconfirmed,
   /// The server has failed the same request before.
   Avoided,
+  /// A request is on its way to the server.
+  Pending,
   /// No more servers are idle than is allowed.
   WithinLimit,
-  /// The trial belongs to another entry.
+  /// It is the turn of other entries.
   OtherEntry,
 };
 
@@ -33,7 +35,8 @@
     idle_reason::NoRequest,   idle_reason::Unreachable,
     idle_reason::FullLocally, idle_reason::FullRemotely,
     idle_reason::Unconfirmed, idle_reason::Avoided,
-    idle_reason::WithinLimit, idle_reason::OtherEntry};
+    idle_reason::Pending,     idle_reason::WithinLimit,
+    idle_reason::OtherEntry};
 
 std::string_view idleReasonName(idle_reason Reason);
 
--- a/tests/auto/process/simulated_fleet.h
+++ b/tests/auto/process/simulated_fleet.h
@@ -340,6 +340,8 @@
   }
 
   void dispatch(std::size_t Index) {
+    if (Lost[Index])
+      return;
     state &Entry = *Entries[Index];
     Entry.expireRemoteWork(Now);
     for (const waiting_request &Late : Entry.Scheduler.takeExpired(Now))
