--- a/tests/auto/process/tst_traffic_thread.cpp
+++ b/tests/auto/process/tst_traffic_thread.cpp
@@ -142,6 +142,22 @@
   CHECK(transport().Receiver.onBodyData(Id, Piece));
 }
 
+TEST_CASE_METHOD(traffic_fixture,
+                 "a response without end to a caller that has gone takes no "
+                 "memory without end") {
+  auto Caller = send("POST", "/s/1");
+  attempt_id Id = onlyAttempt(*this).Id;
+  transport().head(Id, 200, std::nullopt);
+  deliver(caller_gone{{0, Caller, 1}});
+  std::string Piece(64 * 1024, 'x');
+  std::size_t Taken = 0;
+  while (attempts().contains(Id) &&
+         transport().Receiver.onBodyData(Id, Piece)) {
+    Taken += Piece.size();
+    REQUIRE(Taken < 2'000'000);
+  }
+}
+
 TEST_CASE_METHOD(traffic_fixture,
                  "a key runs once and its response is replayed") {
   auto First = send("POST", "/s/1", key());
