--- a/tests/auto/process/tst_servers_in_use.cpp
+++ b/tests/auto/process/tst_servers_in_use.cpp
@@ -99,6 +99,18 @@
   checkFloor(Load);
 }
 
+TEST_CASE("healthy servers get requests while most of their pool can't be "
+          "reached",
+          "[unreachable]") {
+  auto Deployment =
+      GENERATE(deployment{20, 107, 76, true}, deployment{20, 44, 300, false},
+               deployment{157, 107, 604, false});
+  simulated_load Load = loadOf(Deployment);
+  Load.Faults = groupsFailing(server_fault::Unreachable, 0.25, 0.7);
+  Load.Seed = 11;
+  checkFloor(Load);
+}
+
 TEST_CASE("healthy servers get requests in all deployments", "[.sweep]") {
   auto Deployment = GENERATE(
       deployment{4, 44, 30, true}, deployment{20, 107, 76, true},
