--- a/src/libs/process/pool_scheduler.cpp
+++ b/src/libs/process/pool_scheduler.cpp
@@ -78,6 +78,9 @@
 /// requests in that time: an entry may get its next request only after seconds.
 constexpr milliseconds TrialRound{300};
 constexpr double RequestsPerTrialRound = 6;
+/// The turns of the entries grow by the time without a trial divided by this
+/// number.
+constexpr int TurnGrowthDivisor = 4;
 /// The other entries leave a trial to the entry that owns it for the time in
 /// which it gets this number of requests, unless that takes too long.
 constexpr double OwnerRequests = 3;
@@ -345,8 +348,8 @@
   auto Begin = Round * static_cast<std::int64_t>(trialTurn(Server)) /
                static_cast<std::int64_t>(TrialPartition.Entries);
   auto Elapsed = Now - Since;
-  // The longer no entry has tried the server, the more of them may.
-  auto Length = trialTurnLength(Now) + std::min(Elapsed, Round) / 4;
+  auto Length =
+      trialTurnLength(Now) + std::min(Elapsed, Round) / TurnGrowthDivisor;
   return Elapsed >= Begin && (Elapsed - Begin) % Round < Length;
 }
 
--- a/tests/auto/process/tst_service_state.cpp
+++ b/tests/auto/process/tst_service_state.cpp
@@ -18,6 +18,19 @@
   return Target;
 }
 
+/// A server "a" that no request has reached for ten seconds.
+struct idle_server_fixture {
+  idle_server_fixture() {
+    backend_server Server;
+    Server.Address = "a";
+    State.Scheduler.configure(service_definition{}, std::span(&Server, 1), Now);
+    Now += 10s;
+  }
+
+  state State{service_definition{}, 1};
+  steady_time Now{1h};
+};
+
 } // namespace
 
 TEST_CASE("an error is classified by the time since the request's turn") {
@@ -73,14 +86,9 @@
   CHECK(State.Scheduler.next(Now));
 }
 
-TEST_CASE("a server counts as used from the time at which a request has "
-          "reached it") {
-  state State(service_definition{}, 1);
-  backend_server Server;
-  Server.Address = "a";
-  steady_time Now{1h};
-  State.Scheduler.configure(service_definition{}, std::span(&Server, 1), Now);
-  Now += 10s;
+TEST_CASE_METHOD(idle_server_fixture,
+                 "a server counts as used from the time at which a request has "
+                 "reached it") {
   REQUIRE(State.Scheduler.isIdle("a", Now));
   server_work Work;
   Work.Server = "a";
@@ -98,14 +106,9 @@
   }
 }
 
-TEST_CASE("the arrival of a request at an idle server is reported "
-          "immediately") {
-  state State(service_definition{}, 1);
-  backend_server Server;
-  Server.Address = "a";
-  steady_time Now{1h};
-  State.Scheduler.configure(service_definition{}, std::span(&Server, 1), Now);
-  Now += 10s;
+TEST_CASE_METHOD(idle_server_fixture,
+                 "the arrival of a request at an idle server is reported "
+                 "immediately") {
   State.recordUse("a", Now);
   CHECK(State.Work.due(Now));
   State.Work.take("s", Now);
