Count the datagrams between daemons by what they are sent for

Which traffic of ours grows with the fleet could not be told: only the bytes of all datagrams were counted. Each daemon now counts datagrams and bytes by purpose and direction, in the metrics and in a line each five seconds.

--- a/src/libs/daemon/store_control_thread.h
+++ b/src/libs/daemon/store_control_thread.h
@@ -10,6 +10,7 @@
 #include "process/event_loop.h"
 #include "process/mailbox.h"
 #include "process/metrics.h"
+#include "process/peer_traffic.h"
 #include "process/published.h"
 #include "process/store_control_state.h"
 
@@ -163,6 +164,7 @@
       handleFailure(
           [&]() -> result<void> {
             BOOST_LEAF_AUTO(Message, Codec.decodeMessage(*Bytes));
+            PeerTraffic.recordReceived(purposeOf(Message), Bytes->size());
             if (Message.ReadsStore)
               Lag.recordDatagramAge(
                   milliseconds(wallNow().time_since_epoch().count() -
@@ -191,6 +193,8 @@
                      static_cast<double>(Ended.OldestDatagram.count()));
     for (const auto &[Source, Count] : State.serverChangeCounts())
       Metrics.setServerChanges(Source, Count);
+    Metrics.setPeerTraffic(PeerTraffic);
+    PeerTraffic.log(Now);
   }
 
   void readInbox(steady_time Now) {
@@ -253,6 +257,7 @@
   void act(const send_datagram &Send) {
     std::string Bytes = Codec.encode(Send.Message);
     BytesSent += Bytes.size();
+    PeerTraffic.recordSent(purposeOf(Send.Message), 1, Bytes.size());
     Socket.send(Send.To, Bytes);
   }
 
@@ -261,6 +266,8 @@
     Send.Message.Time.WallMilliseconds = wallNow().time_since_epoch().count();
     std::string Bytes = Codec.encode(Send.Message);
     BytesSent += Bytes.size() * Send.To.size();
+    PeerTraffic.recordSent(purposeOf(Send.Message), Send.To.size(),
+                           Bytes.size());
     for (const endpoint_text &To : Send.To)
       Socket.send(To, Bytes);
   }
@@ -460,6 +467,7 @@
   peer_codec Codec;
   outgoing_calls<TransportOf, call_purpose, store_control_thread> Calls;
   control_lag Lag;
+  peer_traffic PeerTraffic;
   steady_time LastTurn = steadyNow();
   std::uint64_t StoreCalls = 0;
   /// How long requests were held back, as nothing confirmed what is known.
--- a/src/libs/process/metrics.cpp
+++ b/src/libs/process/metrics.cpp
@@ -66,6 +66,11 @@
   IdleServers[{std::string(Service), std::string(Reason)}] = Count;
 }
 
+void process_metrics::setPeerTraffic(const peer_traffic &Traffic) {
+  std::lock_guard Lock(Mutex);
+  PeerTraffic = Traffic;
+}
+
 std::string process_metrics::text() const {
   std::lock_guard Lock(Mutex);
   std::string Text;
@@ -111,6 +116,23 @@
     fmt::format_to(
         Out, "endiverail_idle_servers{{service=\"{}\",reason=\"{}\"}} {}\n",
         Key.Service, Key.Reason, Count);
+  auto AddPeerTraffic = [&](std::string_view Direction,
+                            datagram_purpose Purpose,
+                            const peer_traffic::volume &Volume) {
+    if (Volume.Datagrams == 0)
+      return;
+    std::string_view Name = datagramPurposeName(Purpose);
+    fmt::format_to(Out,
+                   "endiverail_peer_datagrams_total{{direction=\"{0}\","
+                   "purpose=\"{1}\"}} {2}\n"
+                   "endiverail_peer_bytes_total{{direction=\"{0}\","
+                   "purpose=\"{1}\"}} {3}\n",
+                   Direction, Name, Volume.Datagrams, Volume.Bytes);
+  };
+  for (datagram_purpose Purpose : DatagramPurposes) {
+    AddPeerTraffic("sent", Purpose, PeerTraffic.sent(Purpose));
+    AddPeerTraffic("received", Purpose, PeerTraffic.received(Purpose));
+  }
   for (const auto &[Name, Value] : Gauges)
     fmt::format_to(Out, "# TYPE endiverail_{0} gauge\nendiverail_{0} {1}\n",
                    Name, Value);
--- a/src/libs/process/metrics.h
+++ b/src/libs/process/metrics.h
@@ -2,6 +2,7 @@
 
 #include "base/error_kind.h"
 #include "base/time.h"
+#include "process/peer_traffic.h"
 #include "version/rank.h"
 
 #include <boost/accumulators/accumulators.hpp>
@@ -59,6 +60,8 @@
   /// \p Reason.
   void setIdleServers(std::string_view Service, std::string_view Reason,
                       std::size_t Count);
+  /// Sets the totals of datagrams exchanged with peers.
+  void setPeerTraffic(const peer_traffic &Traffic);
 
   /// All metrics in the Prometheus text format.
   std::string text() const;
@@ -90,6 +93,7 @@
   };
   std::map<service_reason, std::size_t> IdleServers;
   std::map<std::string, double, std::less<>> Gauges;
+  peer_traffic PeerTraffic;
 };
 
 } // namespace endiverail
