Send the deaths of backend servers in batches, and to all only in quarantine

An attempt whose connection breaks looks like the death of its server when no other attempt of the daemon runs there, as is usual in a large pool, and each death was sent to all members at once.

The entries learn of a first death, in batches each 500 ms at most. All daemons learn of the deaths once a request is in quarantine, also when the two deaths were seen by two daemons at the same time.

--- a/src/libs/process/quarantine.cpp
+++ b/src/libs/process/quarantine.cpp
@@ -38,6 +38,14 @@
   return deaths(Fingerprint, Now) >= DeathThreshold;
 }
 
+std::vector<std::string>
+quarantine::deadServers(request_fingerprint Fingerprint) const {
+  auto Found = Entries.find(Fingerprint);
+  if (Found == Entries.end())
+    return {};
+  return {Found->second.DeadServers.begin(), Found->second.DeadServers.end()};
+}
+
 void quarantine::expire(steady_time Now) {
   std::erase_if(Entries, [&](const auto &Entry) {
     return Now - Entry.second.LastDeath > Duration;
--- a/src/libs/process/quarantine.h
+++ b/src/libs/process/quarantine.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace endiverail {
 
@@ -30,6 +31,9 @@
 
   bool isQuarantined(request_fingerprint Fingerprint, steady_time Now) const;
 
+  /// The backend servers that died while they ran the request.
+  std::vector<std::string> deadServers(request_fingerprint Fingerprint) const;
+
   /// Clears a request that was answered and so did not kill its backend server.
   void clear(request_fingerprint Fingerprint) { Entries.erase(Fingerprint); }
 
--- a/src/libs/process/store_control_state.cpp
+++ b/src/libs/process/store_control_state.cpp
@@ -144,6 +144,7 @@
   logServerChanges("time");
   if (Expired)
     broadcastServers(Now, Out);
+  sendDeaths(Now, Out);
   publishIfChanged(Now, Out);
 }
 
@@ -169,6 +170,7 @@
   else if (!PutPending)
     Consider(PutDue);
   Consider(Directory.nextWake());
+  Consider(Deaths.nextWake());
   if (ServersKnown)
     Consider(Freshness.nextWake());
   if (!Settled)
@@ -398,8 +400,11 @@
   for (const work_report &Report : Message.Work)
     Out.emplace_back(
         notify_traffic_threads{peer_work{Message.Gossip.SenderId, Report}});
-  for (const server_death &Death : Message.Deaths)
+  for (const server_death &Death : Message.Deaths) {
+    Deaths.onPeerDeath(Death, Now);
     Out.emplace_back(notify_traffic_threads{Death});
+  }
+  sendDeaths(Now, Out);
   publishIfChanged(Now, Out);
 }
 
@@ -594,13 +599,29 @@
         .with("service", Death->Service)
         .with("server", Death->Server)
         .with("fingerprint", Death->Fingerprint);
-    peer_message News;
-    News.Deaths.push_back(*Death);
     Out.emplace_back(notify_traffic_threads{*Death});
-    sendNews(std::move(News), aliveAndLostPeers(), Now, Out);
+    Deaths.onOwnDeath(*Death, Now);
+    sendDeaths(Now, Out);
   }
 }
 
+void store_control_state::sendDeaths(steady_time Now,
+                                     store_control_actions &Out) {
+  auto Batch = Deaths.takeBatch(Now);
+  if (!Batch)
+    return;
+  auto Send = [&](std::vector<server_death> &Part,
+                  std::vector<endpoint_text> To) {
+    if (Part.empty())
+      return;
+    peer_message News;
+    News.Deaths = std::move(Part);
+    sendNews(std::move(News), std::move(To), Now, Out);
+  };
+  Send(Batch->ToEntries, addressesOf(Entries));
+  Send(Batch->ToAll, aliveAndLostPeers());
+}
+
 void store_control_state::sendNews(peer_message Message,
                                    std::vector<endpoint_text> To,
                                    steady_time Now,
--- a/src/libs/process/store_control_state.h
+++ b/src/libs/process/store_control_state.h
@@ -2,6 +2,7 @@
 
 #include "process/control_message.h"
 #include "process/copy_requester.h"
+#include "process/death_notices.h"
 #include "process/keyed_store.h"
 #include "process/peer_clocks.h"
 #include "process/server_directory.h"
@@ -227,6 +228,8 @@
   /// Logs the changes of the servers and their source.
   void logServerChanges(std::string_view Source, std::string_view Peer = "");
   void broadcastServers(steady_time Now, store_control_actions &Out);
+  /// Sends the deaths of backend servers that are due.
+  void sendDeaths(steady_time Now, store_control_actions &Out);
   void probeLostMember(steady_time Now);
   void pingListedMembers(steady_time Now, store_control_actions &Out);
   /// \p Received is the datagram that triggered the gossip, if any.
@@ -260,6 +263,7 @@
   /// The value of the configuration's record.
   std::string ConfigurationValue;
   copy_requester CopyRequester;
+  death_notices Deaths;
   /// Whether the configuration has to be announced to the other members.
   bool AnnouncePending = false;
   /// All peer addresses that were ever known, by host.
