Send the work reports of all services together, at a limited rate

A failed or slow request, or one at an idle server, made a report of its service due at once, and a report went out as a datagram to each entry.

All reports of a daemon are now sent in one datagram, at least 2 ms per entry apart and 100 ms at most: an entry gets 500 datagrams a second with up to 50 entries, whatever fails. The first failure after a pause is reported at once.

The simulated fleet reports at the same pace.

--- a/src/libs/process/service_state.h
+++ b/src/libs/process/service_state.h
@@ -26,7 +26,6 @@
   /// Collects the next report to other proxies about the service's requests
   /// here.
   work_report_builder Work;
-  steady_time NextWorkReport;
   /// Slots in use as reported by other proxies.
   remote_slots RemoteSlots;
   failure_confirmation Opinions;
--- a/src/libs/process/store_control_state.cpp
+++ b/src/libs/process/store_control_state.cpp
@@ -588,9 +588,9 @@
 void store_control_state::onNotice(const control_notice &Notice,
                                    steady_time Now,
                                    store_control_actions &Out) {
-  if (const auto *Report = std::get_if<work_report>(&Notice)) {
+  if (const auto *Reports = std::get_if<work_reports>(&Notice)) {
     peer_message News;
-    News.Work.push_back(*Report);
+    News.Work = Reports->Services;
     // Only the daemons that callers are directed to need the load of the pools.
     sendNews(std::move(News), addressesOf(Entries), Now, Out);
   }
--- a/src/libs/process/traffic_message.h
+++ b/src/libs/process/traffic_message.h
@@ -108,7 +108,7 @@
 /// Notice from a traffic thread to the control thread.
 using control_notice =
     std::variant<ejection_request, server_leaving, server_death,
-                 path_fault_notice, service_status_report, work_report>;
+                 path_fault_notice, service_status_report, work_reports>;
 
 /// Receives the notices of traffic threads.
 template <typename T>
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -576,6 +576,7 @@
   }
 
   // Attempts.
+      ReportPacing.setEntries(Version->EntryCount);
 
   void startNext(std::string_view Name, steady_time Now) {
     auto Found = Services.find(Name);
@@ -607,24 +608,51 @@
           Trial && Scheduler.waiting() > 0 && *Trial > Now)
         scheduleTrialWake(*Trial);
     if constexpr (sharing_scheduler<Policy>)
-      reportWork(Found->first, Found->second, Now);
+      reportWork(Found->second.Work, Now);
   }
 
-  /// Sends the pending work report of a service to the other proxies if it is
-  /// due, and sets a timer for the next one.
-  void reportWork(const std::string &Name, state &State, steady_time Now) {
-    if (State.Work.empty())
+  /// Sends the pending work reports to the other proxies if one is due, and
+  /// sets a timer for the next ones. \p Changed is the service that may have
+  /// more to report.
+  void reportWork(const work_report_builder &Changed, steady_time Now) {
+    if (Changed.empty())
       return;
-    if (State.Work.due(Now))
-      Control.notify(State.Work.take(Name, Now));
-    if (!State.Work.empty() && State.NextWorkReport <= Now) {
-      State.NextWorkReport = std::max(State.Work.nextDue(), Now);
-      Timers.add(State.NextWorkReport, {0, 0, timer_kind::WorkReport});
+    considerReport(Changed);
+    if (Now >= std::max(*NextWorkReport, ReportPacing.nextSend()))
+      sendReports(Now);
+    if (!NextWorkReport)
+      return;
+    steady_time Due = std::max(*NextWorkReport, ReportPacing.nextSend());
+    if (ReportTimer <= Now || Due < ReportTimer) {
+      ReportTimer = Due;
+      Timers.add(Due, {0, 0, timer_kind::WorkReport});
+    }
+  }
+
+  void considerReport(const work_report_builder &Work) {
+    if (!Work.empty())
+      NextWorkReport =
+          std::min(NextWorkReport.value_or(Work.nextDue()), Work.nextDue());
+  }
+
+  void sendReports(steady_time Now) {
+    work_reports Reports;
+    NextWorkReport.reset();
+    for (auto &[Name, State] : Services) {
+      if (State.Work.empty())
+        continue;
+      work_report Report = State.Work.take(Name, Now);
+      if (!Report.Servers.empty())
+        Reports.Services.push_back(std::move(Report));
+      considerReport(State.Work);
     }
   }
 
   void scheduleTrialWake(steady_time At) {
     if (TrialWake && *TrialWake <= At)
+    ReportPacing.onSent(Now);
+    if (!Reports.Services.empty())
+      Control.notify(std::move(Reports));
       return;
     TrialWake = At;
     Timers.add(At, {0, 0, timer_kind::Trial});
@@ -1092,9 +1120,8 @@
   }
 
   void reportAllWork(steady_time Now) {
-    if constexpr (sharing_scheduler<Policy>)
-      for (auto &[Name, State] : Services)
-        reportWork(Name, State, Now);
+    for (const auto &[Name, State] : Services)
+      reportWork(State.Work, Now);
   }
 
   void onTrialDue(steady_time Now) {
@@ -1259,3 +1286,8 @@
 };
 
 } // namespace endiverail
+  work_report_pacing ReportPacing;
+  /// When the first of the pending work reports is due.
+  std::optional<steady_time> NextWorkReport;
+  /// The timer for it.
+  steady_time ReportTimer;
--- a/src/libs/process/work_report.h
+++ b/src/libs/process/work_report.h
@@ -42,13 +42,18 @@
   bool operator==(const work_report &) const = default;
 };
 
+/// The reports of a proxy about several services, which are sent together.
+struct work_reports {
+  std::vector<work_report> Services;
+};
+
 /// Collects the contents of a service's next work report.
 class work_report_builder {
 public:
-  /// Reporting interval of a busy service, per entry of the fleet; failures are
-  /// reported immediately. An entry thus receives 200 reports of a service per
-  /// second, regardless of the number of entries. With twelve entries, the
-  /// reported slots in use are a tenth of the usual answer time old.
+  /// Reporting interval of a busy service, per entry of the fleet. An entry
+  /// thus receives 200 reports of a service per second, regardless of the
+  /// number of entries. With twelve entries, the reported slots in use are a
+  /// tenth of the usual answer time old.
   static constexpr milliseconds IntervalPerEntry{5};
   /// Minimum reporting interval, for few entries; more frequent reports would
   /// hold nothing new.
@@ -91,12 +96,13 @@
 
   /// Whether a report is due.
   bool due(steady_time Now) const {
-    return Urgent || (Changed && Now >= LastTaken + Interval) ||
-           (!Entries.empty() && Now >= LastTaken + RefreshInterval);
+    return !Entries.empty() && Now >= nextDue();
   }
 
   /// When the next report is due if no further signals are recorded.
   steady_time nextDue() const {
+    if (Urgent)
+      return LastTaken;
     return LastTaken + (Changed ? Interval : RefreshInterval);
   }
 
@@ -156,6 +162,34 @@
   bool Urgent = false;
 };
 
+/// Limits how often a proxy sends its reports. Those of all services are sent
+/// together, so that the number of datagrams depends neither on the number of
+/// services nor on that of failures.
+class work_report_pacing {
+public:
+  /// Minimum interval per entry of the fleet: an entry receives up to 500
+  /// datagrams with reports per second.
+  static constexpr milliseconds IntervalPerEntry{2};
+  /// Failures are known to all entries within a tenth of a second. In a fleet
+  /// of more than 50 entries, the number of datagrams grows with that of
+  /// entries.
+  static constexpr milliseconds MaxInterval{100};
+
+  /// Sets the number of entries that exchange reports.
+  void setEntries(std::size_t Count) {
+    Interval = std::min<milliseconds>(
+        IntervalPerEntry * static_cast<std::int64_t>(Count), MaxInterval);
+  }
+
+  /// From when on reports may be sent.
+  steady_time nextSend() const { return LastSent + Interval; }
+  void onSent(steady_time Now) { LastSent = Now; }
+
+private:
+  milliseconds Interval{0};
+  steady_time LastSent;
+};
+
 /// Slots in use by other proxies, as reported by them.
 class remote_slots {
 public:
--- a/tests/auto/process/fake_transport.h
+++ b/tests/auto/process/fake_transport.h
@@ -116,6 +116,17 @@
 
 struct notice_collector {
   void notify(control_notice Notice) { Notices.push_back(std::move(Notice)); }
+
+  /// The work of all reports so far.
+  std::vector<server_work> reportedWork() const {
+    std::vector<server_work> Work;
+    for (const control_notice &Notice : Notices)
+      if (const auto *Reports = std::get_if<work_reports>(&Notice))
+        for (const work_report &Report : Reports->Services)
+          Work.insert(Work.end(), Report.Servers.begin(), Report.Servers.end());
+    return Work;
+  }
+
   std::vector<control_notice> Notices;
 };
 
--- a/tests/auto/process/simulated_fleet.h
+++ b/tests/auto/process/simulated_fleet.h
@@ -140,6 +140,7 @@
           retry_allowance{0.2, 62}.limitsFor(Load.Entries));
       Entries.back()->Work.setEntries(Load.Entries);
       Lost.push_back(false);
+      Pacing.emplace_back().setEntries(Load.Entries);
     }
     Now = Begin;
     for (std::size_t Index = 0; Index < Load.Entries; ++Index)
@@ -564,12 +565,13 @@
     if (Lost[Index])
       return;
     state &Entry = *Entries[Index];
-    if (!Entry.Work.empty() && Entry.Work.due(Now)) {
+    if (Entry.Work.due(Now) && Now >= Pacing[Index].nextSend()) {
       work_report Report = Entry.Work.take("s", Now);
       at(NetworkDelay, [this, Index, Report] {
         for (std::size_t Other = 0; Other < Entries.size(); ++Other)
           if (Other != Index && !Lost[Other] && !isDatagramLost(Index, Other)) {
             for (const server_work &Work : Report.Servers)
+      Pacing[Index].onSent(Now);
               Entries[Other]->applyRemoteWork(std::to_string(Index), Work, Now);
             dispatch(Other);
           }
@@ -595,6 +597,7 @@
   std::multimap<steady_time, std::function<void()>> Events;
   request_id LastId = 0;
   simulated_result Result;
+  std::vector<work_report_pacing> Pacing;
   floor_check Floor;
 };
 
--- a/tests/auto/process/tst_traffic_thread.cpp
+++ b/tests/auto/process/tst_traffic_thread.cpp
@@ -559,11 +559,8 @@
                  "a request has not reached its server as long as there is no "
                  "connection") {
   auto Reached = [&] {
-    return std::ranges::any_of(Notices.Notices, [](const auto &Notice) {
-      const auto *Report = std::get_if<work_report>(&Notice);
-      return Report && std::ranges::any_of(Report->Servers, [](const auto &S) {
-               return S.ReachedAgo.has_value() || S.Accepted > 0;
-             });
+    return std::ranges::any_of(Notices.reportedWork(), [](const auto &Work) {
+      return Work.ReachedAgo.has_value() || Work.Accepted > 0;
     });
   };
   send("POST", "/s/x");
@@ -591,3 +588,30 @@
     Servers.insert(Attempt.Server);
   CHECK(Servers.size() == ServerCount);
 }
+
+TEST_CASE_METHOD(shared_traffic_fixture,
+                 "an entry sends a limited number of reports, however many "
+                 "requests fail") {
+  // Of 45 entries, each may send eleven per second, and one at the start.
+  publish("self", 3, 45);
+  std::uint32_t Broken = 0;
+  for (int Request = 0; Request < 100; ++Request) {
+    send("POST", "/s/" + std::to_string(Request));
+    if (!attempts().empty()) {
+      transport().fail(attempts().begin()->first, error_kind::BackendCut);
+      ++Broken;
+    }
+    advance(10ms);
+  }
+  auto Reports =
+      std::ranges::count_if(Notices.Notices, [](const control_notice &Notice) {
+        return std::holds_alternative<work_reports>(Notice);
+      });
+  CHECK(Reports <= 12);
+  CHECK(Broken > 50);
+  std::uint32_t Failed = 0;
+  advance(100ms);
+  for (const server_work &Work : Notices.reportedWork())
+    Failed += Work.Failed;
+  CHECK(Failed == Broken);
+}
