Retry without a token where no connection was made

A request that never reached a server needed a token of the retry budget to be tried at another one. The operator's budget counts arrivals at servers, and such an attempt is none. While a third of a pool is dark, entries were out of tokens for the requests that need them. Attempts and time limit these retries as before.

--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -1003,7 +1003,8 @@
       Active.FailedServers.push_back(Attempt.Target.Server);
     Active.Buffered.clear();
     state &State = stateOf(Active);
-    State.Scheduler.retries().take(Active.Request.Kind->Rank);
+    if (usesRetryBudget(Failure))
+      State.Scheduler.retries().take(Active.Request.Kind->Rank);
     Metrics.onRetry(Name);
     if (Attempt.goesToPeer()) {
       runStep(Active, Now, [&] { return forwardOrQueue(Active, Now); });
@@ -1301,12 +1302,12 @@
   std::unordered_map<std::uint64_t, request_id> ByConnection;
   std::map<endpoint_text, std::string, std::less<>> ServiceOfServer;
   request_timers Timers;
-  key_registry Keys;
   work_report_pacing ReportPacing;
   /// When the first of the pending work reports is due.
   std::optional<steady_time> NextWorkReport;
   /// The timer for it.
   steady_time ReportTimer;
+  key_registry Keys;
   quarantine Quarantine;
   death_detector Deaths;
   attempt_id NextAttempt = 1;
--- a/src/libs/request/attempt_policy.cpp
+++ b/src/libs/request/attempt_policy.cpp
@@ -2,6 +2,11 @@
 
 namespace endiverail {
 
+bool usesRetryBudget(const attempt_failure &Failure) {
+  return !Failure.ProvenNotRun ||
+         Failure.Kind != error_kind::BackendUnreachable;
+}
+
 attempt_step nextStep(const attempt_failure &Failure,
                       const attempt_history &History) {
   if (Failure.ResponseStarted)
@@ -9,7 +14,7 @@
   bool SafeToRetry = History.Idempotent || Failure.ProvenNotRun;
   bool WithinLimits = History.Attempts < History.MaxAttempts &&
                       History.BrokenConnections < MaxBrokenConnections &&
-                      History.RetryBudgetLeft &&
+                      (History.RetryBudgetLeft || !usesRetryBudget(Failure)) &&
                       History.TimeLeft > History.ExpectedDuration;
   return SafeToRetry && WithinLimits ? attempt_step::Retry
                                      : attempt_step::ReturnError;
--- a/src/libs/request/attempt_policy.h
+++ b/src/libs/request/attempt_policy.h
@@ -47,6 +47,11 @@
 
 inline constexpr std::size_t MaxBrokenConnections = 2;
 
+/// Whether a retry after the failure counts against the retry budget. One after
+/// an attempt that could not connect does not, because the backend servers get
+/// the request only once.
+bool usesRetryBudget(const attempt_failure &Failure);
+
 /// Decides how to proceed after a failed attempt. A request that is not
 /// idempotent is retried only if the failed attempt is proven not to have run.
 attempt_step nextStep(const attempt_failure &Failure,
--- a/tests/auto/process/simulated_fleet.h
+++ b/tests/auto/process/simulated_fleet.h
@@ -547,8 +547,12 @@
     pool_scheduler &Scheduler = Entries[Request.Entry]->Scheduler;
     bool NotRun = Failure == error_kind::BackendShed ||
                   Failure == error_kind::BackendUnreachable;
+    bool Allowed = Failure == error_kind::BackendUnreachable ||
+                   Scheduler.retries().available(rank::Normal);
     if ((NotRun || Load.Idempotent) && Request.Attempts < MaxAttempts &&
-        Scheduler.retries().take(rank::Normal)) {
+        Allowed) {
+      if (Failure != error_kind::BackendUnreachable)
+        Scheduler.retries().take(rank::Normal);
       Request.Avoid.push_back(Request.To.Server);
       Request.To = {};
       return Scheduler.resubmit(waiting(Id), Now);
@@ -567,11 +571,11 @@
     state &Entry = *Entries[Index];
     if (Entry.Work.due(Now) && Now >= Pacing[Index].nextSend()) {
       work_report Report = Entry.Work.take("s", Now);
+      Pacing[Index].onSent(Now);
       at(NetworkDelay, [this, Index, Report] {
         for (std::size_t Other = 0; Other < Entries.size(); ++Other)
           if (Other != Index && !Lost[Other] && !isDatagramLost(Index, Other)) {
             for (const server_work &Work : Report.Servers)
-      Pacing[Index].onSent(Now);
               Entries[Other]->applyRemoteWork(std::to_string(Index), Work, Now);
             dispatch(Other);
           }
@@ -593,11 +597,11 @@
   std::map<std::string, server> Servers;
   std::vector<std::unique_ptr<state>> Entries;
   std::vector<bool> Lost;
+  std::vector<work_report_pacing> Pacing;
   std::map<request_id, request> Requests;
   std::multimap<steady_time, std::function<void()>> Events;
   request_id LastId = 0;
   simulated_result Result;
-  std::vector<work_report_pacing> Pacing;
   floor_check Floor;
 };
 
--- a/tests/auto/process/tst_traffic_thread.cpp
+++ b/tests/auto/process/tst_traffic_thread.cpp
@@ -628,6 +628,16 @@
   CHECK(Accepted == 13);
 }
 
+TEST_CASE_METHOD(shared_traffic_fixture,
+                 "an attempt that made no connection needs no retry budget") {
+  std::uint64_t Caller = send("POST", "/s/x");
+  transport().fail(attempts().begin()->first, error_kind::BackendUnreachable,
+                   true);
+  REQUIRE(attempts().size() == 1);
+  transport().respond(attempts().begin()->first, 200, "ok");
+  CHECK(outcomeOf(Caller) == outcome::Done);
+}
+
 TEST_CASE_METHOD(shared_traffic_fixture,
                  "an entry sends a limited number of reports, however many "
                  "requests fail") {
