Report failures at once again

The pause between work reports of broke the floor in the simulated fleet: test_servers_in_use had 3 broken windows in the large pool with 100 ms, 35 with 100 ms and the notices of tried idle servers exempt, 3 in the scene of hanging servers with 50 ms, some with 20 ms and with 10 ms in one scene or the other. Ruled out: that only the notices of tried servers matter.

The reports of all services still go out together.

--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -576,7 +576,6 @@
       State.Scheduler.setTrialPartition(
           {Version->EntryIndex, std::max<std::size_t>(1, Version->EntryCount)});
       State.Work.setEntries(Version->EntryCount);
-      ReportPacing.setEntries(Version->EntryCount);
     }
   }
 
@@ -622,14 +621,12 @@
     if (Changed.empty())
       return;
     considerReport(Changed);
-    if (Now >= std::max(*NextWorkReport, ReportPacing.nextSend()))
+    if (Now >= *NextWorkReport)
       sendReports(Now);
-    if (!NextWorkReport)
-      return;
-    steady_time Due = std::max(*NextWorkReport, ReportPacing.nextSend());
-    if (ReportTimer <= Now || Due < ReportTimer) {
-      ReportTimer = Due;
-      Timers.add(Due, {0, 0, timer_kind::WorkReport});
+    if (NextWorkReport &&
+        (ReportTimer <= Now || *NextWorkReport < ReportTimer)) {
+      ReportTimer = *NextWorkReport;
+      Timers.add(ReportTimer, {0, 0, timer_kind::WorkReport});
     }
   }
 
@@ -650,7 +647,6 @@
         Reports.Services.push_back(std::move(Report));
       considerReport(State.Work);
     }
-    ReportPacing.onSent(Now);
     if (!Reports.Services.empty())
       Control.notify(std::move(Reports));
   }
@@ -1302,7 +1298,6 @@
   std::unordered_map<std::uint64_t, request_id> ByConnection;
   std::map<endpoint_text, std::string, std::less<>> ServiceOfServer;
   request_timers Timers;
-  work_report_pacing ReportPacing;
   /// When the first of the pending work reports is due.
   std::optional<steady_time> NextWorkReport;
   /// The timer for it.
--- a/src/libs/process/work_report.h
+++ b/src/libs/process/work_report.h
@@ -162,34 +162,6 @@
   bool Urgent = false;
 };
 
-/// Limits how often a proxy sends its reports. Those of all services are sent
-/// together, so that the number of datagrams depends neither on the number of
-/// services nor on that of failures.
-class work_report_pacing {
-public:
-  /// Minimum interval per entry of the fleet: an entry receives up to 500
-  /// datagrams with reports per second.
-  static constexpr milliseconds IntervalPerEntry{2};
-  /// Failures are known to all entries within a tenth of a second. In a fleet
-  /// of more than 50 entries, the number of datagrams grows with that of
-  /// entries.
-  static constexpr milliseconds MaxInterval{100};
-
-  /// Sets the number of entries that exchange reports.
-  void setEntries(std::size_t Count) {
-    Interval = std::min<milliseconds>(
-        IntervalPerEntry * static_cast<std::int64_t>(Count), MaxInterval);
-  }
-
-  /// From when on reports may be sent.
-  steady_time nextSend() const { return LastSent + Interval; }
-  void onSent(steady_time Now) { LastSent = Now; }
-
-private:
-  milliseconds Interval{0};
-  steady_time LastSent;
-};
-
 /// Slots in use by other proxies, as reported by them.
 class remote_slots {
 public:
