Stop reading the store for seconds after a common start

While 442 hosts get to know each other, datagrams wait, and the clock of a reader is measured by a slow round trip; the time of that round trip counts as age of all that the reader tells, so that it confirms nothing within 800 ms. It was measured again after ten seconds only. A daemon that knew few members took itself for a reader, besides.

A clock measured by more than 100 ms is measured again after a second, and a daemon is a reader once its members have settled.

It now allows six calls a daemon and the readers' own in the first two seconds, and the readers' alone from 4 s on.

--- a/src/libs/process/peer_clocks.h
+++ b/src/libs/process/peer_clocks.h
@@ -30,6 +30,10 @@
   /// The offset from the fastest round trip within this time is used.
   static constexpr milliseconds OffsetLifetime{30'000};
   static constexpr milliseconds ProbeInterval{1'000};
+  /// After a slower round trip the clock is measured again at the next probe:
+  /// the time of the round trip adds to the apparent age of all that the peer
+  /// sends.
+  static constexpr milliseconds MaxRoundTrip{100};
 
   /// Records that \p Peer responded at \p PeerSentAt, by its own clock, to a
   /// request that was sent at \p LocalSentAt, by the local clock.
@@ -43,6 +47,7 @@
       return;
     Known.Offset = Offset;
     Known.MeasuredAt = Now;
+    Known.RoundTrip = milliseconds(timestampOf(Now) - LocalSentAt);
   }
 
   /// The earliest local time at which \p Peer can have sent a datagram with the
@@ -66,7 +71,8 @@
   /// started.
   bool takeProbe(std::string_view Peer, steady_time Now) {
     peer_offset &Known = Peers[std::string(Peer)];
-    if ((Known.Offset && Now < Known.RefreshedAt + RefreshInterval) ||
+    bool Precise = Known.Offset && Known.RoundTrip <= MaxRoundTrip;
+    if ((Precise && Now < Known.RefreshedAt + RefreshInterval) ||
         Now < Known.ProbedAt + ProbeInterval)
       return false;
     Known.ProbedAt = Now;
@@ -78,6 +84,8 @@
     /// Lower bound of the local clock minus the peer's clock.
     std::optional<steady_timestamp> Offset;
     steady_time MeasuredAt;
+    /// The round trip that the offset was measured by.
+    milliseconds RoundTrip{0};
     steady_time RefreshedAt;
     steady_time ProbedAt;
   };
--- a/src/libs/process/store_control_state.cpp
+++ b/src/libs/process/store_control_state.cpp
@@ -65,8 +65,11 @@
   return MembersConsumer;
 }
 
+/// A daemon that has just started knows few other members. It would take itself
+/// for a reader until it knows all of them.
 bool store_control_state::isReader() const {
-  return std::ranges::find(Readers, Settings.Self.Id) != Readers.end();
+  return Settled &&
+         std::ranges::find(Readers, Settings.Self.Id) != Readers.end();
 }
 
 steady_time store_control_state::readersTimeOutAt() const {
--- a/tests/auto/process/store_fleet.h
+++ b/tests/auto/process/store_fleet.h
@@ -219,6 +219,13 @@
     return Daemons[Index].Version && Daemons[Index].Version->MembershipSettled;
   }
 
+  /// Number of calls that all daemons have made to the store.
+  std::size_t totalCalls() const {
+    return std::transform_reduce(Daemons.begin(), Daemons.end(), std::size_t{0},
+                                 std::plus{},
+                                 [](const daemon &Each) { return Each.Calls; });
+  }
+
   /// Number of datagrams with deaths of servers that were sent so far.
   std::size_t deathDatagrams() const { return DeathDatagrams; }
 
@@ -396,12 +403,6 @@
     perform(Index, Actions);
   }
 
-  std::size_t totalCalls() const {
-    return std::transform_reduce(Daemons.begin(), Daemons.end(), std::size_t{0},
-                                 std::plus{},
-                                 [](const daemon &Each) { return Each.Calls; });
-  }
-
   void answer(std::size_t Index, const start_store_call &Start) {
     daemon &Daemon = Daemons[Index];
     const store_call &Call = Start.Call;
--- a/tests/auto/process/tst_peer_clocks.cpp
+++ b/tests/auto/process/tst_peer_clocks.cpp
@@ -79,3 +79,16 @@
   CHECK_FALSE(Clocks.earliestSendTime("a", peerTimestamp(), Now));
   CHECK(Clocks.takeProbe("a", Now));
 }
+
+TEST_CASE_METHOD(clocks_fixture,
+                 "a clock that was measured by a slow round trip is measured "
+                 "again soon") {
+  CHECK(Clocks.takeProbe("a", Now));
+  roundTrip(300ms, 300ms);
+  CHECK_FALSE(Clocks.takeProbe("a", Now));
+  Now += peer_clocks::ProbeInterval;
+  CHECK(Clocks.takeProbe("a", Now));
+  roundTrip(1ms, 1ms);
+  Now += peer_clocks::ProbeInterval;
+  CHECK_FALSE(Clocks.takeProbe("a", Now));
+}
--- a/tests/auto/process/tst_reader_absence.cpp
+++ b/tests/auto/process/tst_reader_absence.cpp
@@ -84,3 +84,33 @@
   Fleet.advance(4s);
   CHECK(lateDaemons(Fleet, Count, 1).empty());
 }
+
+TEST_CASE("daemons that start together make few calls to the store",
+          "[start]") {
+  std::size_t Count = GENERATE(44, 111, 442);
+  milliseconds Delay = GENERATE(0ms, 150ms, 300ms);
+  INFO(Count << " daemons, datagrams delayed by " << Delay.count() << " ms");
+  store_fleet Fleet(Count);
+  auto SetDelay = [&](milliseconds Time) {
+    for (std::size_t Index = 0; Index < Count; ++Index)
+      Fleet.setDelay(Index, Time);
+  };
+  SetDelay(Delay);
+  Fleet.configure(1);
+  Fleet.announceServer("i0", 1);
+  // While the daemons get to know each other, hosts with little processor time
+  // handle datagrams late.
+  Fleet.advance(2s);
+  SetDelay(0ms);
+  // Each daemon registers, makes three listings, and may read the servers twice
+  // while it has no reader to rely on. A reader reads the servers twice a
+  // second, and the configuration 1.4 times.
+  constexpr std::size_t CallsOfStart = 4 + 2;
+  CHECK(Fleet.totalCalls() <=
+        Count * CallsOfStart + StoreReaderCount * (4 + 3));
+  // The clocks of the readers are measured again within a second.
+  Fleet.advance(2s);
+  std::size_t Before = Fleet.totalCalls();
+  Fleet.advance(5s);
+  CHECK(Fleet.totalCalls() - Before <= StoreReaderCount * (10 + 7 + 2));
+}
