Log which connections an answer came and left by

Of a stray answer one line told only that it was one.

Change: lines about requests name the caller's connection and the request on it; lines about attempts the server's connection, its age, its earlier attempts and the bytes that waited on it. A rejected answer's status and identifier, and the obstacle to a further attempt, are logged; may_have_run is true once an attempt may have run. On debug level every answer that is passed on and every one that has left is logged. A counter by service counts stray answers.

--- a/src/libs/connection/backend_attempt.h
+++ b/src/libs/connection/backend_attempt.h
@@ -39,15 +39,31 @@
   std::optional<std::uint64_t> Length;
 };
 
+/// The connection that an attempt was sent on.
+struct attempt_connection {
+  /// Unique within a transport; 0 if the attempt was not sent.
+  std::uint64_t Number = 0;
+  /// Number of attempts that were sent on it before.
+  std::size_t EarlierAttempts = 0;
+  /// Time since the first of them.
+  milliseconds Age{0};
+  /// Bytes that had arrived on it before this attempt was sent, which belong to
+  /// no request; no more than MaxUnaskedBytes are counted.
+  std::size_t UnaskedBytes = 0;
+
+  static constexpr std::size_t MaxUnaskedBytes = 1'024;
+
+  /// The server may have closed the connection before the request arrived.
+  bool reused() const { return EarlierAttempts > 0; }
+};
+
 /// The result of an attempt. Without a failure, the response is complete.
 struct attempt_end {
   std::optional<attempt_failure> Failure;
   std::string Detail;
   /// The observer did not permit the start; nothing was sent.
   bool Withdrawn = false;
-  /// The attempt was sent on a connection that earlier attempts have used. The
-  /// server may have closed it before the request arrived.
-  bool ReusedConnection = false;
+  attempt_connection Connection{};
 };
 
 /// Receives the events of attempts on the thread of the transport.
--- a/src/libs/connection/response_classification.cpp
+++ b/src/libs/connection/response_classification.cpp
@@ -8,6 +8,7 @@
   constexpr int Unavailable = 503;
   constexpr int FirstServerError = 500;
   response_classification Classification;
+  Classification.Identifier = findHeader(Head.Headers, AttemptHeader);
   Classification.Leaving =
       !findHeader(Head.Headers, "Endiverail-Leaving").empty();
   if (!responseMatchesAttempt(Head.Headers, AttemptName)) {
--- a/src/libs/connection/response_classification.h
+++ b/src/libs/connection/response_classification.h
@@ -3,6 +3,7 @@
 #include "connection/backend_attempt.h"
 
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace endiverail {
@@ -16,6 +17,8 @@
   bool ServerFailed = false;
   /// The backend server announces that it is leaving.
   bool Leaving = false;
+  /// Identifier that the response bears; empty if there is none.
+  std::string Identifier{};
 };
 
 /// Classifies a response head according to the contract with backend servers.
--- a/src/libs/http/connection_io.cpp
+++ b/src/libs/http/connection_io.cpp
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <string>
 
 namespace endiverail::detail {
 
@@ -19,6 +20,13 @@
   return std::nullopt;
 }
 
+std::size_t waitingBytes(int Descriptor, std::size_t Max) {
+  std::string Bytes(Max, '\0');
+  ssize_t Size =
+      ::recv(Descriptor, Bytes.data(), Bytes.size(), MSG_PEEK | MSG_DONTWAIT);
+  return Size > 0 ? static_cast<std::size_t>(Size) : 0;
+}
+
 void breakConnection(const Pistache::Tcp::Peer &Peer) {
   ::shutdown(Peer.fd(), SHUT_RDWR);
 }
--- a/src/libs/http/connection_io.h
+++ b/src/libs/http/connection_io.h
@@ -17,6 +17,9 @@
 std::optional<std::size_t> sendSome(const Pistache::Tcp::Peer &Peer,
                                     std::string_view Bytes);
 
+/// Number of bytes that wait to be read from a socket, counted up to \p Max.
+std::size_t waitingBytes(int Descriptor, std::size_t Max);
+
 /// Closes both directions; Pistache then reports the disconnection.
 void breakConnection(const Pistache::Tcp::Peer &Peer);
 
--- a/src/libs/http/connection_worker.h
+++ b/src/libs/http/connection_worker.h
@@ -4,6 +4,7 @@
 #include "connection/response_message.h"
 #include "http/answer_text.h"
 #include "http/connection_io.h"
+#include "log/event_line.h"
 #include "process/mailbox.h"
 #include "process/memory_budget.h"
 
@@ -189,6 +190,8 @@
     body_framing Framing = body_framing::None;
     /// What the socket has not taken yet, in order.
     std::deque<unsent_text> Unsent;
+    /// Of the current response, its head included.
+    std::size_t BytesSent = 0;
     bool AwaitsWritable = false;
     bool AnswerEnded = false;
   };
@@ -391,6 +394,7 @@
       if (!Sent)
         return breakConnection(*Entry.Peer);
       First.Sent += *Sent;
+      Entry.BytesSent += *Sent;
       if (First.Sent < First.Text.size())
         return awaitWritable(Entry, true);
       std::size_t PieceBytes = First.PieceBytes;
@@ -410,6 +414,11 @@
   void finishIfSent(entry &Entry) {
     if (!Entry.AnswerEnded || !Entry.Unsent.empty())
       return;
+    event_line("response_written", event_level::Debug)
+        .with("caller_connection", Entry.Peer->getID())
+        .with("caller_request", Entry.State.lastSequence())
+        .with("descriptor", Entry.Peer->fd())
+        .with("bytes", std::exchange(Entry.BytesSent, 0));
     if (!Entry.KeepAlive) {
       closeGently(Entry);
       return;
--- a/src/libs/http/curl_exchange.cpp
+++ b/src/libs/http/curl_exchange.cpp
@@ -161,16 +161,16 @@
   return SentBytes > 0;
 }
 
-void curl_exchange::noteConnected() {
+bool curl_exchange::isNewConnection() const {
   long NewConnections = 0;
   curl_easy_getinfo(Handle.get(), CURLINFO_NUM_CONNECTS, &NewConnections);
-  ReusedConnection = NewConnections == 0;
+  return NewConnections > 0;
 }
 
 attempt_end curl_exchange::end(CURLcode Code) const {
   // The library takes a head that ends with its connection for an answer.
   if (Code == CURLE_OK && !Aborted && HeadComplete)
-    return {};
+    return {std::nullopt, {}, false, Connection};
   attempt_failure Failure;
   Failure.ProvenNotRun = !sent();
   Failure.Kind = Aborted.value_or(kindOf(Code));
@@ -179,7 +179,7 @@
   return {Failure,
           Code == CURLE_OK ? "the answer's head is cut"
                            : curl_easy_strerror(Code),
-          Withdrawn, ReusedConnection};
+          Withdrawn, Connection};
 }
 
 void initialiseCurl() {
--- a/src/libs/http/curl_exchange.h
+++ b/src/libs/http/curl_exchange.h
@@ -59,8 +59,13 @@
 
   /// Whether a part of the request has been sent.
   bool sent() const;
-  /// Notes that the request is about to be sent on the current connection.
-  void noteConnected();
+  /// Notes that the request is about to be sent on a connection.
+  void noteConnected(const attempt_connection &On) { Connection = On; }
+  /// Notes the socket of a connection that is being established.
+  void noteSocket(int Descriptor) { Socket = Descriptor; }
+  int socket() const { return Socket; }
+  /// Whether the current connection was established for this exchange.
+  bool isNewConnection() const;
 
   /// Reads the library's verdict.
   attempt_end end(CURLcode Code) const;
@@ -86,7 +91,8 @@
   bool HeadComplete = false;
   std::optional<error_kind> Aborted;
   bool Withdrawn = false;
-  bool ReusedConnection = false;
+  int Socket = -1;
+  attempt_connection Connection;
 };
 
 /// Initialises the library once for the process, before any thread.
--- a/src/libs/http/curl_transport.h
+++ b/src/libs/http/curl_transport.h
@@ -1,7 +1,11 @@
 #pragma once
 
+#include "http/connection_ledger.h"
 #include "http/curl_exchange.h"
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <memory>
 #include <optional>
 #include <set>
@@ -51,6 +55,10 @@
     curl_easy_setopt(Easy, CURLOPT_DEBUGDATA, Added.get());
     curl_easy_setopt(Easy, CURLOPT_PREREQFUNCTION, &onConnected);
     curl_easy_setopt(Easy, CURLOPT_PREREQDATA, Added.get());
+    curl_easy_setopt(Easy, CURLOPT_OPENSOCKETFUNCTION, &onOpen);
+    curl_easy_setopt(Easy, CURLOPT_OPENSOCKETDATA, Added.get());
+    curl_easy_setopt(Easy, CURLOPT_CLOSESOCKETFUNCTION, &onClose);
+    curl_easy_setopt(Easy, CURLOPT_CLOSESOCKETDATA, this);
     curl_easy_setopt(Easy, CURLOPT_PRIVATE, Added.get());
     Exchanges.emplace(Request.Id, std::move(Added));
     curl_multi_add_handle(Multi.get(), Easy);
@@ -151,6 +159,19 @@
     return 0;
   }
 
+  static curl_socket_t onOpen(void *Self, curlsocktype,
+                              curl_sockaddr *Address) {
+    int Socket =
+        ::socket(Address->family, Address->socktype, Address->protocol);
+    static_cast<exchange *>(Self)->Easy.noteSocket(Socket);
+    return Socket;
+  }
+
+  static int onClose(void *Self, curl_socket_t Socket) {
+    static_cast<curl_transport *>(Self)->Connections.recordClosed(Socket);
+    return ::close(Socket);
+  }
+
   static int onTimer(CURLM *, long Milliseconds, void *Self) {
     auto &Transport = *static_cast<curl_transport *>(Self);
     Transport.Wake =
@@ -160,7 +181,15 @@
     return 0;
   }
 
-  static int onConnected(void *Self, char *, char *, int, int) {
+  void noteConnected(exchange &Exchange, const detail::connection_ends &Ends) {
+    steady_time Now = steadyNow();
+    if (Exchange.Easy.isNewConnection())
+      Connections.recordEstablished(Ends, Exchange.Easy.socket(), Now);
+    Exchange.Easy.noteConnected(Connections.recordAttempt(Ends, Now));
+  }
+
+  static int onConnected(void *Self, char *Server, char *, int ServerPort,
+                         int LocalPort) {
     auto &Exchange = *static_cast<exchange *>(Self);
     // The library is about to send the request again, because the server has
     // closed a reused connection without a response. The request may have run.
@@ -169,7 +198,7 @@
       return CURL_PREREQFUNC_ABORT;
     }
     if (Exchange.Owner.To.mayStart(Exchange.Easy.id())) {
-      Exchange.Easy.noteConnected();
+      Exchange.Owner.noteConnected(Exchange, {Server, ServerPort, LocalPort});
       return CURL_PREREQFUNC_OK;
     }
     Exchange.Easy.withdraw();
@@ -219,6 +248,8 @@
 
   poller &Poller;
   Observer &To;
+  /// Outlives the library's handle, which closes the connections with itself.
+  detail::connection_ledger Connections;
   detail::multi_handle Multi;
   std::set<int> Sockets;
   std::optional<steady_time> Wake;
--- a/src/libs/log/event_line.cpp
+++ b/src/libs/log/event_line.cpp
@@ -17,6 +17,8 @@
 
 std::string_view nameOf(event_level Level) {
   switch (Level) {
+  case event_level::Debug:
+    return "debug";
   case event_level::Info:
     return "info";
   case event_level::Warning:
@@ -29,6 +31,8 @@
 
 spdlog::level::level_enum levelOf(event_level Level) {
   switch (Level) {
+  case event_level::Debug:
+    return spdlog::level::debug;
   case event_level::Info:
     return spdlog::level::info;
   case event_level::Warning:
--- a/src/libs/log/event_line.h
+++ b/src/libs/log/event_line.h
@@ -7,7 +7,7 @@
 
 namespace endiverail {
 
-enum class event_level { Info, Warning, Error };
+enum class event_level { Debug, Info, Warning, Error };
 
 /// One structured line of a process's log: a JSON object with the time, the
 /// level, the event's name and its fields. It is written when the object ends.
--- a/src/libs/process/active_request.h
+++ b/src/libs/process/active_request.h
@@ -43,6 +43,12 @@
   }
 };
 
+/// Status and identifier of a response that was rejected.
+struct rejected_response {
+  int Status = 0;
+  std::string Identifier;
+};
+
 /// An attempt in progress.
 struct running_attempt {
   attempt_id Id = 0;
@@ -58,6 +64,9 @@
   bool Connected = false;
   /// The pooled connection was closed before the request arrived.
   bool StaleConnection = false;
+  /// Known once the attempt has ended.
+  attempt_connection Connection{};
+  std::optional<rejected_response> Rejected{};
 
   bool goesToPeer() const { return Target.Route == attempt_route::Peer; }
 };
@@ -71,6 +80,8 @@
   std::size_t Attempts = 0;
   std::size_t BrokenConnections = 0;
   bool MayHaveRun = false;
+  /// Why the last failed attempt is not followed by another one.
+  std::optional<retry_obstacle> RetryObstacle{};
   /// The request's key is registered in the outcome table for this request.
   bool HoldsKey = false;
   std::size_t HolderRetries = 0;
--- a/src/libs/process/metrics.cpp
+++ b/src/libs/process/metrics.cpp
@@ -48,6 +48,11 @@
   ++Forwards[std::string(Service)];
 }
 
+void process_metrics::onForeignAnswer(std::string_view Service) {
+  std::lock_guard Lock(Mutex);
+  ++ForeignAnswers[std::string(Service)];
+}
+
 void process_metrics::setGauge(std::string_view Name, double Value) {
   std::lock_guard Lock(Mutex);
   Gauges[std::string(Name)] = Value;
@@ -107,6 +112,11 @@
   for (const auto &[Service, Count] : Forwards)
     fmt::format_to(Out, "endiverail_forwards_total{{service=\"{}\"}} {}\n",
                    Service, Count);
+  Text += "# TYPE endiverail_foreign_answers_total counter\n";
+  for (const auto &[Service, Count] : ForeignAnswers)
+    fmt::format_to(Out,
+                   "endiverail_foreign_answers_total{{service=\"{}\"}} {}\n",
+                   Service, Count);
   Text += "# TYPE endiverail_server_changes_total counter\n";
   for (const auto &[Source, Count] : ServerChanges)
     fmt::format_to(Out, "endiverail_server_changes_total{{source=\"{}\"}} {}\n",
--- a/src/libs/process/metrics.h
+++ b/src/libs/process/metrics.h
@@ -52,6 +52,8 @@
                   std::string_view Error, microseconds Time);
   void onRetry(std::string_view Service);
   void onForward(std::string_view Service);
+  /// Counts a backend server's response to another request.
+  void onForeignAnswer(std::string_view Service);
   void setGauge(std::string_view Name, double Value);
   /// Sets the number of changes to the list of backend servers that were
   /// learned from \p Source since the process started.
@@ -85,6 +87,7 @@
   std::map<service_rank, latency_summary> Latencies;
   std::map<std::string, std::uint64_t, std::less<>> Retries;
   std::map<std::string, std::uint64_t, std::less<>> Forwards;
+  std::map<std::string, std::uint64_t, std::less<>> ForeignAnswers;
   std::map<std::string, std::uint64_t, std::less<>> ServerChanges;
   struct service_reason {
     std::string Service;
--- a/src/libs/process/request_log.h
+++ b/src/libs/process/request_log.h
@@ -29,6 +29,20 @@
       .with("late_ms", millisecondsBetween(Published, Now));
 }
 
+/// Adds which caller's request a line is about.
+inline void addCaller(event_line &Line, const caller_request &Request) {
+  Line.with("caller_connection", Request.ResponseHandle.Connection)
+      .with("caller_request", Request.ResponseHandle.Sequence);
+}
+
+/// Adds the connection to the backend server.
+inline void addConnection(event_line &Line, const attempt_connection &To) {
+  Line.with("server_connection", To.Number)
+      .with("earlier_attempts", To.EarlierAttempts)
+      .with("connection_age_ms", To.Age.count())
+      .with("unasked_bytes", To.UnaskedBytes);
+}
+
 /// An attempt has failed; its response, if any, is not forwarded.
 inline void attemptFailed(const active_request &Active,
                           const running_attempt &Attempt,
@@ -50,14 +64,23 @@
       .with("left_ms", millisecondsBetween(Now, Request.Deadline));
   if (Attempt.Head)
     Line.with("status", Attempt.Head->Status);
+  if (Attempt.Rejected)
+    Line.with("rejected_status", Attempt.Rejected->Status)
+        .with("rejected_identifier", Attempt.Rejected->Identifier);
+  addConnection(Line, Attempt.Connection);
+  addCaller(Line, Request);
 }
 
-/// A backend server's error response is forwarded to the caller.
-inline void failurePassedOn(const active_request &Active,
-                            const running_attempt &Attempt, steady_time Now) {
+/// A backend server's response is forwarded to the caller. Those that are no
+/// errors are logged on debug level only.
+inline void responsePassedOn(const active_request &Active,
+                             const running_attempt &Attempt, steady_time Now) {
+  constexpr int FirstServerError = 500;
   const caller_request &Request = Active.Request;
-  event_line("failure_passed_on")
-      .with("request", Request.Name)
+  bool IsError = Attempt.Head->Status >= FirstServerError;
+  event_line Line(IsError ? "failure_passed_on" : "response_passed_on",
+                  IsError ? event_level::Info : event_level::Debug);
+  Line.with("request", Request.Name)
       .with("service", Request.Service->Definition.Name)
       .with("route", Request.Kind->Name)
       .with("attempt", Active.Attempts)
@@ -65,8 +88,10 @@
       .with("instance", Attempt.Target.Instance)
       .with("doubt", Attempt.Target.FailureProbability)
       .with("slots_used", Attempt.Target.SlotsUsed)
-      .with("status", Attempt.Head ? Attempt.Head->Status : 0)
+      .with("status", Attempt.Head->Status)
       .with("took_ms", millisecondsBetween(Attempt.Started, Now));
+  addConnection(Line, Attempt.Connection);
+  addCaller(Line, Request);
 }
 
 /// The caller gets an error response from this proxy.
@@ -74,8 +99,8 @@
                           const response_head &Head, error_kind Kind,
                           std::string_view Detail, steady_time Now) {
   const caller_request &Request = Active.Request;
-  event_line("error_answered")
-      .with("request", Request.Name)
+  event_line Line("error_answered");
+  Line.with("request", Request.Name)
       .with("service", Request.Service->Definition.Name)
       .with("route", Request.Kind->Name)
       .with("error", errorAnswer(Kind).Name)
@@ -86,6 +111,9 @@
       .with("retry_after", findHeader(Head.Headers, "Retry-After"))
       .with("held_ms", millisecondsBetween(Request.Arrived, Now))
       .with("left_ms", millisecondsBetween(Now, Request.Deadline));
+  if (Active.RetryObstacle)
+    Line.with("not_retried", retryObstacleName(*Active.RetryObstacle));
+  addCaller(Line, Request);
 }
 
 /// The caller has closed its connection before the response.
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -189,6 +189,7 @@
       return;
     steady_time Now = Clock.now();
     running_attempt Attempt = std::move(*Active->Attempt);
+    Attempt.Connection = End.Connection;
     Active->Attempt.reset();
     ByAttempt.erase(Id);
     if (End.Withdrawn) {
@@ -203,6 +204,8 @@
       recordAttemptResult(*Active, Attempt, End, Now);
     if (End.Failure && sharing_scheduler<Policy>)
       request_log::attemptFailed(*Active, Attempt, End, Now);
+    if (End.Failure && End.Failure->Kind == error_kind::ForeignAnswer)
+      Metrics.onForeignAnswer(Active->Request.Service->Definition.Name);
     if (End.Failure)
       handleFailedAttempt(*Active, Attempt, *End.Failure, Now);
     else
@@ -211,8 +214,6 @@
   }
 
 private:
-  static constexpr int FirstServerErrorStatus = 500;
-
   /// Whether the list of backend servers has gone unconfirmed for too long. A
   /// server may have left in the meantime.
   bool serversUnconfirmed(steady_time Now) const {
@@ -793,8 +794,11 @@
       Control.notify(server_leaving{Active.Request.Service->Definition.Name,
                                     Attempt.Target.Server});
     }
-    if (Classification.Error)
+    if (Classification.Error) {
+      Active.Attempt->Rejected =
+          rejected_response{Head.Status, std::move(Classification.Identifier)};
       return Classification.Error;
+    }
     if (Classification.ServerFailed) {
       State.recordSignal(
           Attempt.Target.Server,
@@ -865,7 +869,7 @@
   /// before the request arrived, which tells nothing about the server's health.
   static bool isStaleConnection(const running_attempt &Attempt,
                                 const attempt_end &End, steady_time Now) {
-    return End.Failure && End.ReusedConnection && !Attempt.Head &&
+    return End.Failure && End.Connection.reused() && !Attempt.Head &&
            End.Failure->Kind == error_kind::BackendCut &&
            Attempt.Target.Route == attempt_route::Slot &&
            Now < Attempt.Started + FastFailureWindow;
@@ -939,8 +943,8 @@
                        steady_time Now) {
     response_head Head =
         MessageDialect.callerHead(*Attempt.Head, Attempt.goesToPeer());
-    if (Head.Status >= FirstServerErrorStatus && sharing_scheduler<Policy>)
-      request_log::failurePassedOn(Active, Attempt, Now);
+    if (sharing_scheduler<Policy>)
+      request_log::responsePassedOn(Active, Attempt, Now);
     std::string Error(findHeader(Head.Headers, "Endiverail-Error"));
     if (!Active.HeadSent) {
       std::string Body = std::exchange(Active.Buffered, {});
@@ -976,6 +980,7 @@
         Failure.Kind == error_kind::BackendCut && !Attempt.StaleConnection;
     Active.BrokenConnections += Broken ? 1 : 0;
     attempt_history History = history(Active, Now);
+    Active.RetryObstacle = retryObstacle(Failure, History);
     attempt_step Step = nextStep(Failure, History);
     if (Active.CallerGone || (Attempt.Target.Route == attempt_route::Trial &&
                               Step == attempt_step::Retry))
@@ -985,6 +990,7 @@
       return;
     }
     if (Step == attempt_step::ReturnError) {
+      Active.MayHaveRun |= !Failure.ProvenNotRun;
       respondWithError(Active, finalError(Failure, History), "", Now);
       return;
     }
--- a/src/libs/request/attempt_policy.h
+++ b/src/libs/request/attempt_policy.h
@@ -4,6 +4,8 @@
 #include "base/time.h"
 
 #include <cstddef>
+#include <optional>
+#include <string_view>
 
 namespace endiverail {
 
@@ -45,6 +47,20 @@
   CloseConnection,
 };
 
+/// What prevents another attempt.
+enum class retry_obstacle {
+  /// A part of the response has been sent to the caller.
+  ResponseStarted,
+  /// The request may have run and is not idempotent.
+  MayHaveRun,
+  MaxAttempts,
+  BrokenConnections,
+  RetryBudget,
+  TimeLeft,
+};
+
+std::string_view retryObstacleName(retry_obstacle Obstacle);
+
 inline constexpr std::size_t MaxBrokenConnections = 2;
 
 /// Whether a retry after the failure counts against the retry budget. One after
@@ -52,6 +68,10 @@
 /// the request only once.
 bool usesRetryBudget(const attempt_failure &Failure);
 
+/// Returns what prevents another attempt after a failed one, or nullopt.
+std::optional<retry_obstacle> retryObstacle(const attempt_failure &Failure,
+                                            const attempt_history &History);
+
 /// Decides how to proceed after a failed attempt. A request that is not
 /// idempotent is retried only if the failed attempt is proven not to have run.
 attempt_step nextStep(const attempt_failure &Failure,
--- a/tests/auto/http/tst_curl_transport.cpp
+++ b/tests/auto/http/tst_curl_transport.cpp
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <future>
 
 using namespace endiverail;
 using namespace endiverail::test;
@@ -118,7 +119,7 @@
       REQUIRE(End.Failure);
       CHECK(End.Failure->Kind == error_kind::BackendCut);
       CHECK_FALSE(End.Failure->ProvenNotRun);
-      CHECK(End.ReusedConnection);
+      CHECK(End.Connection.reused());
     }
   }
 }
@@ -286,6 +287,52 @@
   }
 }
 
+TEST_CASE("an attempt's end tells which connection it was sent on") {
+  raw_server Server([&](raw_connection Connection, std::size_t) {
+    while (!Connection.readUntil("\r\n\r\n").empty())
+      Connection.send(KeptAnswer);
+  });
+  std::string Endpoint = Server.endpoint();
+  attempt_runner Runner;
+  attempt_request Request = attempt_runner::request("GET", Endpoint);
+  Request.Connection = connection_choice::Reuse;
+  attempt_connection First = Runner.run(Request).Connection;
+  attempt_connection Second = Runner.run(Request).Connection;
+  Request.Connection = connection_choice::Fresh;
+  attempt_connection Third = Runner.run(Request).Connection;
+  CHECK(First.Number != 0);
+  CHECK_FALSE(First.reused());
+  CHECK(Second.Number == First.Number);
+  CHECK(Second.EarlierAttempts == 1);
+  CHECK(Second.UnaskedBytes == 0);
+  CHECK(Third.Number != First.Number);
+  CHECK_FALSE(Third.reused());
+}
+
+TEST_CASE("bytes that wait on a kept connection are counted") {
+  constexpr std::string_view Stray = "HTTP/1.1 200 OK\r\n";
+  std::promise<void> Sent;
+  raw_server Server([&](raw_connection Connection, std::size_t) {
+    Connection.readUntil("\r\n\r\n");
+    Connection.send(KeptAnswer);
+    poll(nullptr, 0, 50);
+    Connection.send(Stray);
+    Sent.set_value();
+    Connection.readAll();
+  });
+  std::string Endpoint = Server.endpoint();
+  attempt_runner Runner;
+  attempt_request Request = attempt_runner::request("GET", Endpoint);
+  Request.Connection = connection_choice::Reuse;
+  Request.Timeout = 200ms;
+  REQUIRE_FALSE(Runner.run(Request).Failure);
+  Sent.get_future().wait();
+  attempt_end End = Runner.run(Request);
+  CHECK(End.Failure);
+  CHECK(End.Connection.reused());
+  CHECK(End.Connection.UnaskedBytes == Stray.size());
+}
+
 TEST_CASE("an answer that is refused ends with the reason") {
   raw_server Server([&](raw_connection Connection, std::size_t) {
     Connection.readUntil("\r\n\r\n");
--- /dev/null
+++ b/tests/auto/process/tst_request_log.cpp
@@ -0,0 +1,51 @@
+#include "event_capture.h"
+#include "traffic_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace endiverail;
+using namespace endiverail::test;
+
+TEST_CASE_METHOD(shared_traffic_fixture,
+                 "a stray answer's line tells whose it is and where it came") {
+  event_capture Log;
+  auto Caller = send("POST", "/s/1");
+  attempt_id Id = attempts().begin()->first;
+  CHECK_FALSE(
+      transport().head(Id, 203, 2, {{"Endiverail-Attempt", "another"}}));
+  auto Failed = Log.lines("attempt_failed");
+  REQUIRE(Failed.size() == 1);
+  CHECK(Failed[0]["error"] == "foreign-answer");
+  CHECK(Failed[0]["rejected_status"] == 203);
+  CHECK(Failed[0]["rejected_identifier"] == "another");
+  CHECK(Failed[0]["caller_connection"] == Caller);
+  CHECK(Failed[0].contains("server_connection"));
+  CHECK(Failed[0].contains("unasked_bytes"));
+  CHECK(Metrics.text().find("endiverail_foreign_answers_total{service=\"s\"} "
+                            "1\n") != std::string::npos);
+}
+
+TEST_CASE_METHOD(shared_traffic_fixture,
+                 "an error's line tells whether the request was sent, and why "
+                 "it is not sent again") {
+  event_capture Log;
+  send("POST", "/s/1");
+  transport().fail(attempts().begin()->first, error_kind::BackendMalformed);
+  auto Answered = Log.lines("error_answered");
+  REQUIRE(Answered.size() == 1);
+  CHECK(Answered[0]["status"] == 502);
+  CHECK(Answered[0]["may_have_run"] == true);
+  CHECK(Answered[0]["not_retried"] == "may-have-run");
+}
+
+TEST_CASE_METHOD(shared_traffic_fixture,
+                 "a response that is passed on is logged on debug level") {
+  event_capture Log;
+  auto Caller = send("GET", "/s/1");
+  transport().respond(attempts().begin()->first, 200, "body");
+  auto PassedOn = Log.lines("response_passed_on");
+  REQUIRE(PassedOn.size() == 1);
+  CHECK(PassedOn[0]["status"] == 200);
+  CHECK(PassedOn[0]["caller_connection"] == Caller);
+  CHECK(PassedOn[0].contains("server_connection"));
+}
--- a/tests/auto/process/tst_traffic_thread.cpp
+++ b/tests/auto/process/tst_traffic_thread.cpp
@@ -607,7 +607,7 @@
     Choices.push_back(First.Connection);
     transport().end(First.Id,
                     {attempt_failure{error_kind::BackendCut, false, false}, "",
-                     false, true});
+                     false, attempt_connection{.EarlierAttempts = 1}});
     REQUIRE(attempts().size() == 1);
     Choices.push_back(FirstAttempt().Connection);
     transport().respond(FirstAttempt().Id, 200, "ok");
