--- a/tests/auto/platform/tst_edge.cpp
+++ b/tests/auto/platform/tst_edge.cpp
@@ -1,170 +1,10 @@
-#include "daemon/store_daemon.h"
-#include "failure_check.h"
-#include "platform/edge.h"
-#include "store_standin.h"
-#include "test_ports.h"
+#include "platform_fixture.h"
 
-#include <catch2/catch.hpp>
-
-#include <functional>
-#include <memory>
-#include <optional>
 #include <thread>
 
 using namespace endiverail;
 using namespace endiverail::test;
 
-namespace {
-
-const std::string Configuration = R"({"version":"00000007",
-  "limits":{"header-bytes":2000,"body-bytes":100000,"header-timeout-s":3,
-            "idle-timeout-s":15},
-  "listeners":[{"host":"shop.example","rules":[
-    {"name":"r1","kind":"unsafe","latency-target-s":2,"priority":1,
-     "match":{"path-prefix":"/orders/"},
-     "action":{"service":"orders","timeout-s":4,"attempts":2}}]}],
-  "clusters":[{"name":"orders"}]})";
-
-/// Answers each request as a target does, with the request's own name.
-class target_standin {
-public:
-  target_standin()
-      : Server([](raw_connection Caller, std::size_t) {
-          std::string Head = Caller.readUntil("\r\n\r\n");
-          std::size_t At = Head.find("Endiverail-Attempt-Identifier: ") + 31;
-          std::string Name = Head.substr(At, Head.find("\r\n", At) - At);
-          std::string Body = "for " + Name;
-          if (Head.find("/orders/silent") != std::string::npos) {
-            // Until the caller closes.
-            Caller.readUntil("no such bytes");
-            return;
-          }
-          Caller.send("HTTP/1.1 200 OK\r\nEndiverail-Attempt-Identifier: " +
-                      Name + "\r\nEndiverail-Response-Signature: s\r\n" +
-                      "Content-Length: " + std::to_string(Body.size()) +
-                      "\r\n\r\n" + Body);
-        }) {}
-
-  std::string entry() const {
-    return nlohmann::json{{"service", "orders"},
-                          {"address", Server.endpoint()},
-                          {"zone", "z"},
-                          {"version", "v1"},
-                          {"slots", 6},
-                          {"state", "ready"},
-                          {"cold-remaining-s", 0},
-                          {"sequence", 1},
-                          {"born", 1}}
-        .dump();
-  }
-
-private:
-  raw_server Server;
-};
-
-/// Daemons on addresses of loopback; all have the same ports, as on a day.
-class platform_fixture {
-public:
-  using daemon = store_daemon<platform::edge>;
-
-  std::unique_ptr<daemon> start(const std::string &Host,
-                                const std::string &StoreAddress,
-                                const std::string &Seed) const {
-    return valueFrom([&]() -> result<std::unique_ptr<daemon>> {
-      return daemon::create(settingsOf(settingsJson(Host, StoreAddress, Seed)));
-    });
-  }
-
-  static store_daemon_settings settingsOf(const nlohmann::json &Json) {
-    return valueFrom(
-        [&] { return readStoreDaemonSettings("settings", Json.dump()); });
-  }
-
-  nlohmann::json settingsJson(const std::string &Host,
-                              const std::string &StoreAddress,
-                              const std::string &Seed) const {
-    auto At = [&](std::uint16_t Port) {
-      return Host + ":" + std::to_string(Port);
-    };
-    return nlohmann::json{
-        {"id", "host-" + Host},
-        {"data_centre", "z"},
-        {"caller_address", At(CallerPort)},
-        {"ready_address", At(ReadyPort)},
-        {"directory_address", At(DirectoryPort)},
-        {"peer_address", At(PeerPort)},
-        {"store", StoreAddress},
-        {"seeds", {Seed + ":1"}},
-        {"grace_s", 2},
-        {"retries", {{"share_of_requests", 0.2}, {"extra", 62}}},
-        {"fleet_secret", "a secret of the fleet"}};
-  }
-
-  /// The answer to a request whose bytes the test writes; empty when nothing
-  /// listens.
-  static std::string call(const std::string &Host, std::uint16_t Port,
-                          const std::string &Head) {
-    try {
-      raw_connection Caller = raw_connection::to(Port, 0, Host);
-      Caller.send(Head + "\r\n\r\n");
-      return Caller.readAnswer();
-    } catch (const std::exception &) {
-      return "";
-    }
-  }
-
-  std::string order(const std::string &Host, const std::string &Path,
-                    int DeadlineMilliseconds = 3'000) const {
-    return call(Host, CallerPort,
-                "POST " + Path +
-                    " HTTP/1.1\r\nHost: shop.example\r\n"
-                    "Endiverail-Attempt-Identifier: id-1\r\n"
-                    "Endiverail-Deadline-Milliseconds: " +
-                    std::to_string(DeadlineMilliseconds) +
-                    "\r\nContent-Length: 0");
-  }
-
-  /// A daemon with 2.2 s for its end, whose callers keep addresses for 0.1 s.
-  std::unique_ptr<daemon> startWithShortEnd() const {
-    nlohmann::json Json = settingsJson(First, Store->endpoint(), First);
-    Json["address_lifetime_ms"] = 100;
-    Json["grace_s"] = 3;
-    auto Started = valueFrom([&]() -> result<std::unique_ptr<daemon>> {
-      return daemon::create(settingsOf(Json));
-    });
-    REQUIRE(eventually([&] { return isReady(First); }));
-    return Started;
-  }
-
-  bool isReady(const std::string &Host) const {
-    return call(Host, ReadyPort, "GET /-/readiness HTTP/1.1")
-        .starts_with("HTTP/1.1 200");
-  }
-
-  static bool eventually(const std::function<bool()> &Holds) {
-    for (int Try = 0; Try < 400; ++Try) {
-      if (Holds())
-        return true;
-      poll(nullptr, 0, 25);
-    }
-    return false;
-  }
-
-  target_standin Target;
-  std::optional<store_standin> Store{
-      std::in_place, std::map<std::string, store_standin::topic_records>{
-                         {"keyed.op", {{"config", Configuration}}},
-                         {"keyed.servers", {{"i-1", Target.entry()}}}}};
-  std::uint16_t CallerPort = freePort();
-  std::uint16_t ReadyPort = freePort();
-  std::uint16_t DirectoryPort = freePort();
-  std::uint16_t PeerPort = freePort();
-  std::string First = "127.0.0.1";
-  std::string Second = "127.0.0.2";
-};
-
-} // namespace
-
 TEST_CASE_METHOD(platform_fixture,
                  "a daemon serves callers by what the store holds") {
   auto Daemon = start(First, Store->endpoint(), First);
@@ -215,7 +55,7 @@
       {"i-1", Target.entry()},
       {"z-nothing", ""},
       {"z-text", "\xff\xfe"}};
-  store_standin OddStore({{"keyed.op", {{"config", Configuration}}},
+  store_standin OddStore({{"keyed.op", {{"config", OrdersConfiguration}}},
                           {"keyed.servers", Entries},
                           {"keyed.endiverail-members",
                            {{"odd", "127.0.0.1:99999"}, {"odder", Deep}}}});
