Read one status line a head, so that no other answer lends its own

The beginning of a late copy, cut within its status line or the value of a field, stood in front of the own answer on a kept connection. Neither the library nor readHeaderLine looks for a status line behind the first bytes of a line, so the two made one head. The comparison of the identifier vouched for it: it sees that the own answer's fields are there, not that others stand before them. The library takes the status, and with it whether there is a body, from the copy.

Ruled out: whole copies, and copies cut at the end of a line (the library refuses a field without a colon, the identifier tells the rest).

Fix: a head that holds a second status line, anywhere in a line, is no answer, and the connection ends with it. A status line has exactly the form of one, and 101 is none that was asked for: both left the head unfinished before while the library went on to the body.

--- a/src/libs/http/curl_exchange.cpp
+++ b/src/libs/http/curl_exchange.cpp
@@ -24,6 +24,29 @@
   return Status >= 200 && Status != 204 && Status != 304;
 }
 
+/// Status of a line that has the form of a status line; nullopt for others.
+std::optional<int> statusOf(std::string_view Line) {
+  constexpr std::string_view Version = "HTTP/1.";
+  constexpr std::size_t CodeAt = Version.size() + 2;
+  constexpr std::size_t CodeEnd = CodeAt + 3;
+  if (!Line.starts_with(Version) || Line.size() < CodeEnd ||
+      Line[CodeAt - 1] != ' ' ||
+      (Line.size() > CodeEnd && Line[CodeEnd] != ' '))
+    return std::nullopt;
+  auto Status = parseDecimal(Line.substr(CodeAt, CodeEnd - CodeAt));
+  return Status ? std::optional(static_cast<int>(*Status)) : std::nullopt;
+}
+
+/// Whether a status line begins within \p Line, after its first byte.
+bool holdsStatusLine(std::string_view Line) {
+  constexpr std::string_view Version = "HTTP/1.";
+  for (std::size_t At = Line.find(Version, 1); At != std::string_view::npos;
+       At = Line.find(Version, At + 1))
+    if (statusOf(Line.substr(At)))
+      return true;
+  return false;
+}
+
 error_kind kindOf(CURLcode Code) {
   switch (Code) {
   case CURLE_COULDNT_CONNECT:
@@ -104,20 +127,14 @@
     return false;
   while (!Line.empty() && (Line.back() == '\r' || Line.back() == '\n'))
     Line.remove_suffix(1);
-  if (Line.starts_with("HTTP/")) {
-    Head = {};
-    std::size_t Space = std::min(Line.find(' '), Line.size() - 1);
-    std::string_view Status = Line.substr(Space + 1, 3);
-    Head.Status = static_cast<int>(parseDecimal(Status).value_or(0));
-    return false;
-  }
-  if (Line.empty()) {
-    if (Head.Status < 200)
-      return false;
-    BOOST_LEAF_CHECK(checkFraming());
-    HeadComplete = true;
-    return true;
-  }
+  // What is left of another answer in front of this one would lend it its
+  // status or its fields.
+  if (holdsStatusLine(Line))
+    return fail(error_kind::BackendMalformed, "two answers in one head");
+  if (Head.Status == 0)
+    return readStatusLine(Line);
+  if (Line.empty())
+    return endHead();
   std::size_t Colon = Line.find(':');
   if (Colon == std::string_view::npos)
     return fail(error_kind::BackendMalformed, "a header field has no colon");
@@ -126,6 +143,25 @@
   return false;
 }
 
+result<bool> curl_exchange::readStatusLine(std::string_view Line) {
+  constexpr int SwitchingProtocols = 101;
+  auto Status = statusOf(Line);
+  if (!Status || *Status < 100 || *Status == SwitchingProtocols)
+    return fail(error_kind::BackendMalformed, "malformed status line");
+  Head.Status = *Status;
+  return false;
+}
+
+result<bool> curl_exchange::endHead() {
+  if (Head.Status < 200) {
+    Head = {};
+    return false;
+  }
+  BOOST_LEAF_CHECK(checkFraming());
+  HeadComplete = true;
+  return true;
+}
+
 result<void> curl_exchange::checkFraming() {
   auto Count = [&](std::string_view Name) {
     return std::ranges::count_if(Head.Headers, [&](const header_field &Field) {
--- a/src/libs/http/curl_exchange.h
+++ b/src/libs/http/curl_exchange.h
@@ -75,6 +75,8 @@
 
   void setMethod(const attempt_request &Request);
   void setHeaders(const attempt_request &Request);
+  result<bool> readStatusLine(std::string_view Line);
+  result<bool> endHead();
   result<void> checkFraming();
 
   attempt_id Id;
--- a/tests/auto/http/tst_stray_bytes.cpp
+++ b/tests/auto/http/tst_stray_bytes.cpp
@@ -3,12 +3,11 @@
 
 #include <catch2/catch.hpp>
 
-#include <algorithm>
-#include <atomic>
+#include <string>
+#include <vector>
 
 using namespace endiverail;
 using namespace endiverail::test;
-using namespace std::chrono_literals;
 
 namespace {
 
@@ -41,23 +40,30 @@
   };
 }
 
+/// Runs an attempt that gets \p Bytes.
+attempt_end runOnce(attempt_runner &Runner, const std::string &Bytes) {
+  raw_server Server([&](raw_connection Connection, std::size_t) {
+    Connection.readUntil("\r\n\r\n");
+    Connection.send(Bytes);
+  });
+  std::string Endpoint = Server.endpoint();
+  attempt_request Request = attempt_runner::request("GET", Endpoint);
+  Request.AcceptsUnframed = true;
+  return Runner.run(Request);
+}
+
 } // namespace
 
 TEST_CASE("the beginning of another answer in front changes no answer") {
   for (const server_answer &Copy : answersNaming("one"))
     for (const server_answer &Own : answersNaming("two"))
-      for (std::size_t Cut = 1; Cut < Copy.Bytes.size(); ++Cut) {
+      for (std::size_t Cut = 0; Cut < Copy.Bytes.size(); ++Cut) {
         INFO("a copy of a " << Copy.What << " cut after " << Cut
                             << " bytes, then a " << Own.What);
-        raw_server Server([&](raw_connection Connection, std::size_t) {
-          Connection.readUntil("\r\n\r\n");
-          Connection.send(Copy.Bytes.substr(0, Cut) + Own.Bytes);
-        });
-        std::string Endpoint = Server.endpoint();
         attempt_runner Runner;
-        attempt_request Request = attempt_runner::request("GET", Endpoint);
-        Request.AcceptsUnframed = true;
-        attempt_end End = Runner.run(Request);
+        attempt_end End =
+            runOnce(Runner, Copy.Bytes.substr(0, Cut) + Own.Bytes);
+        REQUIRE((Cut > 0 || !End.Failure));
         // The identifier is compared by whoever gets the head.
         if (End.Failure || findHeader(Runner.Head.Headers, "X-Mark") != "two")
           continue;
@@ -65,3 +71,19 @@
         CHECK(Runner.Body == Own.Body);
       }
 }
+
+TEST_CASE("another answer behind the beginning of the own one ends it") {
+  for (const server_answer &Own : answersNaming("two"))
+    for (const server_answer &Other : answersNaming("one")) {
+      std::size_t HeadSize = Own.Bytes.find("\r\n\r\n") + 4;
+      for (std::size_t Cut = 1; Cut < HeadSize; ++Cut) {
+        INFO("a " << Own.What << " cut after " << Cut << " bytes, then a "
+                  << Other.What);
+        attempt_runner Runner;
+        attempt_end End =
+            runOnce(Runner, Own.Bytes.substr(0, Cut) + Other.Bytes);
+        if (!End.Failure)
+          CHECK(findHeader(Runner.Head.Headers, "X-Mark") != "two");
+      }
+    }
+}
