End an attempt whose body comes before its head is complete

What callers could see: the library ends a head at any line that begins with a carriage return, readHeaderLine at an empty one. After a field that begins so the body of an answer was handed on while the head was still being read. Up to 64 KiB the attempt ended as cut; beyond that the traffic thread forwards the buffered bytes with a head that is not there.

Fix: the exchange takes body after the complete head only, and ends the attempt as malformed otherwise, whatever made the two readers disagree.

Evidence: the new case of test_stray_bytes failed before in 2 of its 3 checks (BackendCut instead of BackendMalformed, 3 bytes of body handed on); the 1,733 checks of test_stray_bytes and the 34 cases of test_http pass now.

--- a/src/libs/http/curl_exchange.cpp
+++ b/src/libs/http/curl_exchange.cpp
@@ -191,6 +191,13 @@
   return {};
 }
 
+result<void> curl_exchange::noteBody() {
+  if (!HeadComplete)
+    return fail(error_kind::BackendMalformed, "a body without a head");
+  SinceBody = 0;
+  return {};
+}
+
 bool curl_exchange::sent() const {
   long SentBytes = 0;
   curl_easy_getinfo(Handle.get(), CURLINFO_REQUEST_SIZE, &SentBytes);
--- a/src/libs/http/curl_exchange.h
+++ b/src/libs/http/curl_exchange.h
@@ -46,8 +46,9 @@
     EndlessFrame = SinceBody > MostHeadBytes;
     SinceBody += Bytes;
   }
-  /// Notes that body has been handed on.
-  void noteBody() { SinceBody = 0; }
+  /// Notes that the library hands on body. Fails with BackendMalformed when the
+  /// head is not complete: the library then reads the answer in another way.
+  result<void> noteBody();
   /// Whether bytes come that are no body and do not end.
   bool endlessFrame() const { return EndlessFrame; }
 
--- a/src/libs/http/curl_transport.h
+++ b/src/libs/http/curl_transport.h
@@ -229,10 +229,17 @@
   static std::size_t onBody(char *Data, std::size_t Size, std::size_t Count,
                             void *Self) {
     auto &Exchange = *static_cast<exchange *>(Self);
-    Exchange.Easy.noteBody();
-    bool Taken =
-        Exchange.Owner.To.onBodyData(Exchange.Easy.id(), {Data, Size * Count});
-    return Taken ? Size * Count : std::size_t{CURL_WRITEFUNC_PAUSE};
+    return handleFailure(
+        [&]() -> result<std::size_t> {
+          BOOST_LEAF_CHECK(Exchange.Easy.noteBody());
+          bool Taken = Exchange.Owner.To.onBodyData(Exchange.Easy.id(),
+                                                    {Data, Size * Count});
+          return Taken ? Size * Count : std::size_t{CURL_WRITEFUNC_PAUSE};
+        },
+        [&](const failure &Failure) {
+          Exchange.Easy.abortWith(Failure.Kind);
+          return std::size_t{0};
+        });
   }
 
   static int onDebug(CURL *, curl_infotype Kind, char *, std::size_t Size,
--- a/tests/auto/http/tst_stray_bytes.cpp
+++ b/tests/auto/http/tst_stray_bytes.cpp
@@ -87,3 +87,13 @@
       }
     }
 }
+
+TEST_CASE("body bytes before a complete head end the attempt") {
+  // The library ends a head at any line that begins with a carriage return.
+  attempt_runner Runner;
+  attempt_end End =
+      runOnce(Runner, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\rX: y\r\nabc");
+  REQUIRE(End.Failure);
+  CHECK(End.Failure->Kind == error_kind::BackendMalformed);
+  CHECK(Runner.Body.empty());
+}
