Take an answer for whole only when its body has the length of its head

What callers could see: an answer whose head says another length than its body has, reported as whole. The length is read twice, by the library and by checkFraming; where the two disagree (a length of 2^63 or more, which the library takes for none), the library ends such an answer with the connection and calls it complete.

Fix: the exchange counts the body that has been taken (a piece that pauses comes again and counts once); an answer with another number of bytes than its head says is cut. blocking_client reads its answers under the same checks.

Evidence: of the three rows of the new case in test_stray_bytes the one with the length that the library can't hold failed before; chunks behind 204 and 304 did not.

--- a/src/libs/http/blocking_client.cpp
+++ b/src/libs/http/blocking_client.cpp
@@ -2,27 +2,42 @@
 
 #include "http/curl_exchange.h"
 
+#include <utility>
+
 namespace endiverail {
 namespace {
 
-std::size_t append(char *Data, std::size_t Size, std::size_t Count,
-                   void *Body) {
-  static_cast<std::string *>(Body)->append(Data, Size * Count);
-  return Size * Count;
+struct fetch_in_progress {
+  detail::curl_exchange Exchange;
+  std::string Body;
+
+  std::size_t resultOf(auto &&Take) {
+    return handleFailure(std::forward<decltype(Take)>(Take),
+                         [&](const failure &Failure) {
+                           Exchange.abortWith(Failure.Kind);
+                           return std::size_t{0};
+                         });
+  }
+};
+
+std::size_t readBody(char *Data, std::size_t Size, std::size_t Count,
+                     void *Self) {
+  auto &Fetch = *static_cast<fetch_in_progress *>(Self);
+  return Fetch.resultOf([&]() -> result<std::size_t> {
+    BOOST_LEAF_CHECK(Fetch.Exchange.noteBody());
+    Fetch.Body.append(Data, Size * Count);
+    Fetch.Exchange.noteTaken(Size * Count);
+    return Size * Count;
+  });
 }
 
 std::size_t readHeader(char *Data, std::size_t Size, std::size_t Count,
-                       void *Exchange) {
-  auto &Reading = *static_cast<detail::curl_exchange *>(Exchange);
-  return handleFailure(
-      [&]() -> result<std::size_t> {
-        BOOST_LEAF_CHECK(Reading.readHeaderLine({Data, Size * Count}));
-        return Size * Count;
-      },
-      [&](const failure &Failure) {
-        Reading.abortWith(Failure.Kind);
-        return std::size_t{0};
-      });
+                       void *Self) {
+  auto &Fetch = *static_cast<fetch_in_progress *>(Self);
+  return Fetch.resultOf([&]() -> result<std::size_t> {
+    BOOST_LEAF_CHECK(Fetch.Exchange.readHeaderLine({Data, Size * Count}));
+    return Size * Count;
+  });
 }
 
 } // namespace
@@ -37,20 +52,18 @@
   Request.Target = Target;
   Request.Body = Body;
   Request.Timeout = Timeout;
-  detail::curl_exchange Exchange(Request);
-  CURL *Easy = Exchange.handle();
-  fetched_answer Answer;
+  fetch_in_progress Fetch{detail::curl_exchange(Request), {}};
+  CURL *Easy = Fetch.Exchange.handle();
   curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, &readHeader);
-  curl_easy_setopt(Easy, CURLOPT_HEADERDATA, &Exchange);
-  curl_easy_setopt(Easy, CURLOPT_WRITEFUNCTION, &append);
-  curl_easy_setopt(Easy, CURLOPT_WRITEDATA, &Answer.Body);
-  attempt_end End = Exchange.end(curl_easy_perform(Easy));
+  curl_easy_setopt(Easy, CURLOPT_HEADERDATA, &Fetch);
+  curl_easy_setopt(Easy, CURLOPT_WRITEFUNCTION, &readBody);
+  curl_easy_setopt(Easy, CURLOPT_WRITEDATA, &Fetch);
+  attempt_end End = Fetch.Exchange.end(curl_easy_perform(Easy));
   if (End.Failure)
     return fail(End.Failure->Kind, std::string(Server) + ": " + End.Detail);
   long Status = 0;
   curl_easy_getinfo(Easy, CURLINFO_RESPONSE_CODE, &Status);
-  Answer.Status = static_cast<int>(Status);
-  return Answer;
+  return fetched_answer{static_cast<int>(Status), std::move(Fetch.Body)};
 }
 
 } // namespace endiverail
--- a/src/libs/http/curl_exchange.cpp
+++ b/src/libs/http/curl_exchange.cpp
@@ -158,6 +158,7 @@
     return false;
   }
   BOOST_LEAF_CHECK(checkFraming());
+  Length = Head.Length;
   HeadComplete = true;
   return true;
 }
@@ -210,9 +211,13 @@
   return NewConnections > 0;
 }
 
-attempt_end curl_exchange::end(CURLcode Code) const {
+bool curl_exchange::isWhole() const {
   // The library takes a head that ends with its connection for an answer.
-  if (Code == CURLE_OK && !Aborted && HeadComplete)
+  return HeadComplete && (IsHead || !Length || BodyBytes == *Length);
+}
+
+attempt_end curl_exchange::end(CURLcode Code) const {
+  if (Code == CURLE_OK && !Aborted && isWhole())
     return {std::nullopt, {}, false, Connection};
   attempt_failure Failure;
   Failure.ProvenNotRun = !sent();
@@ -220,8 +225,9 @@
   if (Failure.ProvenNotRun)
     Failure.Kind = error_kind::BackendUnreachable;
   return {Failure,
-          Code == CURLE_OK ? "the answer's head is cut"
-                           : curl_easy_strerror(Code),
+          Code != CURLE_OK ? curl_easy_strerror(Code)
+          : HeadComplete   ? "the body has another length than the head says"
+                           : "the answer's head is cut",
           Withdrawn, Connection};
 }
 
--- a/src/libs/http/curl_exchange.h
+++ b/src/libs/http/curl_exchange.h
@@ -5,7 +5,10 @@
 
 #include <curl/curl.h>
 
+#include <cstddef>
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -49,6 +52,8 @@
   /// Notes that the library hands on body. Fails with BackendMalformed when the
   /// head is not complete: the library then reads the answer in another way.
   result<void> noteBody();
+  /// Notes body that has been taken.
+  void noteTaken(std::size_t Bytes) { BodyBytes += Bytes; }
   /// Whether bytes come that are no body and do not end.
   bool endlessFrame() const { return EndlessFrame; }
 
@@ -79,6 +84,7 @@
   result<bool> readStatusLine(std::string_view Line);
   result<bool> endHead();
   result<void> checkFraming();
+  bool isWhole() const;
 
   attempt_id Id;
   bool IsHead;
@@ -90,6 +96,9 @@
   std::size_t HeadBytes = 0;
   std::size_t SinceBody = 0;
   bool EndlessFrame = false;
+  /// Body that the caller is told to expect, and what has been taken of it.
+  std::optional<std::uint64_t> Length;
+  std::uint64_t BodyBytes = 0;
   /// Lines after the head are trailers.
   bool HeadComplete = false;
   std::optional<error_kind> Aborted;
--- a/src/libs/http/curl_transport.h
+++ b/src/libs/http/curl_transport.h
@@ -234,7 +234,10 @@
           BOOST_LEAF_CHECK(Exchange.Easy.noteBody());
           bool Taken = Exchange.Owner.To.onBodyData(Exchange.Easy.id(),
                                                     {Data, Size * Count});
-          return Taken ? Size * Count : std::size_t{CURL_WRITEFUNC_PAUSE};
+          if (!Taken)
+            return CURL_WRITEFUNC_PAUSE;
+          Exchange.Easy.noteTaken(Size * Count);
+          return Size * Count;
         },
         [&](const failure &Failure) {
           Exchange.Easy.abortWith(Failure.Kind);
--- a/tests/auto/http/tst_stray_bytes.cpp
+++ b/tests/auto/http/tst_stray_bytes.cpp
@@ -97,3 +97,24 @@
   CHECK(End.Failure->Kind == error_kind::BackendMalformed);
   CHECK(Runner.Body.empty());
 }
+
+TEST_CASE("a body of another length than its head says is not whole") {
+  struct row {
+    const char *What;
+    std::string Bytes;
+  };
+  const std::string Chunks =
+      "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+  const row Rows[]{
+      {"a length that the library can't hold",
+       "HTTP/1.1 200 OK\r\nContent-Length: 18446744073709551615\r\n\r\nabc"},
+      {"chunks behind no content", "HTTP/1.1 204 No Content\r\n" + Chunks},
+      {"chunks behind not modified", "HTTP/1.1 304 Not Modified\r\n" + Chunks},
+  };
+  for (const row &Row : Rows) {
+    INFO(Row.What);
+    attempt_runner Runner;
+    attempt_end End = runOnce(Runner, Row.Bytes);
+    CHECK((End.Failure || Runner.Body.size() == Runner.Head.Length));
+  }
+}
