Use no kept connection that holds bytes of no request

What callers saw: a stray answer before their own, that is 502 after one attempt, or an answer that two made. A kept connection on which a late copy, or the beginning of one, waited was used for the next request; that the copy is another's was found only when it was read as the answer, by the identifier alone.

Fix: bytes that lie on a kept connection before a request is sent belong to no request. The transport closes such a connection unused and sends the attempt on a new one, once: it stays the same attempt, on the same server, without a retry, a token or a mark against the server's health. The identifier is now the second guard; it still catches what comes after the request was sent. connection_discarded and discarded_connections_total tell of it.

Bytes that arrive between the check and the sending are not seen by it.

--- a/src/libs/connection/backend_attempt.h
+++ b/src/libs/connection/backend_attempt.h
@@ -64,6 +64,9 @@
   /// The observer did not permit the start; nothing was sent.
   bool Withdrawn = false;
   attempt_connection Connection{};
+  /// A kept connection that was closed unused, because bytes of no request lay
+  /// on it. The attempt was sent on another one.
+  std::optional<attempt_connection> Discarded{};
 };
 
 /// Receives the events of attempts on the thread of the transport.
--- a/src/libs/http/curl_exchange.cpp
+++ b/src/libs/http/curl_exchange.cpp
@@ -205,6 +205,12 @@
   return SentBytes > 0;
 }
 
+void curl_exchange::discardConnection(const attempt_connection &On) {
+  Discarded = On;
+  Reconnect = true;
+  curl_easy_setopt(Handle.get(), CURLOPT_FRESH_CONNECT, 1L);
+}
+
 bool curl_exchange::isNewConnection() const {
   long NewConnections = 0;
   curl_easy_getinfo(Handle.get(), CURLINFO_NUM_CONNECTS, &NewConnections);
@@ -218,7 +224,7 @@
 
 attempt_end curl_exchange::end(CURLcode Code) const {
   if (Code == CURLE_OK && !Aborted && isWhole())
-    return {std::nullopt, {}, false, Connection};
+    return {std::nullopt, {}, false, Connection, Discarded};
   attempt_failure Failure;
   Failure.ProvenNotRun = !sent();
   Failure.Kind = Aborted.value_or(kindOf(Code));
@@ -228,7 +234,7 @@
           Code != CURLE_OK ? curl_easy_strerror(Code)
           : HeadComplete   ? "the body has another length than the head says"
                            : "the answer's head is cut",
-          Withdrawn, Connection};
+          Withdrawn, Connection, Discarded};
 }
 
 void initialiseCurl() {
--- a/src/libs/http/curl_exchange.h
+++ b/src/libs/http/curl_exchange.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace endiverail::detail {
 
@@ -67,6 +68,12 @@
   bool sent() const;
   /// Notes that the request is about to be sent on a connection.
   void noteConnected(const attempt_connection &On) { Connection = On; }
+  /// Ends the exchange before anything is sent on \p On, a reused connection
+  /// that holds bytes of no request.
+  void discardConnection(const attempt_connection &On);
+  /// Whether the exchange has ended for its connection only. It then goes to a
+  /// new one when it is added to the library again.
+  bool mustReconnect() { return std::exchange(Reconnect, false); }
   /// Notes the socket of a connection that is being established.
   void noteSocket(int Descriptor) { Socket = Descriptor; }
   int socket() const { return Socket; }
@@ -105,6 +112,8 @@
   bool Withdrawn = false;
   int Socket = -1;
   attempt_connection Connection;
+  std::optional<attempt_connection> Discarded;
+  bool Reconnect = false;
 };
 
 /// Initialises the library once for the process, before any thread.
--- a/src/libs/http/curl_transport.h
+++ b/src/libs/http/curl_transport.h
@@ -18,7 +18,8 @@
 
 /// Carries attempts by libcurl on the thread of one event loop. Connections
 /// that idempotent attempts leave behind are used again; the others go on
-/// connections of their own, because a server may have closed a used one. An
+/// connections of their own, because a server may have closed a used one. One
+/// that holds bytes of no request is closed instead of used again. An
 /// attempt is sent once: where the library would send a request again by
 /// itself, the attempt ends.
 template <typename Observer> class curl_transport {
@@ -138,6 +139,11 @@
       CURLcode Code = Message->data.result;
       exchange *Done = nullptr;
       curl_easy_getinfo(Message->easy_handle, CURLINFO_PRIVATE, &Done);
+      if (Done->Easy.mustReconnect()) {
+        curl_multi_remove_handle(Multi.get(), Done->Easy.handle());
+        curl_multi_add_handle(Multi.get(), Done->Easy.handle());
+        continue;
+      }
       attempt_id Id = Done->Easy.id();
       attempt_end End = Done->Easy.end(Code);
       cancel(Id);
@@ -181,11 +187,12 @@
     return 0;
   }
 
-  void noteConnected(exchange &Exchange, const detail::connection_ends &Ends) {
+  attempt_connection connectionOf(exchange &Exchange,
+                                  const detail::connection_ends &Ends) {
     steady_time Now = steadyNow();
     if (Exchange.Easy.isNewConnection())
       Connections.recordEstablished(Ends, Exchange.Easy.socket(), Now);
-    Exchange.Easy.noteConnected(Connections.recordAttempt(Ends, Now));
+    return Connections.recordAttempt(Ends, Now);
   }
 
   static int onConnected(void *Self, char *Server, char *, int ServerPort,
@@ -197,8 +204,15 @@
       Exchange.Easy.abortWith(error_kind::BackendCut);
       return CURL_PREREQFUNC_ABORT;
     }
+    attempt_connection On =
+        Exchange.Owner.connectionOf(Exchange, {Server, ServerPort, LocalPort});
+    // The library closes the connection of an exchange that is aborted here.
+    if (On.reused() && On.UnaskedBytes > 0) {
+      Exchange.Easy.discardConnection(On);
+      return CURL_PREREQFUNC_ABORT;
+    }
     if (Exchange.Owner.To.mayStart(Exchange.Easy.id())) {
-      Exchange.Owner.noteConnected(Exchange, {Server, ServerPort, LocalPort});
+      Exchange.Easy.noteConnected(On);
       return CURL_PREREQFUNC_OK;
     }
     Exchange.Easy.withdraw();
--- a/src/libs/process/request_log.h
+++ b/src/libs/process/request_log.h
@@ -71,6 +71,19 @@
   addCaller(Line, Request);
 }
 
+/// A kept connection was closed unused, because bytes of no request lay on it.
+inline void connectionDiscarded(const active_request &Active,
+                                const running_attempt &Attempt,
+                                const attempt_connection &Discarded) {
+  event_line Line("connection_discarded");
+  Line.with("request", Active.Request.Name)
+      .with("service", Active.Request.Service->Definition.Name)
+      .with("server", Attempt.Target.Server)
+      .with("instance", Attempt.Target.Instance);
+  addConnection(Line, Discarded);
+  addCaller(Line, Active.Request);
+}
+
 /// A backend server's response is forwarded to the caller. Those that are no
 /// errors are logged on debug level only.
 inline void responsePassedOn(const active_request &Active,
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -190,6 +190,11 @@
     steady_time Now = Clock.now();
     running_attempt Attempt = std::move(*Active->Attempt);
     Attempt.Connection = End.Connection;
+    if (End.Discarded) {
+      Metrics.onDiscardedConnection(Active->Request.Service->Definition.Name);
+      if (sharing_scheduler<Policy>)
+        request_log::connectionDiscarded(*Active, Attempt, *End.Discarded);
+    }
     Active->Attempt.reset();
     ByAttempt.erase(Id);
     if (End.Withdrawn) {
--- a/tests/auto/process/tst_request_log.cpp
+++ b/tests/auto/process/tst_request_log.cpp
@@ -25,6 +25,28 @@
                             "1\n") != std::string::npos);
 }
 
+TEST_CASE_METHOD(shared_traffic_fixture,
+                 "a discarded connection is told and counts for no attempt") {
+  event_capture Log;
+  auto Caller = send("POST", "/s/1");
+  attempt_id Id = attempts().begin()->first;
+  CHECK(transport().head(Id, 200, 0));
+  attempt_end End;
+  End.Discarded = attempt_connection{7, 3, milliseconds(40), 12};
+  transport().end(Id, End);
+  CHECK(response(Caller).Head->Status == 200);
+  CHECK(Log.lines("attempt_failed").empty());
+  auto Discarded = Log.lines("connection_discarded");
+  REQUIRE(Discarded.size() == 1);
+  CHECK(Discarded[0]["server_connection"] == 7);
+  CHECK(Discarded[0]["earlier_attempts"] == 3);
+  CHECK(Discarded[0]["unasked_bytes"] == 12);
+  CHECK(Discarded[0]["caller_connection"] == Caller);
+  CHECK(Metrics.text().find(
+            "endiverail_discarded_connections_total{service=\"s\"} 1\n") !=
+        std::string::npos);
+}
+
 TEST_CASE_METHOD(shared_traffic_fixture,
                  "an error's line tells whether the request was sent, and why "
                  "it is not sent again") {
