Refuse fields of an answer that two readers of its head read differently

What callers could see: a field such as "Content-Length : 1", a folded line or a value with a carriage return in it was passed on to them as it came. The library takes no such field for a length; a caller's own reader may, and then reads the rest of the answer as the next one. A line that begins with a carriage return ends the head for the library only.

Fix: names of fields are tokens and values have no control characters but tabs, by the rule that requests are read with; it moves from request_framing to text.

Evidence: 4 of the 6 rows of the new case in test_stray_bytes failed before ("Content-Length : 1", ": 1", "X: 1\rContent-Length: 1", "X Y: 1"; the library refused the two that begin with a blank). All pass now; test_http 34 cases and test_connection 11 cases pass.

--- a/src/libs/base/text.cpp
+++ b/src/libs/base/text.cpp
@@ -37,6 +37,22 @@
   return Parts;
 }
 
+bool isToken(std::string_view Text) {
+  constexpr std::string_view Punctuation = "!#$%&'*+-.^_`|~";
+  return !Text.empty() && std::ranges::all_of(Text, [&](char Character) {
+    return (Character >= '0' && Character <= '9') ||
+           (Character >= 'a' && Character <= 'z') ||
+           (Character >= 'A' && Character <= 'Z') ||
+           Punctuation.find(Character) != std::string_view::npos;
+  });
+}
+
+bool hasNoControlCharacters(std::string_view Text) {
+  return std::ranges::none_of(Text, [](unsigned char Character) {
+    return (Character < ' ' && Character != '\t') || Character == 0x7f;
+  });
+}
+
 std::optional<std::uint64_t> parseDecimal(std::string_view Text) {
   std::uint64_t Value = 0;
   const char *End = Text.data() + Text.size();
--- a/src/libs/base/text.h
+++ b/src/libs/base/text.h
@@ -18,6 +18,13 @@
 /// The parts of \p Text between \p Separator, empty ones included.
 std::vector<std::string_view> split(std::string_view Text, char Separator);
 
+/// Whether \p Text is a token, as an HTTP field's name is one.
+bool isToken(std::string_view Text);
+
+/// Whether \p Text has no control characters except tabs, as an HTTP field's
+/// value has none.
+bool hasNoControlCharacters(std::string_view Text);
+
 /// A decimal number without sign or blanks; nothing for any other text.
 std::optional<std::uint64_t> parseDecimal(std::string_view Text);
 
--- a/src/libs/connection/request_framing.cpp
+++ b/src/libs/connection/request_framing.cpp
@@ -18,25 +18,6 @@
 constexpr std::array<std::string_view, 6> Methods{"GET", "HEAD",  "POST",
                                                   "PUT", "PATCH", "DELETE"};
 
-bool isTokenCharacter(char Character) {
-  constexpr std::string_view Punctuation = "!#$%&'*+-.^_`|~";
-  return (Character >= '0' && Character <= '9') ||
-         (Character >= 'a' && Character <= 'z') ||
-         (Character >= 'A' && Character <= 'Z') ||
-         Punctuation.find(Character) != std::string_view::npos;
-}
-
-bool isToken(std::string_view Text) {
-  return !Text.empty() && std::ranges::all_of(Text, isTokenCharacter);
-}
-
-/// Field values and targets must not contain control characters except tabs.
-bool hasNoControlCharacters(std::string_view Text) {
-  return std::ranges::none_of(Text, [](unsigned char Character) {
-    return (Character < ' ' && Character != '\t') || Character == 0x7f;
-  });
-}
-
 struct framing_fields {
   std::optional<std::string_view> Length;
   std::optional<std::string_view> TransferEncoding;
--- a/src/libs/http/curl_exchange.cpp
+++ b/src/libs/http/curl_exchange.cpp
@@ -138,6 +138,8 @@
   std::size_t Colon = Line.find(':');
   if (Colon == std::string_view::npos)
     return fail(error_kind::BackendMalformed, "a header field has no colon");
+  if (!isToken(Line.substr(0, Colon)) || !hasNoControlCharacters(Line))
+    return fail(error_kind::BackendMalformed, "malformed header field");
   Head.Headers.push_back({std::string(Line.substr(0, Colon)),
                           std::string(trimmed(Line.substr(Colon + 1)))});
   return false;
--- a/tests/auto/http/tst_stray_bytes.cpp
+++ b/tests/auto/http/tst_stray_bytes.cpp
@@ -118,3 +118,16 @@
     CHECK((End.Failure || Runner.Body.size() == Runner.Head.Length));
   }
 }
+
+TEST_CASE("a field that another reader of the head may read otherwise is "
+          "refused") {
+  for (const std::string Line :
+       {"Content-Length : 1", " Content-Length: 1", "\tX: 1", ": 1",
+        "X: 1\rContent-Length: 1", "X Y: 1"}) {
+    INFO(Line);
+    attempt_runner Runner;
+    attempt_end End = runOnce(Runner, "HTTP/1.1 200 OK\r\n" + Line +
+                                          "\r\nContent-Length: 3\r\n\r\nabc");
+    CHECK(End.Failure);
+  }
+}
