Take no transfer encoding but chunked

What callers of the own interface could see: an answer with an empty Transfer-Encoding or with "identity", cut anywhere, passed on as whole. For checkFraming any Transfer-Encoding framed the answer; the library takes such an answer as ending with its connection.

Fix: one Transfer-Encoding, "chunked"; any other is malformed.

Evidence: 2 of the 4 rows of the new case in test_stray_bytes failed before ("identity", empty; the library refuses unknown ones). test_stray_bytes passes, 6 cases with 1,746 checks, and test_http, 34 cases.

--- a/src/libs/http/curl_exchange.cpp
+++ b/src/libs/http/curl_exchange.cpp
@@ -172,7 +172,13 @@
     });
   };
   auto Lengths = Count("Content-Length");
-  bool Chunked = Count("Transfer-Encoding") > 0;
+  auto Encodings = Count("Transfer-Encoding");
+  bool Chunked = Encodings > 0;
+  if (Encodings > 1 ||
+      (Chunked &&
+       !equalIgnoringCase(findHeader(Head.Headers, "Transfer-Encoding"),
+                          "chunked")))
+    return fail(error_kind::BackendMalformed, "unknown transfer encoding");
   // Frames of chunks can be seen in the library's debug output only.
   if (Chunked)
     curl_easy_setopt(Handle.get(), CURLOPT_VERBOSE, 1L);
--- a/tests/auto/http/tst_stray_bytes.cpp
+++ b/tests/auto/http/tst_stray_bytes.cpp
@@ -119,6 +119,21 @@
   }
 }
 
+TEST_CASE("only chunks and lengths frame an answer that may not end with its "
+          "connection") {
+  for (const char *Encoding : {"identity", "", "x", "chunked, identity"}) {
+    INFO("Transfer-Encoding: " << Encoding);
+    raw_server Server([&](raw_connection Connection, std::size_t) {
+      Connection.readUntil("\r\n\r\n");
+      Connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: " +
+                      std::string(Encoding) + "\r\n\r\nabc");
+    });
+    std::string Endpoint = Server.endpoint();
+    attempt_runner Runner;
+    CHECK(Runner.run(attempt_runner::request("GET", Endpoint)).Failure);
+  }
+}
+
 TEST_CASE("a field that another reader of the head may read otherwise is "
           "refused") {
   for (const std::string Line :
