--- a/src/libs/connection/response_classification.cpp
+++ b/src/libs/connection/response_classification.cpp
@@ -1,7 +1,17 @@
 #include "connection/response_classification.h"
 
+#include "base/text.h"
+
+#include <algorithm>
+
 namespace endiverail {
 
+bool isRepeated(std::span<const header_field> Fields, std::string_view Name) {
+  return std::ranges::count_if(Fields, [&](const header_field &Field) {
+           return equalIgnoringCase(Field.Name, Name);
+         }) > 1;
+}
+
 response_classification classifyResponse(const backend_response_head &Head,
                                          std::string_view AttemptName,
                                          bool MayRetry) {
@@ -11,7 +21,8 @@
   Classification.Identifier = findHeader(Head.Headers, AttemptHeader);
   Classification.Leaving =
       !findHeader(Head.Headers, "Endiverail-Leaving").empty();
-  if (!responseMatchesAttempt(Head.Headers, AttemptName)) {
+  if (!responseMatchesAttempt(Head.Headers, AttemptName) ||
+      isRepeated(Head.Headers, AttemptHeader)) {
     Classification.Error = error_kind::ForeignAnswer;
     return Classification;
   }
--- a/src/libs/connection/response_classification.h
+++ b/src/libs/connection/response_classification.h
@@ -3,6 +3,7 @@
 #include "connection/backend_attempt.h"
 
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -21,6 +22,9 @@
   std::string Identifier{};
 };
 
+/// Whether more than one field is called \p Name, ignoring case.
+bool isRepeated(std::span<const header_field> Fields, std::string_view Name);
+
 /// Classifies a response head according to the contract with backend servers.
 /// \p MayRetry states whether another attempt would follow a refused response.
 /// If not, an error response of the backend server is forwarded, as it tells
