Send requests without an identifier on connections of their own

What callers saw: a request without Endiverail-Attempt-Identifier that may be repeated got the answer to another such request. Both identifiers are empty, and the comparison passes.

Fix: nothing but its connection tells the answer to such a request, so that it goes on a new one. The connection may stay for others: their identifiers differ from an empty one.

--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -711,11 +711,11 @@
       Left = std::min(
           Left / 2,
           2 * stateOf(Active).answerTimes(*Request.Kind).slowThreshold());
+    attempt_context Context{sender(), Request, Id, Target.Instance, Left};
     std::vector<header_field> Headers =
         Target.Route == attempt_route::Peer
             ? peerFields(sender(), Active, Left * 9 / 10)
-            : MessageDialect.serverFields(
-                  {sender(), Request, Id, Target.Instance, Left});
+            : MessageDialect.serverFields(Context);
     if (Target.Route != attempt_route::Peer) {
       ServiceOfServer[Target.Server] = Request.Service->Definition.Name;
       Deaths.onStart(Target.Server, Id);
@@ -738,11 +738,14 @@
                     stateOf(Active).answerTimes(*Request.Kind).slowThreshold()),
             {Request.Id, Id, timer_kind::HeadTimeout});
     }
+    // Nothing tells a late answer on a used connection from the own one.
+    connection_choice Connection =
+        MessageDialect.expectedIdentifier(Context).empty()
+            ? connection_choice::Fresh
+            : stateOf(Active).Connections.choose(Target.Server,
+                                                 Active.isIdempotent(), Now);
     Transport.start({Id, Target.Server, Request.Method, Request.Target, Headers,
-                     Request.Body,
-                     stateOf(Active).Connections.choose(
-                         Target.Server, Active.isIdempotent(), Now),
-                     Left, Dialect::AcceptsUnframed});
+                     Request.Body, Connection, Left, Dialect::AcceptsUnframed});
   }
 
   attempt_sender sender() const {
--- a/tests/auto/platform/platform_fixture.h
+++ b/tests/auto/platform/platform_fixture.h
@@ -101,7 +101,10 @@
 
   static std::string idOf(const std::string &Head) {
     constexpr std::string_view Name = "Endiverail-Attempt-Identifier: ";
-    std::size_t At = Head.find(Name) + Name.size();
+    std::size_t At = Head.find(Name);
+    if (At == std::string::npos)
+      return "";
+    At += Name.size();
     return Head.substr(At, Head.find("\r\n", At) - At);
   }
 
--- a/tests/auto/platform/tst_late_copies.cpp
+++ b/tests/auto/platform/tst_late_copies.cpp
@@ -55,3 +55,23 @@
     }
   }
 }
+
+TEST_CASE("requests without an identifier get no late copy of each other's "
+          "answers") {
+  std::atomic<std::size_t> OnUsedConnections = 0;
+  platform_fixture Fixture(
+      [&](raw_connection &Caller, const target_request &Request) {
+        OnUsedConnections += Request.Earlier > 0 ? 1 : 0;
+        // The copy comes after the next request was sent.
+        Caller.send(target_standin::wholeAnswer(
+            Request.Id, Request.Earlier > 0 ? "404 Not Found" : "200 OK"));
+      },
+      LookupsConfiguration);
+  const std::string &Host = Fixture.First;
+  auto Daemon = Fixture.start(Host, Fixture.Store->endpoint(), Host);
+  REQUIRE(Fixture.eventually([&] { return Fixture.isReady(Host); }));
+  for (int Request = 0; Request < 3; ++Request)
+    CHECK(statusOf(Fixture.order(Host, "/orders/1", 2'000, "")) ==
+          "HTTP/1.1 200");
+  CHECK(OnUsedConnections == 0);
+}
