Check that a late copy of a refusal meets no second sending

A request that is sent again to the server that refused it bears the same identifier, so that a late copy of the refusal would pass the comparison. The library closes the connection of an answer that the observer refuses, so that the two never share one. Nothing showed that.

--- a/tests/auto/http/tst_curl_transport.cpp
+++ b/tests/auto/http/tst_curl_transport.cpp
@@ -316,6 +316,32 @@
   CHECK(Runner.Body.empty());
 }
 
+TEST_CASE("a late copy of a refusal meets no second sending of its request") {
+  std::promise<std::string> ReadAfterwards;
+  raw_server Server([&](raw_connection Connection, std::size_t Number) {
+    Connection.readUntil("\r\n\r\n");
+    Connection.send(KeptAnswer);
+    if (Number > 0)
+      return;
+    Connection.send(KeptAnswer);
+    ReadAfterwards.set_value(Connection.readAll());
+  });
+  std::string Endpoint = Server.endpoint();
+  attempt_runner Runner;
+  attempt_request Request = attempt_runner::request("GET", Endpoint);
+  Request.Connection = connection_choice::Reuse;
+  Runner.Refuse = error_kind::BackendShed;
+  attempt_end Refused = Runner.run(Request);
+  REQUIRE(Refused.Failure);
+  Runner.Refuse.reset();
+  attempt_end End = Runner.run(Request);
+  CHECK_FALSE(End.Failure);
+  CHECK(End.Connection.Number != Refused.Connection.Number);
+  // The connection of the refusal was closed, not left to others.
+  CHECK_FALSE(End.Discarded);
+  CHECK(ReadAfterwards.get_future().get().empty());
+}
+
 TEST_CASE("a request goes out as it is meant") {
   std::string Seen;
   raw_server Server([&](raw_connection Connection, std::size_t) {
