--- a/src/libs/http/curl_exchange.cpp
+++ b/src/libs/http/curl_exchange.cpp
@@ -138,6 +138,8 @@
   std::size_t Colon = Line.find(':');
   if (Colon == std::string_view::npos)
     return fail(error_kind::BackendMalformed, "a header field has no colon");
+  if (!isToken(Line.substr(0, Colon)) || !hasNoControlCharacters(Line))
+    return fail(error_kind::BackendMalformed, "malformed header field");
   Head.Headers.push_back({std::string(Line.substr(0, Colon)),
                           std::string(trimmed(Line.substr(Colon + 1)))});
   return false;
@@ -158,6 +160,7 @@
     return false;
   }
   BOOST_LEAF_CHECK(checkFraming());
+  Length = Head.Length;
   HeadComplete = true;
   return true;
 }
@@ -169,7 +172,13 @@
     });
   };
   auto Lengths = Count("Content-Length");
-  bool Chunked = Count("Transfer-Encoding") > 0;
+  auto Encodings = Count("Transfer-Encoding");
+  bool Chunked = Encodings > 0;
+  if (Encodings > 1 ||
+      (Chunked &&
+       !equalIgnoringCase(findHeader(Head.Headers, "Transfer-Encoding"),
+                          "chunked")))
+    return fail(error_kind::BackendMalformed, "unknown transfer encoding");
   // Frames of chunks can be seen in the library's debug output only.
   if (Chunked)
     curl_easy_setopt(Handle.get(), CURLOPT_VERBOSE, 1L);
@@ -191,31 +200,49 @@
   return {};
 }
 
+result<void> curl_exchange::noteBody() {
+  if (!HeadComplete)
+    return fail(error_kind::BackendMalformed, "a body without a head");
+  SinceBody = 0;
+  return {};
+}
+
 bool curl_exchange::sent() const {
   long SentBytes = 0;
   curl_easy_getinfo(Handle.get(), CURLINFO_REQUEST_SIZE, &SentBytes);
   return SentBytes > 0;
 }
 
+void curl_exchange::discardConnection(const attempt_connection &On) {
+  Discarded = On;
+  Reconnect = true;
+  curl_easy_setopt(Handle.get(), CURLOPT_FRESH_CONNECT, 1L);
+}
+
 bool curl_exchange::isNewConnection() const {
   long NewConnections = 0;
   curl_easy_getinfo(Handle.get(), CURLINFO_NUM_CONNECTS, &NewConnections);
   return NewConnections > 0;
 }
 
-attempt_end curl_exchange::end(CURLcode Code) const {
+bool curl_exchange::isWhole() const {
   // The library takes a head that ends with its connection for an answer.
-  if (Code == CURLE_OK && !Aborted && HeadComplete)
-    return {std::nullopt, {}, false, Connection};
+  return HeadComplete && (IsHead || !Length || BodyBytes == *Length);
+}
+
+attempt_end curl_exchange::end(CURLcode Code) const {
+  if (Code == CURLE_OK && !Aborted && isWhole())
+    return {std::nullopt, {}, false, Connection, Discarded};
   attempt_failure Failure;
   Failure.ProvenNotRun = !sent();
   Failure.Kind = Aborted.value_or(kindOf(Code));
   if (Failure.ProvenNotRun)
     Failure.Kind = error_kind::BackendUnreachable;
   return {Failure,
-          Code == CURLE_OK ? "the answer's head is cut"
-                           : curl_easy_strerror(Code),
-          Withdrawn, Connection};
+          Code != CURLE_OK ? curl_easy_strerror(Code)
+          : HeadComplete   ? "the body has another length than the head says"
+                           : "the answer's head is cut",
+          Withdrawn, Connection, Discarded};
 }
 
 void initialiseCurl() {
--- a/src/libs/http/curl_exchange.h
+++ b/src/libs/http/curl_exchange.h
@@ -5,9 +5,13 @@
 
 #include <curl/curl.h>
 
+#include <cstddef>
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace endiverail::detail {
 
@@ -46,8 +50,11 @@
     EndlessFrame = SinceBody > MostHeadBytes;
     SinceBody += Bytes;
   }
-  /// Notes that body has been handed on.
-  void noteBody() { SinceBody = 0; }
+  /// Notes that the library hands on body. Fails with BackendMalformed when the
+  /// head is not complete: the library then reads the answer in another way.
+  result<void> noteBody();
+  /// Notes body that has been taken.
+  void noteTaken(std::size_t Bytes) { BodyBytes += Bytes; }
   /// Whether bytes come that are no body and do not end.
   bool endlessFrame() const { return EndlessFrame; }
 
@@ -61,6 +68,12 @@
   bool sent() const;
   /// Notes that the request is about to be sent on a connection.
   void noteConnected(const attempt_connection &On) { Connection = On; }
+  /// Ends the exchange before anything is sent on \p On, a reused connection
+  /// that holds bytes of no request.
+  void discardConnection(const attempt_connection &On);
+  /// Whether the exchange has ended for its connection only. It then goes to a
+  /// new one when it is added to the library again.
+  bool mustReconnect() { return std::exchange(Reconnect, false); }
   /// Notes the socket of a connection that is being established.
   void noteSocket(int Descriptor) { Socket = Descriptor; }
   int socket() const { return Socket; }
@@ -78,6 +91,7 @@
   result<bool> readStatusLine(std::string_view Line);
   result<bool> endHead();
   result<void> checkFraming();
+  bool isWhole() const;
 
   attempt_id Id;
   bool IsHead;
@@ -89,12 +103,17 @@
   std::size_t HeadBytes = 0;
   std::size_t SinceBody = 0;
   bool EndlessFrame = false;
+  /// Body that the caller is told to expect, and what has been taken of it.
+  std::optional<std::uint64_t> Length;
+  std::uint64_t BodyBytes = 0;
   /// Lines after the head are trailers.
   bool HeadComplete = false;
   std::optional<error_kind> Aborted;
   bool Withdrawn = false;
   int Socket = -1;
   attempt_connection Connection;
+  std::optional<attempt_connection> Discarded;
+  bool Reconnect = false;
 };
 
 /// Initialises the library once for the process, before any thread.
--- a/tests/auto/http/tst_stray_bytes.cpp
+++ b/tests/auto/http/tst_stray_bytes.cpp
@@ -87,3 +87,62 @@
       }
     }
 }
+
+TEST_CASE("body bytes before a complete head end the attempt") {
+  // The library ends a head at any line that begins with a carriage return.
+  attempt_runner Runner;
+  attempt_end End =
+      runOnce(Runner, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\rX: y\r\nabc");
+  REQUIRE(End.Failure);
+  CHECK(End.Failure->Kind == error_kind::BackendMalformed);
+  CHECK(Runner.Body.empty());
+}
+
+TEST_CASE("a body of another length than its head says is not whole") {
+  struct row {
+    const char *What;
+    std::string Bytes;
+  };
+  const std::string Chunks =
+      "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+  const row Rows[]{
+      {"a length that the library can't hold",
+       "HTTP/1.1 200 OK\r\nContent-Length: 18446744073709551615\r\n\r\nabc"},
+      {"chunks behind no content", "HTTP/1.1 204 No Content\r\n" + Chunks},
+      {"chunks behind not modified", "HTTP/1.1 304 Not Modified\r\n" + Chunks},
+  };
+  for (const row &Row : Rows) {
+    INFO(Row.What);
+    attempt_runner Runner;
+    attempt_end End = runOnce(Runner, Row.Bytes);
+    CHECK((End.Failure || Runner.Body.size() == Runner.Head.Length));
+  }
+}
+
+TEST_CASE("only chunks and lengths frame an answer that may not end with its "
+          "connection") {
+  for (const char *Encoding : {"identity", "", "x", "chunked, identity"}) {
+    INFO("Transfer-Encoding: " << Encoding);
+    raw_server Server([&](raw_connection Connection, std::size_t) {
+      Connection.readUntil("\r\n\r\n");
+      Connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: " +
+                      std::string(Encoding) + "\r\n\r\nabc");
+    });
+    std::string Endpoint = Server.endpoint();
+    attempt_runner Runner;
+    CHECK(Runner.run(attempt_runner::request("GET", Endpoint)).Failure);
+  }
+}
+
+TEST_CASE("a field that another reader of the head may read otherwise is "
+          "refused") {
+  for (const std::string Line :
+       {"Content-Length : 1", " Content-Length: 1", "\tX: 1", ": 1",
+        "X: 1\rContent-Length: 1", "X Y: 1"}) {
+    INFO(Line);
+    attempt_runner Runner;
+    attempt_end End = runOnce(Runner, "HTTP/1.1 200 OK\r\n" + Line +
+                                          "\r\nContent-Length: 3\r\n\r\nabc");
+    CHECK(End.Failure);
+  }
+}
