Write no chunk for an empty piece, which would end the answer

What callers would see: a chunked answer that ends in its middle and looks whole; what follows stands where their next answer begins.

Cause: the chunk of an empty piece is "0", the last chunk.

--- a/src/libs/http/connection_worker.h
+++ b/src/libs/http/connection_worker.h
@@ -331,6 +331,8 @@
     if (!Entry)
       return;
     std::size_t Size = Piece.Bytes.size();
+    if (Size == 0)
+      return;
     if (Entry->NoBody)
       return To.onWritten(Entry->Owner, Piece.ResponseHandle, Size);
     if (Entry->Framing == body_framing::Chunked)
--- a/tests/auto/http/tst_front_end.cpp
+++ b/tests/auto/http/tst_front_end.cpp
@@ -319,6 +319,20 @@
   CHECK(Caller.readAll().ends_with("3\r\nabc\r\n"));
 }
 
+TEST_CASE_METHOD(front_fixture, "an empty piece does not end a chunked "
+                                "answer") {
+  raw_connection Caller = connect();
+  Caller.send("GET / HTTP/1.1\r\n\r\n");
+  response_handle ResponseHandle = Sink.take().ResponseHandle;
+  Front->post(response_begin{ResponseHandle, {}});
+  Front->post(response_data{ResponseHandle, "abc"});
+  Front->post(response_data{ResponseHandle, ""});
+  Front->post(response_data{ResponseHandle, "def"});
+  Front->post(response_end{ResponseHandle});
+  CHECK(Caller.readUntil("0\r\n\r\n")
+            .ends_with("3\r\nabc\r\n3\r\ndef\r\n0\r\n\r\n"));
+}
+
 TEST_CASE_METHOD(front_fixture, "HEAD gets a head only") {
   raw_connection Caller = connect();
   Caller.send("HEAD / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\n");
