Write no body after a head that has none

What callers would see: bytes behind an answer 204 or 304, which they take for the beginning of the next answer on the connection. No such case is known: the transport gives these answers a length of 0 and drops their bodies.

Cause: only HEAD was known to have no body. An answer 204 or 304 of unknown length was announced as chunked and ended by a last chunk; one with a body was written with it.

An answer without a body needs no chunks, so callers by HTTP/1.0 get it too.

--- a/src/libs/http/answer_text.cpp
+++ b/src/libs/http/answer_text.cpp
@@ -6,13 +6,6 @@
 #include <iterator>
 
 namespace endiverail {
-namespace {
-
-bool mayHaveBody(int Status) {
-  return Status >= 200 && Status != 204 && Status != 304;
-}
-
-} // namespace
 
 std::string answerHeadText(const response_head &Head, body_framing Framing,
                            bool KeepAlive) {
@@ -26,7 +19,7 @@
   fmt::format_to(Out, "Endiverail-Outcome: {}\r\n", outcomeName(Head.Outcome));
   if (Framing == body_framing::Length && mayHaveBody(Head.Status))
     fmt::format_to(Out, "Content-Length: {}\r\n", Head.Length.value_or(0));
-  if (Framing == body_framing::Chunked)
+  if (Framing == body_framing::Chunked && mayHaveBody(Head.Status))
     Text += "Transfer-Encoding: chunked\r\n";
   fmt::format_to(Out, "Connection: {}\r\n\r\n",
                  KeepAlive ? "keep-alive" : "close");
--- a/src/libs/http/connection_worker.h
+++ b/src/libs/http/connection_worker.h
@@ -316,7 +316,9 @@
       return;
     Entry->Framing =
         Begin.Head.Length ? body_framing::Length : body_framing::Chunked;
-    if (Entry->Framing == body_framing::Chunked && !Entry->SupportsChunked) {
+    Entry->NoBody |= !mayHaveBody(Begin.Head.Status);
+    if (Entry->Framing == body_framing::Chunked && !Entry->NoBody &&
+        !Entry->SupportsChunked) {
       // Without a length such a caller could not tell a cut answer.
       close(*Entry);
       return;
--- a/src/libs/request/caller_request.h
+++ b/src/libs/request/caller_request.h
@@ -83,4 +83,9 @@
   std::optional<std::uint64_t> Length;
 };
 
+/// Whether a response with this status has a body unless it answers HEAD.
+constexpr bool mayHaveBody(int Status) {
+  return Status >= 200 && Status != 204 && Status != 304;
+}
+
 } // namespace endiverail
--- a/tests/auto/http/tst_front_end.cpp
+++ b/tests/auto/http/tst_front_end.cpp
@@ -333,6 +333,39 @@
             .ends_with("3\r\nabc\r\n3\r\ndef\r\n0\r\n\r\n"));
 }
 
+TEST_CASE_METHOD(front_fixture, "an answer without a body leaves no bytes in "
+                                "front of the next one") {
+  struct row {
+    std::string Method;
+    int Status;
+    std::optional<std::uint64_t> Length;
+    std::string Body;
+  };
+  auto Row =
+      GENERATE(row{"GET", 204, std::nullopt, ""},
+               row{"GET", 204, std::nullopt, "abc"}, row{"GET", 204, 3, "abc"},
+               row{"GET", 304, std::nullopt, ""}, row{"GET", 304, 3, "abc"},
+               row{"GET", 304, 3, ""}, row{"HEAD", 200, std::nullopt, ""},
+               row{"HEAD", 200, 3, ""}, row{"HEAD", 200, 3, "abc"});
+  CAPTURE(Row.Method, Row.Status, Row.Length.has_value(), Row.Body);
+  raw_connection Caller = connect();
+  Caller.send(Row.Method + " /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  response_handle First = Sink.take().ResponseHandle;
+  response_head Head;
+  Head.Status = Row.Status;
+  Head.Length = Row.Length;
+  Front->post(response_begin{First, Head});
+  if (!Row.Body.empty())
+    Front->post(response_data{First, Row.Body});
+  Front->post(response_end{First});
+  CHECK(Caller.readUntil("\r\n\r\n")
+            .starts_with("HTTP/1.1 " + std::to_string(Row.Status)));
+  answer(Sink.take().ResponseHandle, "next");
+  std::string Next = Caller.readAnswer();
+  CHECK(Next.starts_with("HTTP/1.1 200"));
+  CHECK(hasBody(Next, "next"));
+}
+
 TEST_CASE_METHOD(front_fixture, "HEAD gets a head only") {
   raw_connection Caller = connect();
   Caller.send("HEAD / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\n");
