Break a connection whose answer does not fit its head

What callers would see: their next answer taken for the rest of one that ended short of its Content-Length; the excess of a longer one, or a second head, in front of their next answer or within a body; on a request that ended without a head, the answer to the next one.

Cause: the front end trusted the parts of an answer to fit each other. It wrote whatever came for a request in progress, and an end kept the connection whatever had been written.

Change: response_progress, which lives as long as a request, counts the bytes against the length and knows whether there was a head. A part that does not fit leaves the line response_inconsistent and closes the connection, so that the caller sees a cut answer. Nothing is taken for a connection that is closing.

Evidence: five tests of the front end failed before (short, long, second head, end without a head, piece without a head).

--- a/src/libs/http/connection_worker.h
+++ b/src/libs/http/connection_worker.h
@@ -2,6 +2,7 @@
 
 #include "connection/caller_connection.h"
 #include "connection/response_message.h"
+#include "connection/response_progress.h"
 #include "http/answer_text.h"
 #include "http/connection_io.h"
 #include "log/event_line.h"
@@ -185,9 +186,9 @@
     bool ContinueSent = false;
     bool KeepAlive = true;
     bool SupportsChunked = true;
-    bool NoBody = false;
     bool Closing = false;
     body_framing Framing = body_framing::None;
+    response_progress Progress;
     /// What the socket has not taken yet, in order.
     std::deque<unsent_text> Unsent;
     /// Of the current response, its head included.
@@ -278,7 +279,7 @@
   void start(entry &Entry, received_request Request) {
     Entry.KeepAlive = Request.Frame.KeepAlive && !KeepNone;
     Entry.SupportsChunked = Request.Frame.SupportsChunked;
-    Entry.NoBody = Request.Frame.Method == "HEAD";
+    Entry.Progress = response_progress(Request.Frame.Method == "HEAD");
     Entry.ContinueSent = false;
     Entry.AnswerEnded = false;
     Entry.Framing = body_framing::None;
@@ -304,20 +305,31 @@
   /// fence is what keeps a late answer from any other request.
   entry *awaiting(const response_handle &ResponseHandle) {
     auto Found = Connections.find(ResponseHandle.Connection);
-    if (Found == Connections.end() || Found->second.AnswerEnded ||
+    if (Found == Connections.end() || Found->second.Closing ||
+        Found->second.AnswerEnded ||
         !Found->second.State.awaitsResponse(ResponseHandle.Sequence))
       return nullptr;
     return &Found->second;
   }
 
+  /// Closes a connection whose response contradicts itself, so that the caller
+  /// sees it cut.
+  void closeInconsistent(entry &Entry) {
+    event_line("response_inconsistent", event_level::Warning)
+        .with("caller_connection", Entry.Peer->getID())
+        .with("caller_request", Entry.State.lastSequence());
+    close(Entry);
+  }
+
   void take(response_begin &Begin) {
     entry *Entry = awaiting(Begin.ResponseHandle);
     if (!Entry)
       return;
+    if (!Entry->Progress.begin(Begin.Head))
+      return closeInconsistent(*Entry);
     Entry->Framing =
         Begin.Head.Length ? body_framing::Length : body_framing::Chunked;
-    Entry->NoBody |= !mayHaveBody(Begin.Head.Status);
-    if (Entry->Framing == body_framing::Chunked && !Entry->NoBody &&
+    if (Entry->Framing == body_framing::Chunked && Entry->Progress.hasBody() &&
         !Entry->SupportsChunked) {
       // Without a length such a caller could not tell a cut answer.
       close(*Entry);
@@ -333,9 +345,11 @@
     if (!Entry)
       return;
     std::size_t Size = Piece.Bytes.size();
+    if (!Entry->Progress.add(Size))
+      return closeInconsistent(*Entry);
     if (Size == 0)
       return;
-    if (Entry->NoBody)
+    if (!Entry->Progress.hasBody())
       return To.onWritten(Entry->Owner, Piece.ResponseHandle, Size);
     if (Entry->Framing == body_framing::Chunked)
       Piece.Bytes = chunkText(Piece.Bytes);
@@ -346,8 +360,10 @@
     entry *Entry = awaiting(End.ResponseHandle);
     if (!Entry)
       return;
+    if (!Entry->Progress.end())
+      return closeInconsistent(*Entry);
     Entry->AnswerEnded = true;
-    if (Entry->Framing == body_framing::Chunked && !Entry->NoBody)
+    if (Entry->Framing == body_framing::Chunked && Entry->Progress.hasBody())
       return send(*Entry, std::string(LastChunk), 0);
     finishIfSent(*Entry);
   }
--- a/tests/auto/http/tst_front_end.cpp
+++ b/tests/auto/http/tst_front_end.cpp
@@ -319,6 +319,64 @@
   CHECK(Caller.readAll().ends_with("3\r\nabc\r\n"));
 }
 
+TEST_CASE_METHOD(front_fixture, "an answer shorter than its length does not "
+                                "take the next one for its rest") {
+  raw_connection Caller = connect();
+  Caller.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  response_handle First = Sink.take().ResponseHandle;
+  response_head Head;
+  Head.Length = 10;
+  Front->post(response_begin{First, Head});
+  Front->post(response_data{First, "abc"});
+  Front->post(response_end{First});
+  CHECK(hasBody(Caller.readAll(), "abc"));
+  CHECK(Sink.empty());
+}
+
+TEST_CASE_METHOD(front_fixture, "an answer longer than its length does not "
+                                "reach into the next one") {
+  raw_connection Caller = connect();
+  Caller.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  response_handle First = Sink.take().ResponseHandle;
+  response_head Head;
+  Head.Length = 3;
+  Front->post(response_begin{First, Head});
+  Front->post(response_data{First, "abc"});
+  Front->post(response_data{First, "def"});
+  Front->post(response_end{First});
+  CHECK(hasBody(Caller.readAll(), "abc"));
+  CHECK(Sink.empty());
+}
+
+TEST_CASE_METHOD(front_fixture, "a second head for a request does not become "
+                                "the body of the first") {
+  raw_connection Caller = connect();
+  Caller.send("GET / HTTP/1.1\r\n\r\n");
+  response_handle ResponseHandle = Sink.take().ResponseHandle;
+  response_head Head;
+  Head.Length = 1'000;
+  Front->post(response_begin{ResponseHandle, Head});
+  Front->post(response_data{ResponseHandle, "abc"});
+  answer(ResponseHandle, "second");
+  CHECK(hasBody(Caller.readAll(), "abc"));
+}
+
+TEST_CASE_METHOD(front_fixture, "an end without a head does not leave the next "
+                                "answer to the request") {
+  raw_connection Caller = connect();
+  Caller.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  Front->post(response_end{Sink.take().ResponseHandle});
+  CHECK(Caller.readAll().empty());
+  CHECK(Sink.empty());
+}
+
+TEST_CASE_METHOD(front_fixture, "a piece without a head is not written") {
+  raw_connection Caller = connect();
+  Caller.send("GET / HTTP/1.1\r\n\r\n");
+  Front->post(response_data{Sink.take().ResponseHandle, "abc"});
+  CHECK(Caller.readAll().empty());
+}
+
 TEST_CASE_METHOD(front_fixture, "an empty piece does not end a chunked "
                                 "answer") {
   raw_connection Caller = connect();
