End an answer that a key's holder cuts, without a second head

What callers would see: the head and the text of an error within the body of a success whose connection broke on the way from the proxy that holds the key. If the rest of the announced length was longer than that, the next answer filled it up; all of it looks whole. Only the fleet's own interface forwards keys; the platform's does not. By reading, no sighting is known.

Cause: a failed attempt to the holder of a key returned an error before it was asked whether the answer had begun.

Change: an answer that has begun is closed as any other that breaks.

--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -963,7 +963,8 @@
                            const running_attempt &Attempt,
                            attempt_failure Failure, steady_time Now) {
     // Only the holder of a key may run its request or report its outcome.
-    if (Attempt.goesToPeer() && isKeyHeldElsewhere(Active)) {
+    if (Attempt.goesToPeer() && isKeyHeldElsewhere(Active) &&
+        !Active.HeadSent) {
       if (!Failure.ProvenNotRun || !scheduleHolderRetry(Active, Now))
         respondWithError(Active, error_kind::KeyExpired,
                          "the holder of the key does not respond", Now);
--- a/tests/auto/process/tst_traffic_thread.cpp
+++ b/tests/auto/process/tst_traffic_thread.cpp
@@ -369,6 +369,20 @@
   }
 }
 
+TEST_CASE_METHOD(traffic_fixture, "an answer that a key's holder cuts is not "
+                                  "continued by an error") {
+  auto Caller = send("POST", "/s/1", key("other", 8));
+  attempt_id Id = onlyAttempt(*this).Id;
+  std::string Begun(100'000, 'x');
+  REQUIRE(transport().head(Id, 200, 200'000));
+  REQUIRE(transport().Receiver.onBodyData(Id, Begun));
+  transport().fail(Id, error_kind::BackendCut);
+  CHECK(response(Caller).Broken);
+  CHECK_FALSE(response(Caller).Ended);
+  CHECK(response(Caller).Head->Status == 200);
+  CHECK(response(Caller).Body == Begun);
+}
+
 TEST_CASE_METHOD(traffic_fixture,
                  "a backend server's outcome field is ignored") {
   auto Caller = send("POST", "/s/1");
