Send no interim response to HTTP/1.0

What callers would see (by reading): a caller by HTTP/1.0 that sends "Expect: 100-continue" gets a 100, which that version does not know; it takes it for the answer, and the answer for that to its next request.

Cause: the field was obeyed for both versions. RFC 9110, 10.1.1: a server ignores it in a request by HTTP/1.0.

Evidence: the test's row for HTTP/1.0 failed before; test_connection, 14 cases, passes.

--- a/src/libs/connection/request_framing.cpp
+++ b/src/libs/connection/request_framing.cpp
@@ -77,8 +77,10 @@
       return fail(error_kind::BadRequest, "two Transfer-Encoding fields");
     Framing.TransferEncoding = Value;
   }
+  // An HTTP/1.0 caller takes an interim response for the final one.
   if (equalIgnoringCase(Name, "Expect"))
-    Frame.ExpectsContinue = equalIgnoringCase(Value, "100-continue");
+    Frame.ExpectsContinue =
+        Frame.SupportsChunked && equalIgnoringCase(Value, "100-continue");
   if (equalIgnoringCase(Name, "Connection")) {
     if (equalIgnoringCase(Value, "close"))
       Frame.KeepAlive = false;
--- a/tests/auto/connection/tst_request_framing.cpp
+++ b/tests/auto/connection/tst_request_framing.cpp
@@ -187,3 +187,21 @@
     CHECK(valueOf(frameRequest(Row.Bytes, Limits))->KeepAlive == Row.KeepAlive);
   }
 }
+
+TEST_CASE("no interim response is asked for by HTTP/1.0") {
+  struct row {
+    std::string Version;
+    bool Expects;
+  };
+  for (const row &Row : {row{"HTTP/1.1", true}, row{"HTTP/1.0", false}}) {
+    INFO(Row.Version);
+    auto Frame = valueFrom([&] {
+      return frameRequest("POST / " + Row.Version +
+                              "\r\nContent-Length: 2\r\nExpect: "
+                              "100-continue\r\n\r\n",
+                          Limits);
+    });
+    REQUIRE(Frame);
+    CHECK(Frame->ExpectsContinue == Row.Expects);
+  }
+}
