Keep the missing bytes of a response in a plain number

GCC 12 warned that the optional may be used uninitialised in the test, where it is not. Both states are the same as before; test_connection, 14 cases, and test_http pass.

--- a/src/libs/connection/response_progress.h
+++ b/src/libs/connection/response_progress.h
@@ -4,7 +4,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <optional>
 
 namespace endiverail {
 
@@ -24,20 +23,20 @@
       return false;
     Begun = true;
     HasBody = !ToHead && mayHaveBody(Head.Status);
-    if (HasBody)
-      MissingBytes = Head.Length;
+    HasLength = HasBody && Head.Length;
+    MissingBytes = HasLength ? *Head.Length : 0;
     return true;
   }
 
   bool add(std::size_t Bytes) {
-    if (!Begun || (MissingBytes && Bytes > *MissingBytes))
+    if (!Begun || (HasLength && Bytes > MissingBytes))
       return false;
-    if (MissingBytes)
-      *MissingBytes -= Bytes;
+    if (HasLength)
+      MissingBytes -= Bytes;
     return true;
   }
 
-  bool end() const { return Begun && MissingBytes.value_or(0) == 0; }
+  bool end() const { return Begun && MissingBytes == 0; }
 
   /// Whether bytes of the body are written to the caller.
   bool hasBody() const { return HasBody; }
@@ -46,8 +45,8 @@
   bool ToHead = false;
   bool Begun = false;
   bool HasBody = false;
-  /// Unset if the length is not known in advance.
-  std::optional<std::uint64_t> MissingBytes;
+  bool HasLength = false;
+  std::uint64_t MissingBytes = 0;
 };
 
 } // namespace endiverail
--- a/tests/auto/connection/tst_response_progress.cpp
+++ b/tests/auto/connection/tst_response_progress.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <vector>
 
 using namespace endiverail;
