--- a/tests/auto/http/tst_front_end.cpp
+++ b/tests/auto/http/tst_front_end.cpp
@@ -424,6 +424,52 @@
   CHECK(hasBody(Next, "next"));
 }
 
+TEST_CASE_METHOD(front_fixture, "unsent bytes of a caller who leaves do not "
+                                "meet a new one") {
+  for (std::size_t Round = 1; Round <= 20; ++Round) {
+    raw_connection Gone = connect(4'096);
+    Gone.send("GET /gone HTTP/1.1\r\n\r\n");
+    response_handle Late = Sink.take().ResponseHandle;
+    response_head Head;
+    Head.Length = 16'000'000;
+    Front->post(response_begin{Late, Head});
+    Front->post(response_data{Late, std::string(15'000'000, 'x')});
+    Gone.readUntil("\r\n\r\n");
+    Gone.closeNow();
+    raw_connection Caller = connect();
+    Caller.send("GET /new HTTP/1.1\r\n\r\n");
+    response_handle Own = Sink.take().ResponseHandle;
+    Front->post(response_data{Late, std::string(1'000'000, 'x')});
+    Front->post(response_end{Late});
+    answer(Own, "own");
+    CHECK(hasBody(Caller.readAnswer(), "own"));
+  }
+}
+
+TEST_CASE_METHOD(front_fixture, "a body is asked for after the answer before "
+                                "it") {
+  raw_connection Caller = connect();
+  Caller.send("GET /1 HTTP/1.1\r\n\r\nPOST /2 HTTP/1.1\r\nContent-Length: "
+              "2\r\nExpect: 100-continue\r\n\r\n");
+  answer(Sink.take().ResponseHandle, "one");
+  CHECK(hasBody(Caller.readAnswer(), "one"));
+  CHECK(Caller.readUntil("\r\n\r\n") == "HTTP/1.1 100 Continue\r\n\r\n");
+  Caller.send("ab");
+  answer(Sink.take().ResponseHandle, "two");
+  CHECK(hasBody(Caller.readAnswer(), "two"));
+}
+
+TEST_CASE_METHOD(front_fixture, "a request behind the last answer before the "
+                                "end gets none") {
+  raw_connection Caller = connect();
+  Caller.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  response_handle First = Sink.take().ResponseHandle;
+  CHECK_FALSE(Front->closeWhenIdle(50ms));
+  answer(First, "one");
+  CHECK(hasBody(Caller.readAll(), "one"));
+  CHECK(Sink.empty());
+}
+
 TEST_CASE_METHOD(front_fixture, "HEAD gets a head only") {
   raw_connection Caller = connect();
   Caller.send("HEAD / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\n");
