--- a/src/libs/http/curl_exchange.cpp
+++ b/src/libs/http/curl_exchange.cpp
@@ -20,10 +20,6 @@
                              : Field.Name + ": " + Field.Value;
 }
 
-bool hasBody(int Status) {
-  return Status >= 200 && Status != 204 && Status != 304;
-}
-
 /// Status of a line that has the form of a status line; nullopt for others.
 std::optional<int> statusOf(std::string_view Line) {
   constexpr std::string_view Version = "HTTP/1.";
@@ -189,7 +185,7 @@
     if (!Head.Length)
       return fail(error_kind::BackendMalformed, "malformed Content-Length");
   }
-  if (!hasBody(Head.Status))
+  if (!mayHaveBody(Head.Status))
     Head.Length = 0;
   // An answer that ends with its connection can't be told from a cut one,
   // unless the backend server resets the connection of a cut one.
--- a/tests/auto/http/tst_front_end.cpp
+++ b/tests/auto/http/tst_front_end.cpp
@@ -319,6 +319,157 @@
   CHECK(Caller.readAll().ends_with("3\r\nabc\r\n"));
 }
 
+TEST_CASE_METHOD(front_fixture, "an answer shorter than its length does not "
+                                "take the next one for its rest") {
+  raw_connection Caller = connect();
+  Caller.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  response_handle First = Sink.take().ResponseHandle;
+  response_head Head;
+  Head.Length = 10;
+  Front->post(response_begin{First, Head});
+  Front->post(response_data{First, "abc"});
+  Front->post(response_end{First});
+  CHECK(hasBody(Caller.readAll(), "abc"));
+  CHECK(Sink.empty());
+}
+
+TEST_CASE_METHOD(front_fixture, "an answer longer than its length does not "
+                                "reach into the next one") {
+  raw_connection Caller = connect();
+  Caller.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  response_handle First = Sink.take().ResponseHandle;
+  response_head Head;
+  Head.Length = 3;
+  Front->post(response_begin{First, Head});
+  Front->post(response_data{First, "abc"});
+  Front->post(response_data{First, "def"});
+  Front->post(response_end{First});
+  CHECK(hasBody(Caller.readAll(), "abc"));
+  CHECK(Sink.empty());
+}
+
+TEST_CASE_METHOD(front_fixture, "a second head for a request does not become "
+                                "the body of the first") {
+  raw_connection Caller = connect();
+  Caller.send("GET / HTTP/1.1\r\n\r\n");
+  response_handle ResponseHandle = Sink.take().ResponseHandle;
+  response_head Head;
+  Head.Length = 1'000;
+  Front->post(response_begin{ResponseHandle, Head});
+  Front->post(response_data{ResponseHandle, "abc"});
+  answer(ResponseHandle, "second");
+  CHECK(hasBody(Caller.readAll(), "abc"));
+}
+
+TEST_CASE_METHOD(front_fixture, "an end without a head does not leave the next "
+                                "answer to the request") {
+  raw_connection Caller = connect();
+  Caller.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  Front->post(response_end{Sink.take().ResponseHandle});
+  CHECK(Caller.readAll().empty());
+  CHECK(Sink.empty());
+}
+
+TEST_CASE_METHOD(front_fixture, "a piece without a head is not written") {
+  raw_connection Caller = connect();
+  Caller.send("GET / HTTP/1.1\r\n\r\n");
+  Front->post(response_data{Sink.take().ResponseHandle, "abc"});
+  CHECK(Caller.readAll().empty());
+}
+
+TEST_CASE_METHOD(front_fixture, "an empty piece does not end a chunked "
+                                "answer") {
+  raw_connection Caller = connect();
+  Caller.send("GET / HTTP/1.1\r\n\r\n");
+  response_handle ResponseHandle = Sink.take().ResponseHandle;
+  Front->post(response_begin{ResponseHandle, {}});
+  Front->post(response_data{ResponseHandle, "abc"});
+  Front->post(response_data{ResponseHandle, ""});
+  Front->post(response_data{ResponseHandle, "def"});
+  Front->post(response_end{ResponseHandle});
+  CHECK(Caller.readUntil("0\r\n\r\n")
+            .ends_with("3\r\nabc\r\n3\r\ndef\r\n0\r\n\r\n"));
+}
+
+TEST_CASE_METHOD(front_fixture, "an answer without a body leaves no bytes in "
+                                "front of the next one") {
+  struct row {
+    std::string Method;
+    int Status;
+    std::optional<std::uint64_t> Length;
+    std::string Body;
+  };
+  auto Row =
+      GENERATE(row{"GET", 204, std::nullopt, ""},
+               row{"GET", 204, std::nullopt, "abc"}, row{"GET", 204, 3, "abc"},
+               row{"GET", 304, std::nullopt, ""}, row{"GET", 304, 3, "abc"},
+               row{"GET", 304, 3, ""}, row{"HEAD", 200, std::nullopt, ""},
+               row{"HEAD", 200, 3, ""}, row{"HEAD", 200, 3, "abc"});
+  CAPTURE(Row.Method, Row.Status, Row.Length.has_value(), Row.Body);
+  raw_connection Caller = connect();
+  Caller.send(Row.Method + " /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  response_handle First = Sink.take().ResponseHandle;
+  response_head Head;
+  Head.Status = Row.Status;
+  Head.Length = Row.Length;
+  Front->post(response_begin{First, Head});
+  if (!Row.Body.empty())
+    Front->post(response_data{First, Row.Body});
+  Front->post(response_end{First});
+  CHECK(Caller.readUntil("\r\n\r\n")
+            .starts_with("HTTP/1.1 " + std::to_string(Row.Status)));
+  answer(Sink.take().ResponseHandle, "next");
+  std::string Next = Caller.readAnswer();
+  CHECK(Next.starts_with("HTTP/1.1 200"));
+  CHECK(hasBody(Next, "next"));
+}
+
+TEST_CASE_METHOD(front_fixture, "unsent bytes of a caller who leaves do not "
+                                "meet a new one") {
+  for (std::size_t Round = 1; Round <= 20; ++Round) {
+    raw_connection Gone = connect(4'096);
+    Gone.send("GET /gone HTTP/1.1\r\n\r\n");
+    response_handle Late = Sink.take().ResponseHandle;
+    response_head Head;
+    Head.Length = 16'000'000;
+    Front->post(response_begin{Late, Head});
+    Front->post(response_data{Late, std::string(15'000'000, 'x')});
+    Gone.readUntil("\r\n\r\n");
+    Gone.closeNow();
+    raw_connection Caller = connect();
+    Caller.send("GET /new HTTP/1.1\r\n\r\n");
+    response_handle Own = Sink.take().ResponseHandle;
+    Front->post(response_data{Late, std::string(1'000'000, 'x')});
+    Front->post(response_end{Late});
+    answer(Own, "own");
+    CHECK(hasBody(Caller.readAnswer(), "own"));
+  }
+}
+
+TEST_CASE_METHOD(front_fixture, "a body is asked for after the answer before "
+                                "it") {
+  raw_connection Caller = connect();
+  Caller.send("GET /1 HTTP/1.1\r\n\r\nPOST /2 HTTP/1.1\r\nContent-Length: "
+              "2\r\nExpect: 100-continue\r\n\r\n");
+  answer(Sink.take().ResponseHandle, "one");
+  CHECK(hasBody(Caller.readAnswer(), "one"));
+  CHECK(Caller.readUntil("\r\n\r\n") == "HTTP/1.1 100 Continue\r\n\r\n");
+  Caller.send("ab");
+  answer(Sink.take().ResponseHandle, "two");
+  CHECK(hasBody(Caller.readAnswer(), "two"));
+}
+
+TEST_CASE_METHOD(front_fixture, "a request behind the last answer before the "
+                                "end gets none") {
+  raw_connection Caller = connect();
+  Caller.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  response_handle First = Sink.take().ResponseHandle;
+  CHECK_FALSE(Front->closeWhenIdle(50ms));
+  answer(First, "one");
+  CHECK(hasBody(Caller.readAll(), "one"));
+  CHECK(Sink.empty());
+}
+
 TEST_CASE_METHOD(front_fixture, "HEAD gets a head only") {
   raw_connection Caller = connect();
   Caller.send("HEAD / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\n");
