Keep to a server's own word that it leaves, whatever is listed

Cause: pool_scheduler noted the word at the server's entry, which ended with the entry: a registration that lapsed and returned brought the server back. A request whose connection was being established did not look at it, and the late answer of a process took its successor at the address out of use for good. Requests that were queued when the last server of a pool left were held until their time was over.

Change: pool_scheduler owns the knowledge, by address, instance and start. Answers come to its thread and requests leave from it, so that no other thread or host has to be heard for it. It holds until another incarnation is listed at the address; traffic_thread::mayStart asks it, too. Without a usable server, queued requests are rejected at once with 503. The server's health is not doubted. The event server_leaving and servers_leaving_total tell of it, once a process of a server. The own interface is as before: its list names no instances.

--- a/src/libs/process/active_request.h
+++ b/src/libs/process/active_request.h
@@ -33,6 +33,8 @@
   double FailureProbability = 0;
   std::size_t SlotsUsed = 0;
   std::size_t Slots = 0;
+  /// Start of that instance in milliseconds since the Unix epoch; 0 if unknown.
+  std::int64_t Started = 0;
 
   /// Expected duration relative to the processing time alone. It exceeds 1 when
   /// more requests are at the server than it has slots.
--- a/src/libs/process/metrics.h
+++ b/src/libs/process/metrics.h
@@ -54,6 +54,8 @@
   void onForward(std::string_view Service);
   /// Counts a backend server's response to another request.
   void onForeignAnswer(std::string_view Service);
+  /// Counts a backend server's announcement that it is leaving.
+  void onServerLeaving(std::string_view Service);
   void setGauge(std::string_view Name, double Value);
   /// Sets the number of changes to the list of backend servers that were
   /// learned from \p Source since the process started.
@@ -88,6 +90,7 @@
   std::map<std::string, std::uint64_t, std::less<>> Retries;
   std::map<std::string, std::uint64_t, std::less<>> Forwards;
   std::map<std::string, std::uint64_t, std::less<>> ForeignAnswers;
+  std::map<std::string, std::uint64_t, std::less<>> ServersLeaving;
   std::map<std::string, std::uint64_t, std::less<>> ServerChanges;
   struct service_reason {
     std::string Service;
--- a/src/libs/process/pool_scheduler.cpp
+++ b/src/libs/process/pool_scheduler.cpp
@@ -151,7 +151,9 @@
     Known->Started = Entry.Started;
     Known->Delisted = false;
     Known->DataCentre = Entry.DataCentre;
-    Known->Leaving = Known->Leaving || Entry.State == server_state::Leaving;
+    Known->Leaving =
+        Known->Leaving || Entry.State == server_state::Leaving ||
+        hasAnnouncedLeaving(Entry.Address, Entry.Instance, Entry.Started);
     Known->Slots = std::max<std::size_t>(
         1, Entry.Slots != 0 ? Entry.Slots : Definition.SlotsPerServer);
     Known->ColdUntil = Entry.ColdUntil;
@@ -500,7 +502,7 @@
         Request.Id,       Server->Address,
         Server->Instance, Server->Health.unhealthyProbability(Now),
         Server->used(),   Server->Slots,
-        IdleFor};
+        IdleFor,          Server->Started};
   }
   return std::nullopt;
 }
@@ -581,6 +583,30 @@
     Server->Leaving = true;
 }
 
+bool pool_scheduler::recordLeavingAnnouncement(std::string_view Address,
+                                               std::string_view Instance,
+                                               std::int64_t Started) {
+  if (hasAnnouncedLeaving(Address, Instance, Started))
+    return false;
+  pooled_server *Server = find(Address);
+  // A late answer tells nothing about another incarnation that is listed now.
+  if (Server && (Server->Instance != Instance || Server->Started != Started))
+    return false;
+  AnnouncedLeaving.insert_or_assign(
+      std::string(Address), server_incarnation{std::string(Instance), Started});
+  if (Server)
+    Server->Leaving = true;
+  return true;
+}
+
+bool pool_scheduler::hasAnnouncedLeaving(std::string_view Address,
+                                         std::string_view Instance,
+                                         std::int64_t Started) const {
+  auto Found = AnnouncedLeaving.find(Address);
+  return Found != AnnouncedLeaving.end() &&
+         Found->second.Instance == Instance && Found->second.Started == Started;
+}
+
 bool pool_scheduler::isSlow(std::string_view Address, steady_time Now) const {
   const pooled_server *Server = find(Address);
   return Server &&
@@ -627,6 +653,14 @@
   return Expired;
 }
 
+std::vector<waiting_request> pool_scheduler::takeAll(steady_time Now) {
+  std::vector<waiting_request> Taken;
+  for (rank_queue &Queue : Queues)
+    while (!Queue.empty())
+      Taken.push_back(Queue.pop(Now));
+  return Taken;
+}
+
 pool_scheduler::pooled_server *pool_scheduler::find(std::string_view Address) {
   auto Found = std::ranges::find(Servers, Address, &pooled_server::Address);
   return Found == Servers.end() ? nullptr : &*Found;
--- a/src/libs/process/pool_scheduler.h
+++ b/src/libs/process/pool_scheduler.h
@@ -12,6 +12,7 @@
 #include "version/service_definition.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <random>
 #include <span>
@@ -72,8 +73,18 @@
   void recordReached(std::string_view Server, steady_time At);
   /// Returns whether no request is known to have reached the server for long.
   bool isIdle(std::string_view Server, steady_time Now) const;
-  /// Marks a backend server as leaving, so that it gets no new requests.
+  /// Marks a backend server as leaving, so that it gets no new requests. Ends
+  /// when the server is no longer listed.
   void markLeaving(std::string_view Server, steady_time Now);
+  /// Records that a backend server has itself announced that it is leaving. It
+  /// gets no requests, however it is listed, until another incarnation is
+  /// listed at its address. Returns whether this was not known before.
+  bool recordLeavingAnnouncement(std::string_view Server,
+                                 std::string_view Instance,
+                                 std::int64_t Started);
+  /// Returns whether that incarnation has announced that it is leaving.
+  bool hasAnnouncedLeaving(std::string_view Server, std::string_view Instance,
+                           std::int64_t Started) const;
   /// Returns whether a backend server is probably hanging or slow.
   bool isSlow(std::string_view Server, steady_time Now) const;
   /// Sets the number of a backend server's slots that other proxies use.
@@ -85,6 +96,8 @@
   bool cancel(request_id Id);
   /// Removes the requests that have reached their maximum queue time.
   std::vector<waiting_request> takeExpired(steady_time Now);
+  /// Removes all queued requests.
+  std::vector<waiting_request> takeAll(steady_time Now);
   /// How long a request is queued when no server has capacity: as long as it
   /// can still be answered within its target time.
   static milliseconds maxQueueTime(const waiting_request &Request);
@@ -101,6 +114,11 @@
   milliseconds reserveRetryDelay(steady_time Now);
 
 private:
+  struct server_incarnation {
+    std::string Instance;
+    std::int64_t Started = 0;
+  };
+
   struct pooled_server {
     endpoint_text Address;
     std::string Instance;
@@ -187,6 +205,9 @@
   /// Maximum number of idle servers for the last request that was placed.
   double IdleLimit = 0;
   std::vector<pooled_server> Servers;
+  /// The last incarnation at an address that has announced that it is leaving.
+  /// Kept while the address is not listed: a registration may return.
+  std::map<endpoint_text, server_incarnation, std::less<>> AnnouncedLeaving;
   std::vector<rank_queue> Queues;
   retry_budget Retries;
   pool_failure_rate PoolFailures;
--- a/src/libs/process/request_log.h
+++ b/src/libs/process/request_log.h
@@ -140,6 +140,17 @@
       .with("idle_ms", Assignment.IdleFor->count());
 }
 
+/// A backend server has announced in a response that it is leaving.
+inline void serverLeaving(const active_request &Active, int Status) {
+  const attempt_target &Target = Active.Attempt->Target;
+  event_line("server_leaving")
+      .with("request", Active.Request.Name)
+      .with("service", Active.Request.Service->Definition.Name)
+      .with("server", Target.Server)
+      .with("instance", Target.Instance)
+      .with("status", Status);
+}
+
 /// Backend servers get no requests although more of them should.
 inline void serversIdle(std::string_view Service, const pool_use &Use) {
   constexpr std::size_t MaxListed = 8;
--- a/src/libs/process/request_scheduler.h
+++ b/src/libs/process/request_scheduler.h
@@ -5,6 +5,7 @@
 #include "process/service_scheduler.h"
 
 #include <concepts>
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <string_view>
@@ -54,10 +55,21 @@
 template <typename T>
 concept sharing_scheduler = request_scheduler<T> &&
     requires(T Scheduler, std::string_view Server, std::size_t Count,
-             const waiting_request &Request, steady_time Now) {
+             const waiting_request &Request, steady_time Now,
+             std::string_view Instance, std::int64_t Started) {
   {Scheduler.setRemoteSlots(Server, Count, Now)};
   {Scheduler.recordReached(Server, Now)};
   { Scheduler.isIdle(Server, Now) } -> std::same_as<bool>;
+  /// Records that an incarnation of a server has announced that it is leaving;
+  /// returns whether this was not known before.
+  {
+    Scheduler.recordLeavingAnnouncement(Server, Instance, Started)
+    } -> std::same_as<bool>;
+  {
+    Scheduler.hasAnnouncedLeaving(Server, Instance, Started)
+    } -> std::same_as<bool>;
+  /// Removes all queued requests.
+  { Scheduler.takeAll(Now) } -> std::same_as<std::vector<waiting_request>>;
   /// How long a request is queued when no server has capacity for it.
   { Scheduler.maxQueueTime(Request) } -> std::same_as<milliseconds>;
   /// Which backend servers get no requests.
--- a/src/libs/process/service_scheduler.h
+++ b/src/libs/process/service_scheduler.h
@@ -30,6 +30,8 @@
   std::size_t Slots = 0;
   /// How long no request is known to have reached the server, if it was idle.
   std::optional<milliseconds> IdleFor{};
+  /// Start of that instance in milliseconds since the Unix epoch; 0 if unknown.
+  std::int64_t Started = 0;
 };
 
 /// State of a backend server as its owner sees it.
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -150,6 +150,7 @@
         !Settings.Versions ||
         Active->Attempt->Target.Route != attempt_route::Slot ||
         (!serversUnconfirmed(Clock.now()) &&
+         !hasAnnouncedLeaving(*Active, Active->Attempt->Target) &&
          isUsable(*Active, Active->Attempt->Target.Server));
     return Active->Attempt->Connected;
   }
@@ -221,6 +222,16 @@
            Now >= Settings.ServersUsableUntil->load();
   }
 
+  /// Whether the server itself has announced that it is leaving.
+  bool hasAnnouncedLeaving([[maybe_unused]] const active_request &Active,
+                           [[maybe_unused]] const attempt_target &Target) {
+    if constexpr (sharing_scheduler<Policy>)
+      return stateOf(Active).Scheduler.hasAnnouncedLeaving(
+          Target.Server, Target.Instance, Target.Started);
+    else
+      return false;
+  }
+
   /// Whether the published version lists the server as accepting requests.
   bool isUsable(const active_request &Active, std::string_view Server) const {
     fleet_version_ref Latest = Settings.Versions->load();
@@ -591,6 +602,8 @@
     for (const waiting_request &Expired : Scheduler.takeExpired(Now))
       respondWithError(Requests.at(Expired.Id), error_kind::DeadlineBeforeRun,
                        "no slot came free in time", Now);
+    if constexpr (sharing_scheduler<Policy>)
+      rejectUnservable(Scheduler, Now);
     if constexpr (ejecting_scheduler<Policy>)
       requestConfirmation(Found->second, Now);
     auto Next = [&] {
@@ -604,7 +617,7 @@
                    {Assignment->Server, attempt_route::Slot, "",
                     std::move(Assignment->Instance),
                     Assignment->FailureProbability, Assignment->SlotsUsed,
-                    Assignment->Slots},
+                    Assignment->Slots, Assignment->Started},
                    Now);
     }
     if constexpr (ejecting_scheduler<Policy>)
@@ -615,6 +628,15 @@
       reportWork(Found->second.Work, Now);
   }
 
+  /// Rejects the queued requests of a pool without servers.
+  void rejectUnservable(Policy &Scheduler, steady_time Now) {
+    if (Scheduler.hasServers())
+      return;
+    for (const waiting_request &Request : Scheduler.takeAll(Now))
+      respondWithError(Requests.at(Request.Id), error_kind::NoBackendServer,
+                       "the pool has no backend servers", Now);
+  }
+
   /// Sends the pending work reports to the other proxies if one is due, and
   /// sets a timer for the next ones. \p Changed is the service that may have
   /// more to report.
@@ -789,11 +811,8 @@
         MessageDialect.expectedIdentifier(
             {sender(), Active.Request, Attempt.Id, "", {}}),
         MayRetry);
-    if (Classification.Leaving) {
-      State.Scheduler.markLeaving(Attempt.Target.Server, Now);
-      Control.notify(server_leaving{Active.Request.Service->Definition.Name,
-                                    Attempt.Target.Server});
-    }
+    if (Classification.Leaving)
+      recordLeaving(Active, Head, Now);
     if (Classification.Error) {
       Active.Attempt->Rejected =
           rejected_response{Head.Status, std::move(Classification.Identifier)};
@@ -816,6 +835,26 @@
     return std::nullopt;
   }
 
+  /// Records that the backend server of an attempt has announced that it is
+  /// leaving. Where all proxies share the pool, each one learns it from its own
+  /// answers.
+  void recordLeaving(const active_request &Active,
+                     const backend_response_head &Head, steady_time Now) {
+    const attempt_target &Target = Active.Attempt->Target;
+    const std::string &Name = Active.Request.Service->Definition.Name;
+    Policy &Scheduler = stateOf(Active).Scheduler;
+    if constexpr (sharing_scheduler<Policy>) {
+      if (!Scheduler.recordLeavingAnnouncement(Target.Server, Target.Instance,
+                                               Target.Started))
+        return;
+      Metrics.onServerLeaving(Name);
+      request_log::serverLeaving(Active, Head.Status);
+    } else {
+      Scheduler.markLeaving(Target.Server, Now);
+      Control.notify(server_leaving{Name, Target.Server});
+    }
+  }
+
   /// Records, once per attempt, that the backend server has accepted it.
   void recordAccepted(active_request &Active, steady_time Now) {
     if (!std::exchange(Active.Attempt->Accepted, true))
