--- a/tests/auto/platform/tst_caller_dialect.cpp
+++ b/tests/auto/platform/tst_caller_dialect.cpp
@@ -150,6 +150,66 @@
   }
 }
 
+TEST_CASE("a target leaves if an answer that names the request says so") {
+  using enum error_kind;
+  const header_field Leaving{"Server-Leaving", "1"};
+  auto WithValue = [](std::string Value) {
+    return fields{Id, Signed, {"Server-Leaving", std::move(Value)}};
+  };
+  struct row {
+    const char *What;
+    int Status;
+    fields Fields;
+    std::optional<error_kind> Refused;
+    bool Leaving;
+  };
+  const row Rows[]{
+      {"a success", 200, {Id, Signed, Leaving}, {}, true},
+      {"a success, the name in other letters",
+       200,
+       {Id, Signed, {"server-leaving", "1"}},
+       {},
+       true},
+      {"a rejection", 404, {Id, Signed, Leaving}, {}, true},
+      {"a failure", 500, {Id, Signed, Leaving}, BackendError, true},
+      {"a deadline that was met", 504, {Id, Signed, Leaving}, {}, true},
+      {"a full server", 503, {Id, NotExecuted, Leaving}, BackendShed, true},
+      {"a server that limits",
+       429,
+       {Id, NotExecuted, Leaving},
+       BackendShed,
+       true},
+      {"another server at the address", 421, {Id, Leaving}, BackendShed, true},
+      {"a success without signature",
+       200,
+       {Id, Leaving},
+       BackendMalformed,
+       true},
+      {"the answer to another request",
+       200,
+       {{Id.Name, "id-0"}, Signed, Leaving},
+       ForeignAnswer,
+       false},
+      {"a refusal that names no request",
+       503,
+       {NotExecuted, Leaving},
+       ForeignAnswer,
+       false},
+      {"no word of it", 200, {Id, Signed}, {}, false},
+      {"no value", 200, WithValue(""), {}, false},
+      {"zero", 200, WithValue("0"), {}, false},
+      {"a word", 200, WithValue("true"), {}, false},
+      {"a longer number", 200, WithValue("10"), {}, false},
+  };
+  for (const row &Row : Rows) {
+    INFO(Row.What);
+    auto Judged =
+        caller_dialect::classify({Row.Status, Row.Fields, {}}, "id-1", true);
+    CHECK(Judged.Error == Row.Refused);
+    CHECK(Judged.Leaving == Row.Leaving);
+  }
+}
+
 TEST_CASE("a target sees the client's fields and the system's own") {
   caller_request Request;
   Request.Headers = {Id,
