--- a/src/libs/process/metrics.h
+++ b/src/libs/process/metrics.h
@@ -57,6 +57,8 @@
   /// Counts a kept connection to a backend server that held bytes of no
   /// request.
   void onDiscardedConnection(std::string_view Service);
+  /// Counts a backend server's announcement that it is leaving.
+  void onServerLeaving(std::string_view Service);
   void setGauge(std::string_view Name, double Value);
   /// Sets the number of changes to the list of backend servers that were
   /// learned from \p Source since the process started.
@@ -92,6 +94,7 @@
   std::map<std::string, std::uint64_t, std::less<>> Forwards;
   std::map<std::string, std::uint64_t, std::less<>> ForeignAnswers;
   std::map<std::string, std::uint64_t, std::less<>> DiscardedConnections;
+  std::map<std::string, std::uint64_t, std::less<>> ServersLeaving;
   std::map<std::string, std::uint64_t, std::less<>> ServerChanges;
   struct service_reason {
     std::string Service;
