Send no requests to a server that asked for a pause

Cause: a backend server that turns a request away may say for how long it wants none from this host. Nothing knew of that: the server got the next request as soon as its turn came.

Change: pool_scheduler keeps the end of the pause beside what else it knows of a server. While it lasts the server takes no new, queued or repeated request and no trial, counts neither as healthy nor as idle, and is doubted no more than for any refusal; a request whose connection is being established is withdrawn from it. A pause binds one incarnation and lasts 60 s at most. While all servers pause, requests that cannot be answered in time after the first pause ends are refused at once with the time until then; the others wait, and a timer starts them.

Line server_paused, counters server_pauses_total and unreadable_pauses_total.

--- a/src/libs/connection/response_classification.h
+++ b/src/libs/connection/response_classification.h
@@ -17,6 +17,11 @@
   bool ServerFailed = false;
   /// The backend server announces that it is leaving.
   bool Leaving = false;
+  /// How long the backend server wants no requests from this process, if it
+  /// says so.
+  std::optional<milliseconds> Pause{};
+  /// What the backend server says instead, if that is no length of time.
+  std::string UnreadablePause{};
   /// Identifier that the response bears; empty if there is none.
   std::string Identifier{};
 };
--- a/src/libs/process/active_request.h
+++ b/src/libs/process/active_request.h
@@ -67,6 +67,8 @@
   /// Known once the attempt has ended.
   attempt_connection Connection{};
   std::optional<rejected_response> Rejected{};
+  /// The backend server has turned the request away and asked for a pause.
+  bool AskedForPause = false;
 
   bool goesToPeer() const { return Target.Route == attempt_route::Peer; }
 };
--- a/src/libs/process/metrics.cpp
+++ b/src/libs/process/metrics.cpp
@@ -53,6 +53,11 @@
   ++ForeignAnswers[std::string(Service)];
 }
 
+void process_metrics::onPauseRequest(std::string_view Service, bool Readable) {
+  std::lock_guard Lock(Mutex);
+  ++(Readable ? Pauses : UnreadablePauses)[std::string(Service)];
+}
+
 void process_metrics::setGauge(std::string_view Name, double Value) {
   std::lock_guard Lock(Mutex);
   Gauges[std::string(Name)] = Value;
@@ -117,6 +122,15 @@
     fmt::format_to(Out,
                    "endiverail_foreign_answers_total{{service=\"{}\"}} {}\n",
                    Service, Count);
+  Text += "# TYPE endiverail_server_pauses_total counter\n";
+  for (const auto &[Service, Count] : Pauses)
+    fmt::format_to(Out, "endiverail_server_pauses_total{{service=\"{}\"}} {}\n",
+                   Service, Count);
+  Text += "# TYPE endiverail_unreadable_pauses_total counter\n";
+  for (const auto &[Service, Count] : UnreadablePauses)
+    fmt::format_to(Out,
+                   "endiverail_unreadable_pauses_total{{service=\"{}\"}} {}\n",
+                   Service, Count);
   Text += "# TYPE endiverail_server_changes_total counter\n";
   for (const auto &[Source, Count] : ServerChanges)
     fmt::format_to(Out, "endiverail_server_changes_total{{source=\"{}\"}} {}\n",
--- a/src/libs/process/metrics.h
+++ b/src/libs/process/metrics.h
@@ -54,6 +54,9 @@
   void onForward(std::string_view Service);
   /// Counts a backend server's response to another request.
   void onForeignAnswer(std::string_view Service);
+  /// Counts a backend server's request to be sent nothing for a time;
+  /// \p Readable states whether it named a time.
+  void onPauseRequest(std::string_view Service, bool Readable);
   void setGauge(std::string_view Name, double Value);
   /// Sets the number of changes to the list of backend servers that were
   /// learned from \p Source since the process started.
@@ -88,6 +91,8 @@
   std::map<std::string, std::uint64_t, std::less<>> Retries;
   std::map<std::string, std::uint64_t, std::less<>> Forwards;
   std::map<std::string, std::uint64_t, std::less<>> ForeignAnswers;
+  std::map<std::string, std::uint64_t, std::less<>> Pauses;
+  std::map<std::string, std::uint64_t, std::less<>> UnreadablePauses;
   std::map<std::string, std::uint64_t, std::less<>> ServerChanges;
   struct service_reason {
     std::string Service;
--- a/src/libs/process/pool_scheduler.cpp
+++ b/src/libs/process/pool_scheduler.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <functional>
 #include <numeric>
+#include <ranges>
 #include <utility>
 
 namespace endiverail {
@@ -107,6 +108,9 @@
 /// Weight of the queueing time at a server: probability and cost of a failure
 /// while the request is queued and runs.
 constexpr double WaitCost = 1.5;
+/// Longest time for which a server's request to be sent nothing applies. A
+/// server that needs longer asks again when it is tried.
+constexpr milliseconds MaxPause{60'000};
 constexpr milliseconds MinRetryDelay{200};
 /// Callers wait for at most a third of their time before they retry.
 constexpr milliseconds MaxRetryDelay{1'600};
@@ -157,12 +161,13 @@
     Known->ColdUntil = Entry.ColdUntil;
   }
   PoolKnown = PoolKnown || !Servers.empty();
-  removeDelisted();
+  removeDelisted(Now);
 }
 
-void pool_scheduler::removeDelisted() {
-  std::erase_if(Servers, [](const pooled_server &Server) {
-    return Server.Delisted && Server.InUse == 0;
+/// A server that is listed again is still bound by the pause it asked for.
+void pool_scheduler::removeDelisted(steady_time Now) {
+  std::erase_if(Servers, [&](const pooled_server &Server) {
+    return Server.Delisted && Server.InUse == 0 && !Server.isPaused(Now);
   });
 }
 
@@ -191,6 +196,8 @@
   // deadline.
   Request.Deadline = std::min(Request.Deadline,
                               Now + maxQueueTime(Request) + Request.UsualTime);
+  if (!canStartInTime(Request, Now))
+    return Request.Id;
   rank_queue &Queue = Queues[rankIndex(Request.Rank)];
   auto Dropped = Queue.push(std::move(Request), Now);
   return Dropped ? std::optional(Dropped->Id) : std::nullopt;
@@ -203,10 +210,37 @@
   Queue.pushFront(std::move(Request));
 }
 
-bool pool_scheduler::mostAreFailing() const {
-  auto Usable = std::ranges::count_if(Servers, &pooled_server::usable);
-  auto Failing = std::ranges::count_if(
-      Servers, [](const pooled_server &S) { return S.usable() && S.Failing; });
+/// Returns whether the request can be answered in time although servers are
+/// paused.
+bool pool_scheduler::canStartInTime(const waiting_request &Request,
+                                    steady_time Now) const {
+  auto Usable = Servers | std::views::filter(&pooled_server::usable);
+  auto StartsAfterPause = [&](const pooled_server &Server) {
+    return std::max(Now, Server.PausedUntil) <
+           Request.Deadline - Request.UsualTime;
+  };
+  auto IsAllowed = [&](const pooled_server &Server) {
+    return std::ranges::find(Request.Avoid, Server.Address) ==
+           Request.Avoid.end();
+  };
+  return std::ranges::none_of(Usable,
+                              [&](const pooled_server &Server) {
+                                return Server.isPaused(Now);
+                              }) ||
+         std::ranges::any_of(Usable, [&](const pooled_server &Server) {
+           return IsAllowed(Server) && StartsAfterPause(Server);
+         });
+}
+
+bool pool_scheduler::mostAreFailing(steady_time Now) const {
+  auto IsUsed = [&](const pooled_server &Server) {
+    return Server.usable() && !Server.isPaused(Now);
+  };
+  auto Usable = std::ranges::count_if(Servers, IsUsed);
+  auto Failing =
+      std::ranges::count_if(Servers, [&](const pooled_server &Server) {
+        return IsUsed(Server) && Server.Failing;
+      });
   return static_cast<double>(Failing) >
          MaxExcludedShare * static_cast<double>(Usable);
 }
@@ -267,6 +301,8 @@
 std::optional<idle_reason>
 pool_scheduler::obstacleTo(const waiting_request &Request,
                            const pooled_server &Server, steady_time Now) const {
+  if (Server.isPaused(Now))
+    return idle_reason::Paused;
   if (!isReachable(Server, Now))
     return idle_reason::Unreachable;
   std::size_t Capacity = capacityFor(Request, Server, Now);
@@ -293,11 +329,16 @@
          Server.Path.unhealthyProbability(Now) < UnhealthyThreshold;
 }
 
+bool pool_scheduler::isAvailable(const pooled_server &Server,
+                                 steady_time Now) const {
+  return isReachable(Server, Now) && !Server.isPaused(Now);
+}
+
 /// Returns whether the requirements count the server among those that have to
 /// be in use.
 bool pool_scheduler::countsAsHealthy(const pooled_server &Server,
                                      steady_time Now) const {
-  return isReachable(Server, Now) &&
+  return isAvailable(Server, Now) &&
          (!Server.LastFailed || Now > *Server.LastFailed + HealthyAfter);
 }
 
@@ -399,7 +440,7 @@
   std::vector<pooled_server *> Idle;
   std::vector<pooled_server *> Due;
   for (pooled_server &Server : Servers) {
-    if (!isReachable(Server, Now) || Now < IdleSince(&Server) ||
+    if (!isAvailable(Server, Now) || Now < IdleSince(&Server) ||
         Now < Server.PendingUntil)
       continue;
     Idle.push_back(&Server);
@@ -454,7 +495,7 @@
     double Cost = 0;
   };
   std::uniform_real_distribution<double> TieBreak(0, MaxTieBreak);
-  bool ExcludeFailing = !mostAreFailing();
+  bool ExcludeFailing = !mostAreFailing(Now);
   bool PrefersWaiting = ExcludeFailing && !mayRetry(Request) &&
                         Now < Request.Arrived + maxQueueTime(Request) / 2;
   choice Best;
@@ -509,17 +550,19 @@
   auto Step = std::chrono::duration_cast<steady_time::duration>(
       std::chrono::duration<double>(1 /
                                     std::max(1.0, StartRate.atLastStart())));
-  LastRetryTime = std::max(LastRetryTime + Step, Now + MinRetryDelay);
-  LastRetryTime = std::min(LastRetryTime, Now + MaxRetryDelay);
+  steady_time Serving = allPausedUntil(Now).value_or(Now);
+  LastRetryTime =
+      std::max({LastRetryTime + Step, Now + MinRetryDelay, Serving});
+  LastRetryTime = std::min(LastRetryTime, Serving + MaxRetryDelay);
   return std::chrono::duration_cast<milliseconds>(LastRetryTime - Now);
 }
 
-void pool_scheduler::release(std::string_view Address, rank, steady_time) {
+void pool_scheduler::release(std::string_view Address, rank, steady_time Now) {
   pooled_server *Server = find(Address);
   if (!Server)
     return;
   Server->InUse -= std::min<std::size_t>(Server->InUse, 1);
-  removeDelisted();
+  removeDelisted(Now);
 }
 
 void pool_scheduler::observe(std::string_view Address, attempt_signal Signal,
@@ -581,6 +624,40 @@
     Server->Leaving = true;
 }
 
+std::optional<milliseconds>
+pool_scheduler::pauseServer(std::string_view Address, std::string_view Instance,
+                            milliseconds Length, steady_time Now) {
+  pooled_server *Server = find(Address);
+  if (!Server || Server->Instance != Instance)
+    return std::nullopt;
+  milliseconds Applied = std::min(Length, MaxPause);
+  Server->PausedUntil = std::max(Server->PausedUntil, Now + Applied);
+  return Applied;
+}
+
+bool pool_scheduler::isPaused(std::string_view Address, steady_time Now) const {
+  const pooled_server *Server = find(Address);
+  return Server && Server->isPaused(Now);
+}
+
+std::optional<steady_time>
+pool_scheduler::allPausedUntil(steady_time Now) const {
+  bool AllPaused =
+      std::ranges::all_of(Servers, [&](const pooled_server &Server) {
+        return !Server.usable() || Server.isPaused(Now);
+      });
+  return AllPaused ? nextPauseEnd(Now) : std::nullopt;
+}
+
+std::optional<steady_time> pool_scheduler::nextPauseEnd(steady_time Now) const {
+  auto Ends = Servers | std::views::filter([&](const pooled_server &Server) {
+                return Server.usable() && Server.isPaused(Now);
+              }) |
+              std::views::transform(&pooled_server::PausedUntil);
+  auto First = std::ranges::min_element(Ends);
+  return First == Ends.end() ? std::nullopt : std::optional(*First);
+}
+
 bool pool_scheduler::isSlow(std::string_view Address, steady_time Now) const {
   const pooled_server *Server = find(Address);
   return Server &&
@@ -622,8 +699,17 @@
 
 std::vector<waiting_request> pool_scheduler::takeExpired(steady_time Now) {
   std::vector<waiting_request> Expired;
-  for (rank_queue &Queue : Queues)
-    std::ranges::move(Queue.takeExpired(Now), std::back_inserter(Expired));
+  auto Take = [&](std::vector<waiting_request> Requests) {
+    std::ranges::move(Requests, std::back_inserter(Expired));
+  };
+  bool AnyPaused = nextPauseEnd(Now).has_value();
+  for (rank_queue &Queue : Queues) {
+    Take(Queue.takeExpired(Now));
+    if (AnyPaused)
+      Take(Queue.takeIf([&](const waiting_request &Request) {
+        return !canStartInTime(Request, Now);
+      }));
+  }
   return Expired;
 }
 
@@ -679,8 +765,9 @@
     Use.Idle.push_back(
         {Server.Address,
          std::chrono::duration_cast<milliseconds>(Now - Server.LastUsed),
-         Server.NotTriedAt < IdleSince ? idle_reason::NoRequest
-                                       : Server.NotTried});
+         Server.isPaused(Now)            ? idle_reason::Paused
+         : Server.NotTriedAt < IdleSince ? idle_reason::NoRequest
+                                         : Server.NotTried});
   }
   std::ranges::sort(Use.Idle, std::greater{}, &idle_server::IdleFor);
   return Use;
--- a/src/libs/process/pool_scheduler.h
+++ b/src/libs/process/pool_scheduler.h
@@ -74,6 +74,19 @@
   bool isIdle(std::string_view Server, steady_time Now) const;
   /// Marks a backend server as leaving, so that it gets no new requests.
   void markLeaving(std::string_view Server, steady_time Now);
+  /// Sends the incarnation \p Instance of a backend server no requests for
+  /// \p Length, at its own request, or for MaxPause if that is shorter.
+  /// Returns the time that applies, or nullopt if another incarnation has taken
+  /// the server's place.
+  std::optional<milliseconds> pauseServer(std::string_view Server,
+                                          std::string_view Instance,
+                                          milliseconds Length, steady_time Now);
+  /// Returns whether a backend server has asked for no requests until later.
+  bool isPaused(std::string_view Server, steady_time Now) const;
+  /// If all backend servers are paused: when the first of them may be used.
+  std::optional<steady_time> allPausedUntil(steady_time Now) const;
+  /// When the next pause of a backend server ends.
+  std::optional<steady_time> nextPauseEnd(steady_time Now) const;
   /// Returns whether a backend server is probably hanging or slow.
   bool isSlow(std::string_view Server, steady_time Now) const;
   /// Sets the number of a backend server's slots that other proxies use.
@@ -83,7 +96,8 @@
   std::uint32_t localSlots(std::string_view Server) const;
   /// Removes a queued request; returns false if it is not queued.
   bool cancel(request_id Id);
-  /// Removes the requests that have reached their maximum queue time.
+  /// Removes the requests that have reached their maximum queue time, and those
+  /// whose servers are all paused until later than that.
   std::vector<waiting_request> takeExpired(steady_time Now);
   /// How long a request is queued when no server has capacity: as long as it
   /// can still be answered within its target time.
@@ -139,14 +153,17 @@
     /// rejected one for lack of capacity.
     steady_time FullUntil;
     std::size_t FullLimit = 0;
+    /// Until this time the server wants no requests from this process.
+    steady_time PausedUntil;
 
     std::size_t used() const { return InUse + RemoteSlots; }
     bool usable() const { return !Leaving && !Delisted; }
+    bool isPaused(steady_time Now) const { return Now < PausedUntil; }
   };
 
   pooled_server *find(std::string_view Address);
   const pooled_server *find(std::string_view Address) const;
-  bool mostAreFailing() const;
+  bool mostAreFailing(steady_time Now) const;
   bool manyFail(steady_time Now) const;
   /// Number of requests that the server may have, running and queued, with the
   /// last of them still answered within its target time.
@@ -163,6 +180,8 @@
   bool canAccept(const waiting_request &Request, const pooled_server &Server,
                  steady_time Now) const;
   bool isReachable(const pooled_server &Server, steady_time Now) const;
+  bool isAvailable(const pooled_server &Server, steady_time Now) const;
+  bool canStartInTime(const waiting_request &Request, steady_time Now) const;
   bool countsAsHealthy(const pooled_server &Server, steady_time Now) const;
   double maxIdleServers(const waiting_request &Request, std::ptrdiff_t Healthy,
                         steady_time Now) const;
@@ -179,7 +198,7 @@
   pooled_server *chooseIdleServer(const waiting_request &Request,
                                   steady_time Now);
   pooled_server *chooseServer(const waiting_request &Request, steady_time Now);
-  void removeDelisted();
+  void removeDelisted(steady_time Now);
 
   service_definition Definition;
   std::string DataCentre;
--- a/src/libs/process/pool_use.cpp
+++ b/src/libs/process/pool_use.cpp
@@ -6,6 +6,8 @@
   switch (Reason) {
   case idle_reason::NoRequest:
     return "no-request";
+  case idle_reason::Paused:
+    return "paused";
   case idle_reason::Unreachable:
     return "unreachable";
   case idle_reason::FullLocally:
--- a/src/libs/process/pool_use.h
+++ b/src/libs/process/pool_use.h
@@ -13,6 +13,8 @@
 enum class idle_reason {
   /// No request has been placed since the server became idle.
   NoRequest,
+  /// The server has asked this process to send it nothing for a while.
+  Paused,
   /// This process can't connect to the server.
   Unreachable,
   /// All slots and the queue are in use, by this process alone or as reported
@@ -32,11 +34,11 @@
 };
 
 inline constexpr std::array IdleReasons{
-    idle_reason::NoRequest,   idle_reason::Unreachable,
-    idle_reason::FullLocally, idle_reason::FullRemotely,
-    idle_reason::Unconfirmed, idle_reason::Avoided,
-    idle_reason::Pending,     idle_reason::WithinLimit,
-    idle_reason::OtherEntry};
+    idle_reason::NoRequest,    idle_reason::Paused,
+    idle_reason::Unreachable,  idle_reason::FullLocally,
+    idle_reason::FullRemotely, idle_reason::Unconfirmed,
+    idle_reason::Avoided,      idle_reason::Pending,
+    idle_reason::WithinLimit,  idle_reason::OtherEntry};
 
 std::string_view idleReasonName(idle_reason Reason);
 
--- a/src/libs/process/rank_queue.cpp
+++ b/src/libs/process/rank_queue.cpp
@@ -1,7 +1,6 @@
 #include "process/rank_queue.h"
 
 #include <algorithm>
-#include <iterator>
 
 namespace endiverail {
 
@@ -86,19 +85,9 @@
 }
 
 std::vector<waiting_request> rank_queue::takeExpired(steady_time Now) {
-  std::vector<waiting_request> Expired;
-  for (organisation_queue &Queue : RoundRobin) {
-    auto FirstExpired =
-        std::stable_partition(Queue.Requests.begin(), Queue.Requests.end(),
-                              [&](const waiting_request &R) {
-                                return Now + R.UsualTime < R.Deadline;
-                              });
-    std::move(FirstExpired, Queue.Requests.end(), std::back_inserter(Expired));
-    Queue.Requests.erase(FirstExpired, Queue.Requests.end());
-  }
-  Count -= Expired.size();
-  dropEmpty();
-  return Expired;
+  return takeIf([&](const waiting_request &Request) {
+    return Now + Request.UsualTime >= Request.Deadline;
+  });
 }
 
 } // namespace endiverail
--- a/src/libs/process/rank_queue.h
+++ b/src/libs/process/rank_queue.h
@@ -2,8 +2,12 @@
 
 #include "request/caller_request.h"
 
+#include <algorithm>
+#include <concepts>
 #include <cstddef>
 #include <deque>
+#include <functional>
+#include <iterator>
 #include <optional>
 #include <string>
 #include <vector>
@@ -56,6 +60,21 @@
   /// Removes the requests that can no longer be answered in time.
   std::vector<waiting_request> takeExpired(steady_time Now);
 
+  /// Removes and returns the requests for which \p Holds.
+  template <std::predicate<const waiting_request &> Predicate>
+  std::vector<waiting_request> takeIf(Predicate Holds) {
+    std::vector<waiting_request> Taken;
+    for (organisation_queue &Queue : RoundRobin) {
+      auto FirstTaken = std::stable_partition(
+          Queue.Requests.begin(), Queue.Requests.end(), std::not_fn(Holds));
+      std::move(FirstTaken, Queue.Requests.end(), std::back_inserter(Taken));
+      Queue.Requests.erase(FirstTaken, Queue.Requests.end());
+    }
+    Count -= Taken.size();
+    dropEmpty();
+    return Taken;
+  }
+
   std::size_t size() const { return Count; }
   bool empty() const { return Count == 0; }
   void setLimit(std::size_t NewLimit) { Limit = NewLimit; }
--- a/src/libs/process/request_log.h
+++ b/src/libs/process/request_log.h
@@ -116,6 +116,31 @@
   addCaller(Line, Request);
 }
 
+/// A backend server has turned a request away and gets none for \p Applied,
+/// which is shorter than \p Asked if that is too long.
+inline void serverPaused(const active_request &Active, milliseconds Asked,
+                         milliseconds Applied) {
+  event_line("server_paused")
+      .with("request", Active.Request.Name)
+      .with("service", Active.Request.Service->Definition.Name)
+      .with("server", Active.Attempt->Target.Server)
+      .with("instance", Active.Attempt->Target.Instance)
+      .with("asked_ms", Asked.count())
+      .with("paused_ms", Applied.count());
+}
+
+/// A backend server has asked for a pause without naming a time.
+inline void pauseUnreadable(const active_request &Active,
+                            std::string_view Text) {
+  constexpr std::size_t MaxLoggedBytes = 64;
+  event_line("pause_unreadable", event_level::Warning)
+      .with("request", Active.Request.Name)
+      .with("service", Active.Request.Service->Definition.Name)
+      .with("server", Active.Attempt->Target.Server)
+      .with("instance", Active.Attempt->Target.Instance)
+      .with("value", Text.substr(0, MaxLoggedBytes));
+}
+
 /// The caller has closed its connection before the response.
 inline void callerGone(const active_request &Active, steady_time Now) {
   event_line("caller_gone")
--- a/src/libs/process/request_scheduler.h
+++ b/src/libs/process/request_scheduler.h
@@ -53,11 +53,20 @@
 /// their reports of slots in use into account.
 template <typename T>
 concept sharing_scheduler = request_scheduler<T> &&
-    requires(T Scheduler, std::string_view Server, std::size_t Count,
+    requires(T Scheduler, std::string_view Server, std::string_view Instance,
+             std::size_t Count, milliseconds Length,
              const waiting_request &Request, steady_time Now) {
   {Scheduler.setRemoteSlots(Server, Count, Now)};
   {Scheduler.recordReached(Server, Now)};
   { Scheduler.isIdle(Server, Now) } -> std::same_as<bool>;
+  /// A server has asked for no requests from this process. Returns how long it
+  /// gets none.
+  {
+    Scheduler.pauseServer(Server, Instance, Length, Now)
+    } -> std::same_as<std::optional<milliseconds>>;
+  { Scheduler.isPaused(Server, Now) } -> std::same_as<bool>;
+  { Scheduler.allPausedUntil(Now) } -> std::same_as<std::optional<steady_time>>;
+  { Scheduler.nextPauseEnd(Now) } -> std::same_as<std::optional<steady_time>>;
   /// How long a request is queued when no server has capacity for it.
   { Scheduler.maxQueueTime(Request) } -> std::same_as<milliseconds>;
   /// Which backend servers get no requests.
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -149,7 +149,7 @@
     Active->Attempt->Connected =
         !Settings.Versions ||
         Active->Attempt->Target.Route != attempt_route::Slot ||
-        (!serversUnconfirmed(Clock.now()) &&
+        (!serversUnconfirmed(Clock.now()) && !isPaused(*Active, Clock.now()) &&
          isUsable(*Active, Active->Attempt->Target.Server));
     return Active->Attempt->Connected;
   }
@@ -230,6 +230,49 @@
     });
   }
 
+  /// Whether the attempt's server has asked for a pause since it was chosen.
+  bool isPaused([[maybe_unused]] const active_request &Active,
+                [[maybe_unused]] steady_time Now) {
+    if constexpr (sharing_scheduler<Policy>)
+      return stateOf(Active).Scheduler.isPaused(Active.Attempt->Target.Server,
+                                                Now);
+    return false;
+  }
+
+  /// Keeps the attempt's server from getting requests if it has asked for that.
+  void applyPause([[maybe_unused]] active_request &Active,
+                  [[maybe_unused]] const response_classification &Response,
+                  [[maybe_unused]] steady_time Now) {
+    if constexpr (sharing_scheduler<Policy>) {
+      state &State = stateOf(Active);
+      const std::string &Service = Active.Request.Service->Definition.Name;
+      const attempt_target &Target = Active.Attempt->Target;
+      if (!Response.UnreadablePause.empty()) {
+        Metrics.onPauseRequest(Service, false);
+        request_log::pauseUnreadable(Active, Response.UnreadablePause);
+      }
+      if (!Response.Pause)
+        return;
+      Active.Attempt->AskedForPause = true;
+      auto Applied = State.Scheduler.pauseServer(Target.Server, Target.Instance,
+                                                 *Response.Pause, Now);
+      if (!Applied)
+        return;
+      Metrics.onPauseRequest(Service, true);
+      request_log::serverPaused(Active, *Response.Pause, *Applied);
+    }
+  }
+
+  /// Why a request is rejected without an attempt.
+  static std::string_view rejectionDetail([[maybe_unused]] const state &State,
+                                          std::string_view UsualDetail,
+                                          [[maybe_unused]] steady_time Now) {
+    if constexpr (sharing_scheduler<Policy>)
+      if (State.Scheduler.allPausedUntil(Now))
+        return "all backend servers have asked for a pause";
+    return UsualDetail;
+  }
+
   std::size_t maxUnwrittenBytes() const {
     return MaxUnwrittenBytes + Settings.MaxBufferedBytes;
   }
@@ -489,8 +532,9 @@
     auto Dropped =
         State.Scheduler.submit(makeWaitingRequest(Active, State), Now);
     if (Dropped)
-      respondWithError(Requests.at(*Dropped), error_kind::QueueFull,
-                       "the queue for this rank is full", Now);
+      respondWithError(
+          Requests.at(*Dropped), error_kind::QueueFull,
+          rejectionDetail(State, "the queue for this rank is full", Now), Now);
     startNext(Name, Now);
     scheduleQueueTimeout(Id, Now);
     return {};
@@ -589,8 +633,10 @@
     Policy &Scheduler = Found->second.Scheduler;
     Found->second.expireRemoteWork(Now);
     for (const waiting_request &Expired : Scheduler.takeExpired(Now))
-      respondWithError(Requests.at(Expired.Id), error_kind::DeadlineBeforeRun,
-                       "no slot came free in time", Now);
+      respondWithError(
+          Requests.at(Expired.Id), error_kind::DeadlineBeforeRun,
+          rejectionDetail(Found->second, "no slot came free in time", Now),
+          Now);
     if constexpr (ejecting_scheduler<Policy>)
       requestConfirmation(Found->second, Now);
     auto Next = [&] {
@@ -611,8 +657,12 @@
       if (auto Trial = Scheduler.nextTrial();
           Trial && Scheduler.waiting() > 0 && *Trial > Now)
         scheduleTrialWake(*Trial);
-    if constexpr (sharing_scheduler<Policy>)
+    if constexpr (sharing_scheduler<Policy>) {
+      if (auto PauseEnd = Scheduler.nextPauseEnd(Now);
+          PauseEnd && Scheduler.waiting() > 0)
+        scheduleTrialWake(*PauseEnd);
       reportWork(Found->second.Work, Now);
+    }
   }
 
   /// Sends the pending work reports to the other proxies if one is due, and
@@ -794,6 +844,7 @@
       Control.notify(server_leaving{Active.Request.Service->Definition.Name,
                                     Attempt.Target.Server});
     }
+    applyPause(Active, Classification, Now);
     if (Classification.Error) {
       Active.Attempt->Rejected =
           rejected_response{Head.Status, std::move(Classification.Identifier)};
@@ -884,6 +935,8 @@
 
   attempt_signal signalOf(error_kind Failure, const active_request &Active,
                           const running_attempt &Attempt, steady_time Now) {
+    if (Attempt.AskedForPause)
+      return attempt_signal::Shed;
     return stateOf(Active).signalOf(Failure, *Active.Request.Kind,
                                     Attempt.Target, Now - Attempt.Started);
   }
@@ -1265,8 +1318,11 @@
         Metrics.setIdleServers(Name, idleReasonName(Reason),
                                static_cast<std::size_t>(std::ranges::count(
                                    Use.Idle, Reason, &idle_server::Reason)));
-      if (static_cast<double>(Use.Idle.size()) > Use.IdleLimit ||
-          (Use.ManyFail && !Use.Idle.empty()))
+      auto Idle = std::ranges::count_if(Use.Idle, [](const idle_server &Each) {
+        return Each.Reason != idle_reason::Paused;
+      });
+      if (static_cast<double>(Idle) > Use.IdleLimit ||
+          (Use.ManyFail && Idle > 0))
         request_log::serversIdle(Name, Use);
     }
   }
--- a/tests/auto/process/traffic_fixture.h
+++ b/tests/auto/process/traffic_fixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/text.h"
 #include "failure_check.h"
 #include "fake_transport.h"
 #include "process/idempotency_key.h"
@@ -14,11 +15,12 @@
 namespace endiverail::test {
 
 /// A traffic thread with one service. The test controls the time.
-template <request_scheduler Policy> class basic_traffic_fixture {
+template <request_scheduler Policy, message_dialect Dialect = fleet_dialect>
+class basic_traffic_fixture {
 public:
   using traffic_under_test =
       traffic_thread<fake_transport, response_collector, notice_collector,
-                     manual_clock, Policy>;
+                     manual_clock, Policy, Dialect>;
 
   static constexpr std::string_view Secret = "a secret of the fleet";
 
@@ -176,4 +178,23 @@
 /// A fixture whose service shares its backend servers with other daemons.
 using shared_traffic_fixture = basic_traffic_fixture<pool_scheduler>;
 
+/// A dialect with requests for a pause and times for a retry in milliseconds.
+struct pausing_dialect : fleet_dialect {
+  static response_classification classify(const backend_response_head &Head,
+                                          std::string_view Identifier,
+                                          bool MayRetry) {
+    auto Classification = fleet_dialect::classify(Head, Identifier, MayRetry);
+    if (auto Pause = parseDecimal(findHeader(Head.Headers, "Test-Pause")))
+      Classification.Pause = milliseconds(*Pause);
+    return Classification;
+  }
+  static response_head errorResponseHead(error_kind Kind, milliseconds Pause) {
+    response_head Head = fleet_dialect::errorResponseHead(Kind, Pause);
+    Head.Headers.push_back({"Test-Retry", std::to_string(Pause.count())});
+    return Head;
+  }
+};
+using pausing_traffic_fixture =
+    basic_traffic_fixture<pool_scheduler, pausing_dialect>;
+
 } // namespace endiverail::test
--- a/tests/auto/process/tst_pool_scheduler.cpp
+++ b/tests/auto/process/tst_pool_scheduler.cpp
@@ -563,19 +563,25 @@
     idle_reason Reason;
     std::function<void(pool_fixture &)> Cause;
   };
-  auto Row = GENERATE(row{idle_reason::NoRequest, [](pool_fixture &) {}},
-                      row{idle_reason::Unreachable,
-                          [](pool_fixture &Pool) {
-                            for (int Count = 0; Count < 3; ++Count)
-                              Pool.Scheduler.observe(
-                                  "a", attempt_signal::Unreachable, Pool.Now);
-                            Pool.place();
-                          }},
-                      row{idle_reason::Avoided, [](pool_fixture &Pool) {
-                            waiting_request Request = Pool.request(true);
-                            Request.Avoid = {"a"};
-                            Pool.place(Request);
-                          }});
+  auto Row =
+      GENERATE(row{idle_reason::NoRequest, [](pool_fixture &) {}},
+               row{idle_reason::Unreachable,
+                   [](pool_fixture &Pool) {
+                     for (int Count = 0; Count < 3; ++Count)
+                       Pool.Scheduler.observe("a", attempt_signal::Unreachable,
+                                              Pool.Now);
+                     Pool.place();
+                   }},
+               row{idle_reason::Paused,
+                   [](pool_fixture &Pool) {
+                     Pool.Scheduler.pauseServer("a", "i-a", 5s, Pool.Now);
+                     Pool.place();
+                   }},
+               row{idle_reason::Avoided, [](pool_fixture &Pool) {
+                     waiting_request Request = Pool.request(true);
+                     Request.Avoid = {"a"};
+                     Pool.place(Request);
+                   }});
   INFO(idleReasonName(Row.Reason));
   Now += 3s;
   for (std::string Other : {"b", "c", "d"})
@@ -640,3 +646,116 @@
     CHECK(Server != "c");
   }
 }
+
+TEST_CASE_METHOD(pool_fixture, "a server that asked for a pause gets no "
+                               "requests before its end") {
+  CHECK(Scheduler.pauseServer("a", "i-a", 1'500ms, Now) == 1'500ms);
+  // An earlier answer that arrives later does not shorten the pause.
+  Scheduler.pauseServer("a", "i-a", 200ms, Now);
+  for (std::string Other : {"b", "c", "d"})
+    Scheduler.setRemoteSlots(Other, 60, Now);
+  CHECK(place().empty());
+  Now += 1'499ms;
+  CHECK(place().empty());
+  CHECK(Scheduler.nextPauseEnd(Now) == Now + 1ms);
+  Now += 1ms;
+  auto Assignment = Scheduler.next(Now);
+  REQUIRE(Assignment);
+  CHECK(Assignment->Server == "a");
+}
+
+TEST_CASE_METHOD(pool_fixture, "an idle server is not tried before the end of "
+                               "its pause") {
+  Scheduler.pauseServer("a", "i-a", 6s, Now);
+  Scheduler.setRetryLimits({1, 1'000, 0, 1});
+  for (int Step = 0; Step < 59; ++Step) {
+    Now += 100ms;
+    for (bool Idempotent : {false, true}) {
+      std::string Server = place(Idempotent);
+      CHECK(Server != "a");
+      Scheduler.observe(Server, attempt_signal::Accepted, Now);
+      Scheduler.release(Server, rank::Normal, Now);
+    }
+  }
+  Now += 100ms;
+  CHECK(place() == "a");
+}
+
+TEST_CASE_METHOD(pool_fixture, "a pause does not bind another incarnation at "
+                               "the address") {
+  CHECK_FALSE(Scheduler.pauseServer("a", "i-earlier", 10s, Now));
+  CHECK_FALSE(Scheduler.isPaused("a", Now));
+  Scheduler.pauseServer("a", "i-a", 10s, Now);
+  Scheduler.pauseServer("b", "i-b", 10s, Now);
+  Scheduler.pauseServer("c", "i-c", 10s, Now);
+  Servers[0].Started = 5;
+  Servers[1].Instance = "i-other";
+  Scheduler.configure(Definition, Servers, Now);
+  CHECK_FALSE(Scheduler.isPaused("a", Now));
+  CHECK_FALSE(Scheduler.isPaused("b", Now));
+  CHECK(Scheduler.isPaused("c", Now));
+}
+
+TEST_CASE_METHOD(pool_fixture, "a paused server that is delisted and listed "
+                               "again stays paused") {
+  Scheduler.pauseServer("a", "i-a", 2s, Now);
+  Scheduler.configure(Definition, std::span(Servers).subspan(1), Now);
+  CHECK_FALSE(Scheduler.nextPauseEnd(Now));
+  Scheduler.configure(Definition, Servers, Now);
+  CHECK(Scheduler.isPaused("a", Now));
+}
+
+TEST_CASE_METHOD(pool_fixture, "a pause without a reasonable end does not "
+                               "empty the pool for ever") {
+  for (const backend_server &Each : Servers)
+    CHECK(Scheduler.pauseServer(Each.Address, Each.Instance, 1h, Now) == 60s);
+  Now += 59'999ms;
+  CHECK(Scheduler.allPausedUntil(Now));
+  Now += 1ms;
+  CHECK_FALSE(place().empty());
+}
+
+TEST_CASE_METHOD(pool_fixture, "while all servers pause, requests are rejected "
+                               "at once with the time of its end") {
+  waiting_request Queued = request();
+  for (const backend_server &Each : Servers)
+    Scheduler.setRemoteSlots(Each.Address, 60, Now);
+  CHECK(place(Queued).empty());
+  for (const backend_server &Each : Servers) {
+    CHECK_FALSE(Scheduler.allPausedUntil(Now));
+    Scheduler.setRemoteSlots(Each.Address, 0, Now);
+    Scheduler.pauseServer(Each.Address, Each.Instance,
+                          Each.Address == "c" ? 8s : 9s, Now);
+  }
+  CHECK(Scheduler.allPausedUntil(Now) == Now + 8s);
+  auto Expired = Scheduler.takeExpired(Now);
+  REQUIRE(Expired.size() == 1);
+  CHECK(Expired[0].Id == Queued.Id);
+  CHECK(Scheduler.waiting() == 0);
+  waiting_request Late = request();
+  CHECK(Scheduler.submit(Late, Now) == Late.Id);
+  milliseconds Delay = Scheduler.reserveRetryDelay(Now);
+  CHECK(Delay >= 8s);
+  CHECK(Delay <= 9'600ms);
+  // A request that can be answered in time is served at the end of the pause.
+  Now += 7s;
+  CHECK(place().empty());
+  CHECK(Scheduler.takeExpired(Now).empty());
+  CHECK(Scheduler.nextPauseEnd(Now) == Now + 1s);
+  Now += 1s;
+  auto Assignment = Scheduler.next(Now);
+  REQUIRE(Assignment);
+  CHECK(Assignment->Server == "c");
+}
+
+TEST_CASE_METHOD(pool_fixture, "a retry is rejected at once if all servers "
+                               "that have not failed it pause") {
+  Scheduler.pauseServer("a", "i-a", 10s, Now);
+  waiting_request Retry = request(true);
+  Retry.Avoid = {"b", "c", "d"};
+  Scheduler.resubmit(Retry, Now);
+  REQUIRE(Scheduler.takeExpired(Now).size() == 1);
+  Retry.Avoid = {"b", "c"};
+  Scheduler.resubmit(Retry, Now);
+  CHECK(Scheduler.takeExpired(Now).empty());
+}
--- a/tests/auto/process/tst_traffic_thread.cpp
+++ b/tests/auto/process/tst_traffic_thread.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -664,3 +666,76 @@
         Reported.push_back(Report.Service);
   CHECK(Reported == std::vector<std::string>{"s", "t"});
 }
+
+TEST_CASE_METHOD(pausing_traffic_fixture,
+                 "a request whose server asks for a pause while the connection "
+                 "is being established goes to another one") {
+  std::string Method = GENERATE("GET", "POST");
+  std::map<std::string, std::vector<attempt_id>> ByServer;
+  for (int Count = 0; Count < 6; ++Count)
+    send(Method, "/s/x");
+  for (const auto &[Id, Attempt] : attempts())
+    ByServer[Attempt.Server].push_back(Id);
+  auto Busy = std::ranges::find_if(
+      ByServer, [](const auto &Each) { return Each.second.size() > 1; });
+  REQUIRE(Busy != ByServer.end());
+  transport().respond(Busy->second[0], 503, "",
+                      {{"Endiverail-Not-Run", "true"}, {"Test-Pause", "500"}});
+  std::size_t Before = attempts().size();
+  CHECK_FALSE(transport().connect(Busy->second[1]));
+  CHECK(attempts().size() == Before);
+  CHECK_FALSE(attempts().contains(Busy->second[1]));
+  for (const auto &[Id, Attempt] : attempts())
+    if (Id > Busy->second[1] &&
+        std::ranges::find(Busy->second, Id) == Busy->second.end())
+      CHECK(Attempt.Server != Busy->first);
+  CHECK(
+      Metrics.text().find("endiverail_server_pauses_total{service=\"s\"} 1") !=
+      std::string::npos);
+}
+
+TEST_CASE_METHOD(pausing_traffic_fixture,
+                 "requests are refused with a true time while all servers "
+                 "pause, and sent at its end without another event") {
+  publish("self", 1);
+  std::uint64_t First = send("POST", "/s/x");
+  REQUIRE(attempts().size() == 1);
+  transport().respond(attempts().begin()->first, 503, "",
+                      {{"Endiverail-Not-Run", "true"}, {"Test-Pause", "1000"}});
+  std::uint64_t Second = send("POST", "/s/x");
+  for (std::uint64_t Caller : {First, Second}) {
+    REQUIRE(response(Caller).Head);
+    CHECK(response(Caller).Head->Status == 503);
+    CHECK(outcomeOf(Caller) == outcome::NotRun);
+    auto Retry =
+        parseDecimal(findHeader(response(Caller).Head->Headers, "Test-Retry"));
+    REQUIRE(Retry);
+    CHECK(*Retry >= 1'000);
+    CHECK(*Retry <= 2'600);
+  }
+  CHECK(response(Second).Body.find("pause") != std::string::npos);
+  advance(990ms);
+  std::uint64_t Third = send("POST", "/s/x");
+  CHECK(attempts().empty());
+  CHECK_FALSE(response(Third).Head);
+  REQUIRE(Traffic->nextWake());
+  CHECK(*Traffic->nextWake() <= Now + 10ms);
+  advance(10ms);
+  CHECK(attempts().size() == 1);
+}
+
+TEST_CASE_METHOD(pausing_traffic_fixture,
+                 "a server that turns requests away for a pause is not "
+                 "reported as failing") {
+  // Without the mark that it was not run, the response is an error.
+  std::string Method = GENERATE("GET", "POST");
+  send(Method, "/s/x");
+  transport().respond(attempts().begin()->first, 503, "",
+                      {{"Test-Pause", "1000"}});
+  advance(1s);
+  for (const server_work &Work : Notices.reportedWork()) {
+    CHECK(Work.Failed == 0);
+    CHECK(Work.ErrorAfterWork == 0);
+    CHECK(Work.Accepted == 0);
+  }
+}
