Read Retry-After of a target's 503

Cause: nothing read the field, so a target that asked for a pause went on getting requests.

Change: caller_dialect reads it from each 503 that names the request, with or without the mark that the request was not run and the signature: the rule names the status and the field only. A late copy of the answer to another request asks for nothing: that answer was read when it came. Seconds may have fractions; more than an hour reads as an hour; zero asks for nothing; a negative time, a date or other text is handed on as not readable and leaves a line.

--- a/tests/auto/platform/platform_fixture.h
+++ b/tests/auto/platform/platform_fixture.h
@@ -123,6 +123,19 @@
                   {"keyed.op", {{"config", Configuration}}},
                   {"keyed.servers", {{"i-1", Target.entry()}}}}) {}
 
+  /// A service with two targets.
+  platform_fixture(target_standin::answer Answer,
+                   target_standin::answer OtherAnswer,
+                   const std::string &Configuration)
+      : Target(std::move(Answer)),
+        OtherTarget(std::in_place, std::move(OtherAnswer)),
+        Store(std::in_place,
+              std::map<std::string, store_standin::topic_records>{
+                  {"keyed.op", {{"config", Configuration}}},
+                  {"keyed.servers",
+                   {{"i-1", Target.entry()}, {"i-2", OtherTarget->entry()}}}}) {
+  }
+
   std::unique_ptr<daemon> start(const std::string &Host,
                                 const std::string &StoreAddress,
                                 const std::string &Seed) const {
@@ -210,6 +223,7 @@
   }
 
   target_standin Target;
+  std::optional<target_standin> OtherTarget;
   std::optional<store_standin> Store;
   std::uint16_t CallerPort = freePort();
   std::uint16_t ReadyPort = freePort();
--- a/tests/auto/platform/tst_caller_dialect.cpp
+++ b/tests/auto/platform/tst_caller_dialect.cpp
@@ -150,6 +150,78 @@
   }
 }
 
+TEST_CASE("how long a target wants no requests") {
+  struct row {
+    const char *What;
+    int Status;
+    fields Fields;
+    std::optional<milliseconds> Pause;
+    std::string Unreadable;
+  };
+  auto Refusal = [](std::string Time) {
+    return fields{Id, NotExecuted, {"Retry-After", std::move(Time)}};
+  };
+  const row Rows[]{
+      {"seconds", 503, Refusal("3"), 3s, ""},
+      {"a fraction", 503, Refusal("1.5"), 1'500ms, ""},
+      {"a small fraction", 503, Refusal("0.0004"), 1ms, ""},
+      {"spaces around it", 503, Refusal(" 2 "), 2s, ""},
+      {"no time at all", 503, {Id, NotExecuted}, {}, ""},
+      {"zero", 503, Refusal("0"), {}, ""},
+      {"zero, with a fraction", 503, Refusal("0.000"), {}, ""},
+      {"hours", 503, Refusal("86400"), 1h, ""},
+      {"more than a number holds", 503, Refusal(std::string(400, '9')), 1h, ""},
+      {"a negative time", 503, Refusal("-1"), {}, "-1"},
+      {"an exponent", 503, Refusal("1e3"), {}, "1e3"},
+      {"infinity", 503, Refusal("inf"), {}, "inf"},
+      {"not a number", 503, Refusal("nan"), {}, "nan"},
+      {"two points", 503, Refusal("1.2.3"), {}, "1.2.3"},
+      {"a point alone", 503, Refusal("."), {}, "."},
+      {"a unit", 503, Refusal("3s"), {}, "3s"},
+      {"an empty value", 503, Refusal(""), {}, "(empty)"},
+      {"a date",
+       503,
+       Refusal("Sun, 06 Dec 2026 04:18:20 GMT"),
+       {},
+       "Sun, 06 Dec 2026 04:18:20 GMT"},
+      {"a name in small letters",
+       503,
+       {Id, NotExecuted, {"retry-after", "2"}},
+       2s,
+       ""},
+      {"without the word that it was not run",
+       503,
+       {Id, Signed, {"Retry-After", "2"}},
+       2s,
+       ""},
+      {"with neither word nor signature",
+       503,
+       {Id, {"Retry-After", "2"}},
+       2s,
+       ""},
+      {"a limit", 429, Refusal("2"), {}, ""},
+      {"a success", 200, {Id, Signed, {"Retry-After", "2"}}, {}, ""},
+      {"another server at the address", 421, Refusal("2"), {}, ""},
+      {"the refusal of an earlier request, written once more",
+       503,
+       {{Id.Name, "id-0"}, NotExecuted, {"Retry-After", "2"}},
+       {},
+       ""},
+      {"a refusal that names no request",
+       503,
+       {NotExecuted, {"Retry-After", "2"}},
+       {},
+       ""},
+  };
+  for (const row &Row : Rows) {
+    INFO(Row.What);
+    auto Judged =
+        caller_dialect::classify({Row.Status, Row.Fields, {}}, "id-1", true);
+    CHECK(Judged.Pause == Row.Pause);
+    CHECK(Judged.UnreadablePause == Row.Unreadable);
+  }
+}
+
 TEST_CASE("a target sees the client's fields and the system's own") {
   caller_request Request;
   Request.Headers = {Id,
