--- a/tests/auto/process/tst_traffic_thread.cpp
+++ b/tests/auto/process/tst_traffic_thread.cpp
@@ -1,3 +1,4 @@
+#include "event_capture.h"
 #include "traffic_fixture.h"
 
 #include <catch2/catch.hpp>
@@ -739,3 +740,19 @@
     CHECK(Work.Accepted == 0);
   }
 }
+
+TEST_CASE_METHOD(pausing_traffic_fixture,
+                 "a line tells how long a server asked for no requests and how "
+                 "long it gets none") {
+  event_capture Lines;
+  send("POST", "/s/x");
+  std::string Server = attempts().begin()->second.Server;
+  transport().respond(
+      attempts().begin()->first, 503, "",
+      {{"Endiverail-Not-Run", "true"}, {"Test-Pause", "3600000"}});
+  auto Paused = Lines.lines("server_paused");
+  REQUIRE(Paused.size() == 1);
+  CHECK(Paused[0]["server"] == Server);
+  CHECK(Paused[0]["asked_ms"] == 3'600'000);
+  CHECK(Paused[0]["paused_ms"] == 60'000);
+}
