--- a/src/libs/process/request_scheduler.h
+++ b/src/libs/process/request_scheduler.h
@@ -54,9 +54,9 @@
 /// their reports of slots in use into account.
 template <typename T>
 concept sharing_scheduler = request_scheduler<T> &&
-    requires(T Scheduler, std::string_view Server, std::size_t Count,
-             const waiting_request &Request, steady_time Now,
-             std::string_view Instance, std::int64_t Started) {
+    requires(T Scheduler, std::string_view Server, std::string_view Instance,
+             std::int64_t Started, std::size_t Count, milliseconds Length,
+             const waiting_request &Request, steady_time Now) {
   {Scheduler.setRemoteSlots(Server, Count, Now)};
   {Scheduler.recordReached(Server, Now)};
   { Scheduler.isIdle(Server, Now) } -> std::same_as<bool>;
@@ -70,6 +70,14 @@
     } -> std::same_as<bool>;
   /// Removes all queued requests.
   { Scheduler.takeAll(Now) } -> std::same_as<std::vector<waiting_request>>;
+  /// A server has asked for no requests from this process. Returns how long it
+  /// gets none.
+  {
+    Scheduler.pauseServer(Server, Instance, Length, Now)
+    } -> std::same_as<std::optional<milliseconds>>;
+  { Scheduler.isPaused(Server, Now) } -> std::same_as<bool>;
+  { Scheduler.allPausedUntil(Now) } -> std::same_as<std::optional<steady_time>>;
+  { Scheduler.nextPauseEnd(Now) } -> std::same_as<std::optional<steady_time>>;
   /// How long a request is queued when no server has capacity for it.
   { Scheduler.maxQueueTime(Request) } -> std::same_as<milliseconds>;
   /// Which backend servers get no requests.
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -149,7 +149,7 @@
     Active->Attempt->Connected =
         !Settings.Versions ||
         Active->Attempt->Target.Route != attempt_route::Slot ||
-        (!serversUnconfirmed(Clock.now()) &&
+        (!serversUnconfirmed(Clock.now()) && !isPaused(*Active, Clock.now()) &&
          !hasAnnouncedLeaving(*Active, Active->Attempt->Target) &&
          isUsable(*Active, Active->Attempt->Target.Server));
     return Active->Attempt->Connected;
@@ -246,6 +246,49 @@
     });
   }
 
+  /// Whether the attempt's server has asked for a pause since it was chosen.
+  bool isPaused([[maybe_unused]] const active_request &Active,
+                [[maybe_unused]] steady_time Now) {
+    if constexpr (sharing_scheduler<Policy>)
+      return stateOf(Active).Scheduler.isPaused(Active.Attempt->Target.Server,
+                                                Now);
+    return false;
+  }
+
+  /// Keeps the attempt's server from getting requests if it has asked for that.
+  void applyPause([[maybe_unused]] active_request &Active,
+                  [[maybe_unused]] const response_classification &Response,
+                  [[maybe_unused]] steady_time Now) {
+    if constexpr (sharing_scheduler<Policy>) {
+      state &State = stateOf(Active);
+      const std::string &Service = Active.Request.Service->Definition.Name;
+      const attempt_target &Target = Active.Attempt->Target;
+      if (!Response.UnreadablePause.empty()) {
+        Metrics.onPauseRequest(Service, false);
+        request_log::pauseUnreadable(Active, Response.UnreadablePause);
+      }
+      if (!Response.Pause)
+        return;
+      Active.Attempt->AskedForPause = true;
+      auto Applied = State.Scheduler.pauseServer(Target.Server, Target.Instance,
+                                                 *Response.Pause, Now);
+      if (!Applied)
+        return;
+      Metrics.onPauseRequest(Service, true);
+      request_log::serverPaused(Active, *Response.Pause, *Applied);
+    }
+  }
+
+  /// Why a request is rejected without an attempt.
+  static std::string_view rejectionDetail([[maybe_unused]] const state &State,
+                                          std::string_view UsualDetail,
+                                          [[maybe_unused]] steady_time Now) {
+    if constexpr (sharing_scheduler<Policy>)
+      if (State.Scheduler.allPausedUntil(Now))
+        return "all backend servers have asked for a pause";
+    return UsualDetail;
+  }
+
   std::size_t maxUnwrittenBytes() const {
     return MaxUnwrittenBytes + Settings.MaxBufferedBytes;
   }
@@ -505,8 +548,9 @@
     auto Dropped =
         State.Scheduler.submit(makeWaitingRequest(Active, State), Now);
     if (Dropped)
-      respondWithError(Requests.at(*Dropped), error_kind::QueueFull,
-                       "the queue for this rank is full", Now);
+      respondWithError(
+          Requests.at(*Dropped), error_kind::QueueFull,
+          rejectionDetail(State, "the queue for this rank is full", Now), Now);
     startNext(Name, Now);
     scheduleQueueTimeout(Id, Now);
     return {};
@@ -605,8 +649,10 @@
     Policy &Scheduler = Found->second.Scheduler;
     Found->second.expireRemoteWork(Now);
     for (const waiting_request &Expired : Scheduler.takeExpired(Now))
-      respondWithError(Requests.at(Expired.Id), error_kind::DeadlineBeforeRun,
-                       "no slot came free in time", Now);
+      respondWithError(
+          Requests.at(Expired.Id), error_kind::DeadlineBeforeRun,
+          rejectionDetail(Found->second, "no slot came free in time", Now),
+          Now);
     if constexpr (sharing_scheduler<Policy>)
       rejectUnservable(Scheduler, Now);
     if constexpr (ejecting_scheduler<Policy>)
@@ -629,8 +675,12 @@
       if (auto Trial = Scheduler.nextTrial();
           Trial && Scheduler.waiting() > 0 && *Trial > Now)
         scheduleTrialWake(*Trial);
-    if constexpr (sharing_scheduler<Policy>)
+    if constexpr (sharing_scheduler<Policy>) {
+      if (auto PauseEnd = Scheduler.nextPauseEnd(Now);
+          PauseEnd && Scheduler.waiting() > 0)
+        scheduleTrialWake(*PauseEnd);
       reportWork(Found->second.Work, Now);
+    }
   }
 
   /// Rejects the queued requests of a pool without servers.
@@ -821,6 +871,7 @@
         MayRetry);
     if (Classification.Leaving)
       recordLeaving(Active, Head, Now);
+    applyPause(Active, Classification, Now);
     if (Classification.Error) {
       Active.Attempt->Rejected =
           rejected_response{Head.Status, std::move(Classification.Identifier)};
@@ -931,6 +982,8 @@
 
   attempt_signal signalOf(error_kind Failure, const active_request &Active,
                           const running_attempt &Attempt, steady_time Now) {
+    if (Attempt.AskedForPause)
+      return attempt_signal::Shed;
     return stateOf(Active).signalOf(Failure, *Active.Request.Kind,
                                     Attempt.Target, Now - Attempt.Started);
   }
@@ -1313,8 +1366,11 @@
         Metrics.setIdleServers(Name, idleReasonName(Reason),
                                static_cast<std::size_t>(std::ranges::count(
                                    Use.Idle, Reason, &idle_server::Reason)));
-      if (static_cast<double>(Use.Idle.size()) > Use.IdleLimit ||
-          (Use.ManyFail && !Use.Idle.empty()))
+      auto Idle = std::ranges::count_if(Use.Idle, [](const idle_server &Each) {
+        return Each.Reason != idle_reason::Paused;
+      });
+      if (static_cast<double>(Idle) > Use.IdleLimit ||
+          (Use.ManyFail && Idle > 0))
         request_log::serversIdle(Name, Use);
     }
   }
--- a/tests/auto/platform/platform_fixture.h
+++ b/tests/auto/platform/platform_fixture.h
@@ -126,7 +126,7 @@
                   {"keyed.op", {{"config", Configuration}}},
                   {"keyed.servers", {{"i-1", Target.entry()}}}}) {}
 
-  /// With two targets.
+  /// A service with two targets.
   platform_fixture(target_standin::answer Answer,
                    target_standin::answer OtherAnswer,
                    const std::string &Configuration)
