--- a/tests/auto/raw_socket.h
+++ b/tests/auto/raw_socket.h
@@ -10,6 +10,7 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -33,11 +34,12 @@
     if (ReceiveBuffer > 0)
       setsockopt(Descriptor, SOL_SOCKET, SO_RCVBUF, &ReceiveBuffer,
                  sizeof(ReceiveBuffer));
+    raw_connection Opened(Descriptor);
     sockaddr_in Address = loopback(Port, Host);
     if (connect(Descriptor, reinterpret_cast<sockaddr *>(&Address),
                 sizeof(Address)) != 0)
       throw std::runtime_error("connect failed");
-    return raw_connection(Descriptor);
+    return Opened;
   }
 
   raw_connection(raw_connection &&Other) noexcept
@@ -57,6 +59,19 @@
       close(std::exchange(Descriptor, -1));
   }
 
+  /// Closes so that the other side sees a reset.
+  void resetNow() {
+    linger Hard{1, 0};
+    setsockopt(Descriptor, SOL_SOCKET, SO_LINGER, &Hard, sizeof(Hard));
+    closeNow();
+  }
+
+  /// Whether bytes or the end of the connection come within that time.
+  bool hasInput(int Milliseconds) const {
+    pollfd Waiting{Descriptor, POLLIN, 0};
+    return !Unread.empty() || poll(&Waiting, 1, Milliseconds) > 0;
+  }
+
   /// Whether the other side still takes bytes.
   bool send(std::string_view Bytes) {
     while (!Bytes.empty()) {
@@ -148,8 +163,7 @@
     shutdown(Listening, SHUT_RDWR);
     Thread.join();
     close(Listening);
-    for (std::thread &Each : Connections)
-      Each.join();
+    Connections.clear();
   }
 
   std::uint16_t port() const { return Port; }
@@ -161,16 +175,28 @@
       int Accepted = accept(Listening, nullptr, nullptr);
       if (Accepted < 0)
         return;
-      Connections.emplace_back(
-          [this, Accepted, Index] { Handle(raw_connection(Accepted), Index); });
+      std::erase_if(Connections,
+                    [](const served &Each) { return Each.Ended->load(); });
+      auto Ended = std::make_shared<std::atomic<bool>>(false);
+      Connections.push_back(
+          {Ended, std::jthread([this, Accepted, Index, Ended] {
+             Handle(raw_connection(Accepted), Index);
+             *Ended = true;
+           })});
     }
   }
 
+  /// The thread of a connection; it is joined by its end.
+  struct served {
+    std::shared_ptr<std::atomic<bool>> Ended;
+    std::jthread Thread;
+  };
+
   handler Handle;
   int Listening = -1;
   std::uint16_t Port = 0;
   std::thread Thread;
-  std::vector<std::thread> Connections;
+  std::vector<served> Connections;
 };
 
 } // namespace endiverail::test
