Accept callers' connections on a thread of our own

Callers saw no answer: the connection was open, and nothing took it until another caller came to the same connection thread.

Cause: Pistache hands accepted connections over by a PollableQueue. The receiver looks for an entry and clears the eventfd afterwards; an entry that is added between the two has its wake-up cleared and stays in the queue.

Now an acceptor of our own posts the sockets to the mailboxes of the connection threads, which clear the event first.

--- a/src/libs/http/connection_worker.h
+++ b/src/libs/http/connection_worker.h
@@ -4,6 +4,7 @@
 #include "connection/response_message.h"
 #include "connection/response_progress.h"
 #include "http/answer_text.h"
+#include "http/connection_acceptor.h"
 #include "http/connection_io.h"
 #include "log/event_line.h"
 #include "process/mailbox.h"
@@ -73,9 +74,9 @@
 struct close_when_idle {
   std::promise<void> Closed;
 };
-using worker_message =
-    std::variant<response_begin, response_data, response_end, response_abort,
-                 change_limits, announce_close, close_when_idle>;
+using worker_message = std::variant<owned_socket, response_begin, response_data,
+                                    response_end, response_abort, change_limits,
+                                    announce_close, close_when_idle>;
 
 /// All callers' connections of one connection thread. Only that thread calls
 /// it, but for post().
@@ -93,6 +94,10 @@
     return Count.load(std::memory_order_relaxed);
   }
 
+  /// Makes a connection of a socket, and tells the worker of it.
+  using connection_adopter = std::function<void(owned_socket)>;
+  void setAdopter(connection_adopter Adopter) { Adopt = std::move(Adopter); }
+
   /// Asks to be told when a connection's descriptor takes bytes again.
   using writable_watch = std::function<void(int Descriptor, bool Wanted)>;
   void setWritableWatch(writable_watch Watch) {
@@ -321,6 +326,8 @@
     close(Entry);
   }
 
+  void take(owned_socket &Socket) { Adopt(std::move(Socket)); }
+
   void take(response_begin &Begin) {
     entry *Entry = awaiting(Begin.ResponseHandle);
     if (!Entry)
@@ -462,6 +469,7 @@
   timer_descriptor Timer;
   std::unordered_map<std::uint64_t, entry> Connections;
   std::unordered_map<int, std::uint64_t> ByDescriptor;
+  connection_adopter Adopt;
   writable_watch WatchWritable;
   std::atomic<std::size_t> Count = 0;
   bool KeepNone = false;
--- a/src/libs/http/front_end.h
+++ b/src/libs/http/front_end.h
@@ -1,9 +1,10 @@
 #pragma once
 
+#include "http/connection_acceptor.h"
 #include "http/connection_worker.h"
 #include "version/request_limits.h"
 
-#include <pistache/listener.h>
+#include <pistache/reactor.h>
 #include <pistache/tcp.h>
 #include <pistache/transport.h>
 
@@ -43,8 +44,9 @@
   connection_worker<Sink> *Worker;
 };
 
-/// Pistache's transport with two descriptors more: the worker's mailbox and
-/// its timer, so that all of a connection's work runs on its own thread.
+/// Pistache's transport with two descriptors more: the worker's mailbox,
+/// through which its connections come, too, and its timer, so that all of a
+/// connection's work runs on its own thread.
 template <caller_request_sink Sink>
 class front_transport final : public Pistache::Tcp::Transport {
 public:
@@ -65,6 +67,10 @@
     Transport::registerPoller(Poller);
     addDescriptor(Poller, Worker->inboxDescriptor());
     addDescriptor(Poller, Worker->timerDescriptor());
+    Worker->setAdopter([this](owned_socket Socket) {
+      handleNewPeer(
+          Pistache::Tcp::Peer::Create(Socket.release(), Pistache::Address()));
+    });
     Worker->setWritableWatch([this](int Descriptor, bool Wanted) {
       using Pistache::Polling::NotifyOn;
       reactor()->modifyFd(key(), Descriptor,
@@ -127,8 +133,8 @@
 
 } // namespace detail
 
-/// Accepts callers' connections by Pistache and keeps each answer on the
-/// connection and the request that it belongs to. Pistache's exceptions end
+/// Accepts callers' connections, which Pistache reads, and keeps each answer on
+/// the connection and the request that it belongs to. Pistache's exceptions end
 /// here.
 template <caller_request_sink Sink> class front_end {
 public:
@@ -147,12 +153,20 @@
 
   /// Begins to listen. Fails with BadSettings when the address can't be used.
   result<void> start() {
+    BOOST_LEAF_ASSIGN(Acceptor, detail::connection_acceptor::create(
+                                    Settings.Address, Settings.Port,
+                                    [this](detail::owned_socket Socket) {
+                                      auto &Worker =
+                                          Workers[Accepted++ % Workers.size()];
+                                      Worker->post(std::move(Socket));
+                                    }));
+    Port = Acceptor->port();
     try {
-      listen();
+      startWorkers();
     } catch (const std::exception &Error) {
-      return fail(error_kind::BadSettings,
-                  "can't listen on " + Settings.Address + ":" +
-                      std::to_string(Settings.Port) + ": " + Error.what());
+      return fail(error_kind::Internal,
+                  std::string("can't start the connection threads: ") +
+                      Error.what());
     }
     return {};
   }
@@ -210,41 +224,36 @@
   }
 
   /// The port that callers connect to.
-  std::uint16_t port() const { return Listener->getPort(); }
+  std::uint16_t port() const { return Port; }
 
   /// Stops listening and closes all connections. Callers should have their
   /// answers by then: Pistache waits for none.
   void shutdown() {
-    if (Listener && !std::exchange(Stopped, true))
-      Listener->shutdown();
+    Acceptor.reset();
+    if (Reactor)
+      std::exchange(Reactor, nullptr)->shutdown();
   }
 
 private:
   explicit front_end(const front_end_settings &Settings) : Settings(Settings) {}
 
-  void listen() {
-    using Pistache::Tcp::Options;
-    Listener = std::make_unique<Pistache::Tcp::Listener>();
-    Listener->init(Settings.Workers,
-                   Pistache::Flags<Options>(Options::ReuseAddr) |
-                       Options::NoDelay | Options::CloseOnExec,
-                   "connection");
-    Listener->setTransportFactory([this] {
-      return std::make_shared<detail::front_transport<Sink>>(
-          Workers, NextWorker, Workers.front().get());
-    });
-    Listener->setHandler(
-        std::make_shared<detail::front_handler<Sink>>(Workers.front().get()));
-    Listener->bind(Pistache::Address(Settings.Address, Settings.Port));
-    Listener->runThreaded();
+  void startWorkers() {
+    Reactor = Pistache::Aio::Reactor::create();
+    Reactor->init(Pistache::Aio::AsyncContext(Workers.size(), "connection"));
+    Reactor->addHandler(std::make_shared<detail::front_transport<Sink>>(
+        Workers, NextWorker, Workers.front().get()));
+    Reactor->run();
   }
 
   front_end_settings Settings;
   typename detail::front_transport<Sink>::worker_list Workers;
   std::size_t NextWorker = 0;
-  bool Stopped = false;
-  /// Ends before the workers that its threads use.
-  std::unique_ptr<Pistache::Tcp::Listener> Listener;
+  std::uint16_t Port = 0;
+  /// Runs the connection threads. Ends before the workers that they use.
+  std::shared_ptr<Pistache::Aio::Reactor> Reactor;
+  /// Number of connections accepted; used on the acceptor's thread.
+  std::size_t Accepted = 0;
+  std::unique_ptr<detail::connection_acceptor> Acceptor;
 };
 
 } // namespace endiverail
--- a/tests/auto/http/tst_front_end.cpp
+++ b/tests/auto/http/tst_front_end.cpp
@@ -4,9 +4,13 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <condition_variable>
+#include <functional>
+#include <future>
 #include <mutex>
 #include <thread>
+#include <vector>
 
 using namespace endiverail;
 using namespace endiverail::test;
@@ -612,3 +616,25 @@
   postResponse(*Front, Request.ResponseHandle, response_head{}, "for the next");
   CHECK(hasBody(Next.readAnswer(), "for the next"));
 }
+
+TEST_CASE("a connection that comes while another one is taken over is served "
+          "without a third") {
+  auto ServePairs = [](patient_front &Fixture) {
+    constexpr int Pairs = 10'000;
+    for (int Pair = 0; Pair < Pairs; ++Pair) {
+      raw_connection First = Fixture.connect();
+      raw_connection Second = Fixture.connect();
+      Second.send("GET / HTTP/1.1\r\n\r\n");
+      Fixture.answer(Fixture.Sink.take().ResponseHandle, "own");
+      if (!hasBody(Second.readAnswer(), "own"))
+        throw std::runtime_error("not its own answer");
+    }
+  };
+  std::array<patient_front, 4> Fixtures;
+  std::vector<std::future<void>> Served;
+  for (patient_front &Fixture : Fixtures)
+    Served.push_back(
+        std::async(std::launch::async, ServePairs, std::ref(Fixture)));
+  for (std::future<void> &Each : Served)
+    CHECK_NOTHROW(Each.get());
+}
