Wake the scheduler when a server may get requests again

Callers waited for up to 1.7 s and got 503 with a free server.

Cause: a server gets a limited number of requests within 50 ms before the first is known to be accepted, and fewer for 300 ms after it has shed one. The queue was looked at again when an attempt ended, so that nothing looked at it if all of them ended within that time.

Change: the scheduler says when a server opens for requests because of the time alone; the end of a pause was the only such time so far.

--- a/src/libs/process/pool_scheduler.cpp
+++ b/src/libs/process/pool_scheduler.cpp
@@ -292,6 +292,12 @@
              std::max<std::size_t>(1, TrialPartition.Entries));
 }
 
+bool pool_scheduler::awaitsConfirmation(const pooled_server &Server,
+                                        steady_time Now) const {
+  return Server.RecentStarts >= maxUnconfirmedStarts(Server) &&
+         Now < Server.RecentStartsSince + FastFailureWindow;
+}
+
 /// Returns whether a failure costs the request no more than the time of another
 /// attempt.
 bool pool_scheduler::mayRetry(const waiting_request &Request) const {
@@ -311,8 +317,7 @@
   if (Server.used() >= Capacity)
     return Server.InUse >= Capacity ? idle_reason::FullLocally
                                     : idle_reason::FullRemotely;
-  if (Server.RecentStarts >= maxUnconfirmedStarts(Server) &&
-      Now < Server.RecentStartsSince + FastFailureWindow)
+  if (awaitsConfirmation(Server, Now))
     return idle_reason::Unconfirmed;
   if (std::ranges::find(Request.Avoid, Server.Address) != Request.Avoid.end())
     return idle_reason::Avoided;
@@ -684,6 +689,27 @@
   return First == Ends.end() ? std::nullopt : std::optional(*First);
 }
 
+std::optional<steady_time>
+pool_scheduler::opensAt(const pooled_server &Server, steady_time Now) const {
+  if (!Server.usable())
+    return std::nullopt;
+  if (Server.isPaused(Now))
+    return Server.PausedUntil;
+  if (awaitsConfirmation(Server, Now))
+    return Server.RecentStartsSince + FastFailureWindow;
+  if (Now < Server.FullUntil)
+    return Server.FullUntil;
+  return std::nullopt;
+}
+
+std::optional<steady_time> pool_scheduler::nextOpening(steady_time Now) const {
+  std::optional<steady_time> First;
+  for (const pooled_server &Server : Servers)
+    if (auto Opening = opensAt(Server, Now))
+      First = std::min(First.value_or(*Opening), *Opening);
+  return First;
+}
+
 bool pool_scheduler::isSlow(std::string_view Address, steady_time Now) const {
   const pooled_server *Server = find(Address);
   return Server &&
--- a/src/libs/process/pool_scheduler.h
+++ b/src/libs/process/pool_scheduler.h
@@ -98,6 +98,9 @@
   std::optional<steady_time> allPausedUntil(steady_time Now) const;
   /// When the next pause of a backend server ends.
   std::optional<steady_time> nextPauseEnd(steady_time Now) const;
+  /// When a backend server that may get no requests now may get some because of
+  /// the time alone.
+  std::optional<steady_time> nextOpening(steady_time Now) const;
   /// Returns whether a backend server is probably hanging or slow.
   bool isSlow(std::string_view Server, steady_time Now) const;
   /// Sets the number of a backend server's slots that other proxies use.
@@ -191,6 +194,9 @@
   double costOf(const waiting_request &Request, const pooled_server &Server,
                 steady_time Now) const;
   std::size_t maxUnconfirmedStarts(const pooled_server &Server) const;
+  bool awaitsConfirmation(const pooled_server &Server, steady_time Now) const;
+  std::optional<steady_time> opensAt(const pooled_server &Server,
+                                     steady_time Now) const;
   bool mayRetry(const waiting_request &Request) const;
   std::optional<idle_reason> obstacleTo(const waiting_request &Request,
                                         const pooled_server &Server,
--- a/src/libs/process/request_scheduler.h
+++ b/src/libs/process/request_scheduler.h
@@ -77,7 +77,8 @@
     } -> std::same_as<std::optional<milliseconds>>;
   { Scheduler.isPaused(Server, Now) } -> std::same_as<bool>;
   { Scheduler.allPausedUntil(Now) } -> std::same_as<std::optional<steady_time>>;
-  { Scheduler.nextPauseEnd(Now) } -> std::same_as<std::optional<steady_time>>;
+  /// When a queued request may get a server because of the time alone.
+  { Scheduler.nextOpening(Now) } -> std::same_as<std::optional<steady_time>>;
   /// How long a request is queued when no server has capacity for it.
   { Scheduler.maxQueueTime(Request) } -> std::same_as<milliseconds>;
   /// Which backend servers get no requests.
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -674,11 +674,11 @@
     if constexpr (ejecting_scheduler<Policy>)
       if (auto Trial = Scheduler.nextTrial();
           Trial && Scheduler.waiting() > 0 && *Trial > Now)
-        scheduleTrialWake(*Trial);
+        scheduleWake(*Trial);
     if constexpr (sharing_scheduler<Policy>) {
-      if (auto PauseEnd = Scheduler.nextPauseEnd(Now);
-          PauseEnd && Scheduler.waiting() > 0)
-        scheduleTrialWake(*PauseEnd);
+      if (auto Opening = Scheduler.nextOpening(Now);
+          Opening && Scheduler.waiting() > 0)
+        scheduleWake(*Opening);
       reportWork(Found->second.Work, Now);
     }
   }
@@ -729,11 +729,11 @@
       Control.notify(std::move(Reports));
   }
 
-  void scheduleTrialWake(steady_time At) {
-    if (TrialWake && *TrialWake <= At)
+  void scheduleWake(steady_time At) {
+    if (ScheduledWake && *ScheduledWake <= At)
       return;
-    TrialWake = At;
-    Timers.add(At, {0, 0, timer_kind::Trial});
+    ScheduledWake = At;
+    Timers.add(At, {0, 0, timer_kind::Wake});
   }
 
   void startNextAfter(const running_attempt &Attempt, steady_time Now) {
@@ -1240,8 +1240,8 @@
   void runTimers(steady_time Now) {
     while (auto Due = Timers.takeDue(Now)) {
       auto Found = Requests.find(Due->Request);
-      if (Due->Kind == timer_kind::Trial)
-        onTrialDue(Now);
+      if (Due->Kind == timer_kind::Wake)
+        startNextOfAll(Now);
       else if (Due->Kind == timer_kind::WorkReport)
         reportAllWork(Now);
       else if (Found != Requests.end())
@@ -1254,8 +1254,8 @@
       reportWork(State.Work, Now);
   }
 
-  void onTrialDue(steady_time Now) {
-    TrialWake.reset();
+  void startNextOfAll(steady_time Now) {
+    ScheduledWake.reset();
     for (auto &[Name, State] : Services)
       startNext(Name, Now);
   }
@@ -1416,7 +1416,7 @@
   quarantine Quarantine;
   death_detector Deaths;
   attempt_id NextAttempt = 1;
-  std::optional<steady_time> TrialWake;
+  std::optional<steady_time> ScheduledWake;
   steady_time NextReport;
   bool Finishing = false;
   bool Immediate = false;
--- a/tests/auto/platform/tst_leaving_targets.cpp
+++ b/tests/auto/platform/tst_leaving_targets.cpp
@@ -75,13 +75,13 @@
 TEST_CASE("no request goes to a target after its word that it is leaving has "
           "been passed on, though the store still says that it is ready") {
   constexpr std::size_t CallerCount = 24;
-  constexpr int WorkMilliseconds = 60;
+  const int WorkMilliseconds = GENERATE(15, 60);
   const std::string &Configuration =
       GENERATE_REF(OrdersConfiguration, LookupsConfiguration);
   request_record Requests;
   std::atomic<bool> Leaving = false;
   std::atomic<std::size_t> LeavingAnswers = 0;
-  auto Work = [](raw_connection &Caller, const target_request &Request) {
+  auto Work = [&](raw_connection &Caller, const target_request &Request) {
     poll(nullptr, 0, WorkMilliseconds);
     Caller.send(target_standin::wholeAnswer(Request.Id));
   };
--- a/tests/auto/process/tst_traffic_thread.cpp
+++ b/tests/auto/process/tst_traffic_thread.cpp
@@ -505,6 +505,27 @@
   CHECK(outcomeOf(Caller) == outcome::Done);
 }
 
+TEST_CASE("a request that waits for a server with all its starts used up is "
+          "sent once more are allowed") {
+  shared_traffic_fixture Fixture(1);
+  std::vector<std::uint64_t> Callers;
+  // Slots and starts of a single server for a process that is alone.
+  constexpr std::size_t Slots = 6;
+  constexpr std::size_t Starts = 2 * Slots;
+  for (std::size_t Count = 0; Count <= Starts; ++Count) {
+    Callers.push_back(Fixture.send("POST", "/s/x"));
+    if (Count < Starts) {
+      REQUIRE(Fixture.attempts().size() == 1);
+      Fixture.transport().respond(Fixture.attempts().begin()->first, 200, "ok");
+    }
+  }
+  CHECK(Fixture.attempts().empty());
+  Fixture.advance(60ms);
+  REQUIRE(Fixture.attempts().size() == 1);
+  Fixture.transport().respond(Fixture.attempts().begin()->first, 200, "ok");
+  CHECK(Fixture.outcomeOf(Callers.back()) == outcome::Done);
+}
+
 TEST_CASE_METHOD(shared_traffic_fixture,
                  "a request whose server leaves while the connection is being "
                  "established goes to another one, as its first "
