Use a server again that is listed again while a request runs there

Callers waited with a free server, or were refused: a server whose entry lapsed while a request ran there, or while it was paused, got no requests after it was listed again as ready, until it had a moment without any.

Cause: such a server is kept until its attempts have ended, and with it the mark that it is leaving, which the end of its entry had set. The mark ends with the listing now; what a server has announced itself is kept by its incarnation.

--- a/src/libs/process/pool_scheduler.cpp
+++ b/src/libs/process/pool_scheduler.cpp
@@ -162,6 +162,9 @@
         1, Entry.Slots != 0 ? Entry.Slots : Definition.SlotsPerServer);
     Known->ColdUntil = Entry.ColdUntil;
   }
+  for (pooled_server &Server : Servers)
+    if (Server.Delisted)
+      Server.Leaving = false;
   PoolKnown = PoolKnown || !Servers.empty();
   removeDelisted(Now);
 }
