Bind only the process that asked for it by a server's pause

A server that had been started anew got no requests for the pause that its earlier process had asked for, if that answer came after the new process had been listed under the same instance.

Cause: the answer was compared by instance only. Announcements of leaving are compared by instance and start time; so are pauses now.

The test gives the earlier process's start time, as the traffic thread does. A restart that was listed before the answer was not caught by the test of other incarnations in test_pool, whose start times are the same.

--- a/src/libs/process/pool_scheduler.cpp
+++ b/src/libs/process/pool_scheduler.cpp
@@ -660,9 +660,10 @@
 
 std::optional<milliseconds>
 pool_scheduler::pauseServer(std::string_view Address, std::string_view Instance,
-                            milliseconds Length, steady_time Now) {
+                            std::int64_t Started, milliseconds Length,
+                            steady_time Now) {
   pooled_server *Server = find(Address);
-  if (!Server || Server->Instance != Instance)
+  if (!Server || Server->Instance != Instance || Server->Started != Started)
     return std::nullopt;
   milliseconds Applied = std::min(Length, MaxPause);
   Server->PausedUntil = std::max(Server->PausedUntil, Now + Applied);
@@ -692,8 +693,8 @@
   return First == Ends.end() ? std::nullopt : std::optional(*First);
 }
 
-std::optional<steady_time>
-pool_scheduler::opensAt(const pooled_server &Server, steady_time Now) const {
+std::optional<steady_time> pool_scheduler::opensAt(const pooled_server &Server,
+                                                   steady_time Now) const {
   if (!Server.usable())
     return std::nullopt;
   if (Server.isPaused(Now))
--- a/src/libs/process/pool_scheduler.h
+++ b/src/libs/process/pool_scheduler.h
@@ -85,12 +85,12 @@
   /// Returns whether that incarnation has announced that it is leaving.
   bool hasAnnouncedLeaving(std::string_view Server, std::string_view Instance,
                            std::int64_t Started) const;
-  /// Sends the incarnation \p Instance of a backend server no requests for
-  /// \p Length, at its own request, or for MaxPause if that is shorter.
-  /// Returns the time that applies, or nullopt if another incarnation has taken
-  /// the server's place.
+  /// Sends an incarnation of a backend server no requests for \p Length, at its
+  /// own request, or for MaxPause if that is shorter. Returns the time that
+  /// applies, or nullopt if another incarnation has taken the server's place.
   std::optional<milliseconds> pauseServer(std::string_view Server,
                                           std::string_view Instance,
+                                          std::int64_t Started,
                                           milliseconds Length, steady_time Now);
   /// Returns whether a backend server has asked for no requests until later.
   bool isPaused(std::string_view Server, steady_time Now) const;
--- a/src/libs/process/request_scheduler.h
+++ b/src/libs/process/request_scheduler.h
@@ -73,7 +73,7 @@
   /// A server has asked for no requests from this process. Returns how long it
   /// gets none.
   {
-    Scheduler.pauseServer(Server, Instance, Length, Now)
+    Scheduler.pauseServer(Server, Instance, Started, Length, Now)
     } -> std::same_as<std::optional<milliseconds>>;
   { Scheduler.isPaused(Server, Now) } -> std::same_as<bool>;
   { Scheduler.allPausedUntil(Now) } -> std::same_as<std::optional<steady_time>>;
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -270,8 +270,8 @@
       if (!Response.Pause)
         return;
       Active.Attempt->AskedForPause = true;
-      auto Applied = State.Scheduler.pauseServer(Target.Server, Target.Instance,
-                                                 *Response.Pause, Now);
+      auto Applied = State.Scheduler.pauseServer(
+          Target.Server, Target.Instance, Target.Started, *Response.Pause, Now);
       if (!Applied)
         return;
       Metrics.onPauseRequest(Service, true);
--- a/tests/auto/process/tst_pool_scheduler.cpp
+++ b/tests/auto/process/tst_pool_scheduler.cpp
@@ -574,7 +574,7 @@
                    }},
                row{idle_reason::Paused,
                    [](pool_fixture &Pool) {
-                     Pool.Scheduler.pauseServer("a", "i-a", 5s, Pool.Now);
+                     Pool.Scheduler.pauseServer("a", "i-a", 0, 5s, Pool.Now);
                      Pool.place();
                    }},
                row{idle_reason::Avoided, [](pool_fixture &Pool) {
@@ -649,9 +649,9 @@
 
 TEST_CASE_METHOD(pool_fixture, "a server that asked for a pause gets no "
                                "requests before its end") {
-  CHECK(Scheduler.pauseServer("a", "i-a", 1'500ms, Now) == 1'500ms);
+  CHECK(Scheduler.pauseServer("a", "i-a", 0, 1'500ms, Now) == 1'500ms);
   // An earlier answer that arrives later does not shorten the pause.
-  Scheduler.pauseServer("a", "i-a", 200ms, Now);
+  Scheduler.pauseServer("a", "i-a", 0, 200ms, Now);
   for (std::string Other : {"b", "c", "d"})
     Scheduler.setRemoteSlots(Other, 60, Now);
   CHECK(place().empty());
@@ -666,7 +666,7 @@
 
 TEST_CASE_METHOD(pool_fixture, "an idle server is not tried before the end of "
                                "its pause") {
-  Scheduler.pauseServer("a", "i-a", 6s, Now);
+  Scheduler.pauseServer("a", "i-a", 0, 6s, Now);
   Scheduler.setRetryLimits({1, 1'000, 0, 1});
   for (int Step = 0; Step < 59; ++Step) {
     Now += 100ms;
@@ -683,11 +683,11 @@
 
 TEST_CASE_METHOD(pool_fixture, "a pause does not bind another incarnation at "
                                "the address") {
-  CHECK_FALSE(Scheduler.pauseServer("a", "i-earlier", 10s, Now));
+  CHECK_FALSE(Scheduler.pauseServer("a", "i-earlier", 0, 10s, Now));
   CHECK_FALSE(Scheduler.isPaused("a", Now));
-  Scheduler.pauseServer("a", "i-a", 10s, Now);
-  Scheduler.pauseServer("b", "i-b", 10s, Now);
-  Scheduler.pauseServer("c", "i-c", 10s, Now);
+  Scheduler.pauseServer("a", "i-a", 0, 10s, Now);
+  Scheduler.pauseServer("b", "i-b", 0, 10s, Now);
+  Scheduler.pauseServer("c", "i-c", 0, 10s, Now);
   Servers[0].Started = 5;
   Servers[1].Instance = "i-other";
   Scheduler.configure(Definition, Servers, Now);
@@ -698,7 +698,7 @@
 
 TEST_CASE_METHOD(pool_fixture, "a paused server that is delisted and listed "
                                "again stays paused") {
-  Scheduler.pauseServer("a", "i-a", 2s, Now);
+  Scheduler.pauseServer("a", "i-a", 0, 2s, Now);
   Scheduler.configure(Definition, std::span(Servers).subspan(1), Now);
   CHECK_FALSE(Scheduler.nextPauseEnd(Now));
   Scheduler.configure(Definition, Servers, Now);
@@ -708,7 +708,8 @@
 TEST_CASE_METHOD(pool_fixture, "a pause without a reasonable end does not "
                                "empty the pool for ever") {
   for (const backend_server &Each : Servers)
-    CHECK(Scheduler.pauseServer(Each.Address, Each.Instance, 1h, Now) == 60s);
+    CHECK(Scheduler.pauseServer(Each.Address, Each.Instance, Each.Started, 1h,
+                                Now) == 60s);
   Now += 59'999ms;
   CHECK(Scheduler.allPausedUntil(Now));
   Now += 1ms;
@@ -724,7 +725,7 @@
   for (const backend_server &Each : Servers) {
     CHECK_FALSE(Scheduler.allPausedUntil(Now));
     Scheduler.setRemoteSlots(Each.Address, 0, Now);
-    Scheduler.pauseServer(Each.Address, Each.Instance,
+    Scheduler.pauseServer(Each.Address, Each.Instance, Each.Started,
                           Each.Address == "c" ? 8s : 9s, Now);
   }
   CHECK(Scheduler.allPausedUntil(Now) == Now + 8s);
@@ -750,7 +751,7 @@
 
 TEST_CASE_METHOD(pool_fixture, "a retry is rejected at once if all servers "
                                "that have not failed it pause") {
-  Scheduler.pauseServer("a", "i-a", 10s, Now);
+  Scheduler.pauseServer("a", "i-a", 0, 10s, Now);
   waiting_request Retry = request(true);
   Retry.Avoid = {"b", "c", "d"};
   Scheduler.resubmit(Retry, Now);
--- a/tests/auto/process/tst_server_return.cpp
+++ b/tests/auto/process/tst_server_return.cpp
@@ -71,6 +71,6 @@
   Server.Started = 2;
   Scheduler.configure(Definition, {&Server, 1}, Now);
   // The answer of the earlier process comes now.
-  Scheduler.pauseServer("a", "i-a", 10s, Now);
+  Scheduler.pauseServer("a", "i-a", 1, 10s, Now);
   CHECK_FALSE(Scheduler.isPaused("a", Now));
 }
