--- a/src/libs/process/attempt_fields.cpp
+++ b/src/libs/process/attempt_fields.cpp
@@ -45,9 +45,8 @@
   response_head Result;
   Result.Status = Head.Status;
   Result.Length = Head.Length;
-  std::string_view Connection = findHeader(Head.Headers, "Connection");
   for (const header_field &Field : Head.Headers) {
-    if (isHopByHop(Field.Name, Connection))
+    if (isHopByHop(Field.Name, Head.Headers))
       continue;
     // Only proxies may set the fleet's own fields; a backend server's are
     // dropped.
--- a/src/libs/request/message_fields.cpp
+++ b/src/libs/request/message_fields.cpp
@@ -23,12 +23,15 @@
 
 } // namespace
 
-bool isHopByHop(std::string_view Name, std::string_view Connection) {
+bool isHopByHop(std::string_view Name, std::span<const header_field> Fields) {
   auto IsName = [&](std::string_view Other) {
     return equalIgnoringCase(Name, trimmed(Other));
   };
   return std::ranges::any_of(HopByHopFields, IsName) ||
-         std::ranges::any_of(split(Connection, ','), IsName);
+         std::ranges::any_of(Fields, [&](const header_field &Field) {
+           return equalIgnoringCase(Field.Name, "Connection") &&
+                  std::ranges::any_of(split(Field.Value, ','), IsName);
+         });
 }
 
 bool isFleetField(std::string_view Name) {
@@ -36,11 +39,10 @@
 }
 
 std::vector<header_field> endToEndFields(std::span<const header_field> Fields) {
-  std::string_view Connection = findHeader(Fields, "Connection");
   std::vector<header_field> Kept;
   std::ranges::copy_if(
       Fields, std::back_inserter(Kept), [&](const header_field &Field) {
-        return !isHopByHop(Field.Name, Connection) && !isFleetField(Field.Name);
+        return !isHopByHop(Field.Name, Fields) && !isFleetField(Field.Name);
       });
   return Kept;
 }
--- a/src/libs/request/message_fields.h
+++ b/src/libs/request/message_fields.h
@@ -8,9 +8,10 @@
 
 namespace endiverail {
 
-/// Returns whether a field is hop-by-hop, so that a proxy must not forward it.
-/// \p Connection is the value of the message's Connection field.
-bool isHopByHop(std::string_view Name, std::string_view Connection);
+/// Returns whether a field is hop-by-hop, so that a proxy must not forward it:
+/// by its name, or because a Connection field among the message's \p Fields
+/// names it.
+bool isHopByHop(std::string_view Name, std::span<const header_field> Fields);
 
 /// Returns whether a field is reserved for the fleet by its name prefix.
 bool isFleetField(std::string_view Name);
