Keep a server's pause to its end, up to an hour

Cause: a pause was cut to 60 s, so that a server without a reasonable claim is tried again. The users' rule knows no such limit. An hour is the longest time that is read from an answer; a server that starts anew is not bound.

While servers pause, each look at a queue searches a free server first, which ends the search earlier than the question whether none pauses.

--- a/src/libs/process/pool_scheduler.cpp
+++ b/src/libs/process/pool_scheduler.cpp
@@ -108,9 +108,9 @@
 /// Weight of the queueing time at a server: probability and cost of a failure
 /// while the request is queued and runs.
 constexpr double WaitCost = 1.5;
-/// Longest time for which a server's request to be sent nothing applies. A
-/// server that needs longer asks again when it is tried.
-constexpr milliseconds MaxPause{60'000};
+/// Longest time for which a server's request to be sent nothing applies. A new
+/// incarnation of the server is not bound by it.
+constexpr milliseconds MaxPause{3'600'000};
 constexpr milliseconds MinRetryDelay{200};
 /// Callers wait for at most a third of their time before they retry.
 constexpr milliseconds MaxRetryDelay{1'600};
@@ -228,12 +228,13 @@
     return std::ranges::find(Request.Avoid, Server.Address) ==
            Request.Avoid.end();
   };
-  return std::ranges::none_of(Usable,
-                              [&](const pooled_server &Server) {
-                                return Server.isPaused(Now);
-                              }) ||
-         std::ranges::any_of(Usable, [&](const pooled_server &Server) {
-           return IsAllowed(Server) && StartsAfterPause(Server);
+  return std::ranges::any_of(Usable,
+                             [&](const pooled_server &Server) {
+                               return IsAllowed(Server) &&
+                                      StartsAfterPause(Server);
+                             }) ||
+         std::ranges::none_of(Usable, [&](const pooled_server &Server) {
+           return Server.isPaused(Now);
          });
 }
 
