Close refused connections in time while others wait for longer

A connection whose request had been refused was held until the next time-out of any other connection, up to the idle time-out of a minute, if its caller kept it open, instead of for the two seconds of the linger time.

Cause: when the timer ran out, refusing a request armed it for the linger time; afterwards it was armed for the next time-out of the others, which was later.

--- a/src/libs/http/connection_worker.h
+++ b/src/libs/http/connection_worker.h
@@ -164,7 +164,7 @@
         Next = Entry.ExpectedBy;
     }
     if (Next)
-      Timer.arm(*Next);
+      armBy(*Next);
   }
 
 private:
@@ -208,8 +208,12 @@
 
   void expectBy(entry &Entry, milliseconds Wait) {
     Entry.ExpectedBy = steadyNow() + Wait;
-    if (!Timer.armedFor() || Entry.ExpectedBy < *Timer.armedFor())
-      Timer.arm(Entry.ExpectedBy);
+    armBy(Entry.ExpectedBy);
+  }
+
+  void armBy(steady_time At) {
+    if (!Timer.armedFor() || At < *Timer.armedFor())
+      Timer.arm(At);
   }
 
   milliseconds headTimeout() const {
--- a/tests/auto/http/tst_front_end.cpp
+++ b/tests/auto/http/tst_front_end.cpp
@@ -617,6 +617,22 @@
   CHECK(hasBody(Next.readAnswer(), "for the next"));
 }
 
+TEST_CASE_METHOD(front_fixture,
+                 "a refused connection that its caller keeps open is closed, "
+                 "also while others wait for longer") {
+  raw_connection Idle = connect();
+  Idle.send("GET / HTTP/1.1\r\n\r\n");
+  answer(Sink.take().ResponseHandle, "own");
+  CHECK(hasBody(Idle.readAnswer(), "own"));
+  raw_connection Slow = connect();
+  Slow.send("GET / HT");
+  CHECK(Slow.readAll().starts_with("HTTP/1.1 408"));
+  steady_time Until = steadyNow() + 5s;
+  while (Front->connections() > 1 && steadyNow() < Until)
+    std::this_thread::sleep_for(10ms);
+  CHECK(Front->connections() == 1);
+}
+
 TEST_CASE("a connection that comes while another one is taken over is served "
           "without a third") {
   auto ServePairs = [](patient_front &Fixture) {
