Log an answer as written once only

The debug line response_written named the earlier answer of a connection a second time when a request with Expect: 100-continue got its interim response there, with the bytes of that.

Cause: the mark that the answer has ended stayed until the next request was whole. It ends with the answer now, and the bytes are counted from the request on.

The case in test_http failed before (3 lines for 2 answers).

--- a/src/libs/http/connection_worker.h
+++ b/src/libs/http/connection_worker.h
@@ -290,7 +290,7 @@
     Entry.SupportsChunked = Request.Frame.SupportsChunked;
     Entry.Progress = response_progress(Request.Frame.Method == "HEAD");
     Entry.ContinueSent = false;
-    Entry.AnswerEnded = false;
+    Entry.BytesSent = 0;
     Entry.Framing = body_framing::None;
     Entry.Owner = To.onRequest(ticket(Entry), std::move(Request));
   }
@@ -449,7 +449,7 @@
         .with("caller_connection", Entry.Peer->getID())
         .with("caller_request", Entry.State.lastSequence())
         .with("descriptor", Entry.Peer->fd())
-        .with("bytes", std::exchange(Entry.BytesSent, 0));
+        .with("bytes", Entry.BytesSent);
     if (!Entry.KeepAlive) {
       closeGently(Entry);
       return;
@@ -457,6 +457,7 @@
     if (!Entry.State.inProgress())
       return;
     releaseMemory(Entry);
+    Entry.AnswerEnded = false;
     Entry.State.finishResponse();
     if (Entry.State.hasBytes())
       expectHead(Entry);
--- a/tests/auto/http/tst_front_end.cpp
+++ b/tests/auto/http/tst_front_end.cpp
@@ -1,3 +1,4 @@
+#include "event_capture.h"
 #include "failure_check.h"
 #include "http/front_end.h"
 #include "raw_socket.h"
@@ -633,6 +634,26 @@
   CHECK(Front->connections() == 1);
 }
 
+TEST_CASE_METHOD(patient_front, "an interim response is not logged as the end "
+                                "of the answer before it") {
+  event_capture Log;
+  raw_connection Caller = connect();
+  Caller.send("GET /1 HTTP/1.1\r\n\r\n");
+  answer(Sink.take().ResponseHandle, "one");
+  CHECK(hasBody(Caller.readAnswer(), "one"));
+  Caller.send("POST /2 HTTP/1.1\r\nContent-Length: 1\r\nExpect: "
+              "100-continue\r\n\r\n");
+  CHECK(Caller.readUntil("\r\n\r\n").starts_with("HTTP/1.1 100"));
+  Caller.send("x");
+  answer(Sink.take().ResponseHandle, "two");
+  std::string Answer = Caller.readAnswer();
+  CHECK(hasBody(Answer, "two"));
+  Front->shutdown();
+  auto Written = Log.lines("response_written");
+  REQUIRE(Written.size() == 2);
+  CHECK(Written[1]["bytes"] == Answer.size());
+}
+
 TEST_CASE("a connection that comes while another one is taken over is served "
           "without a third") {
   auto ServePairs = [](patient_front &Fixture) {
