Hold one time for the scheduler's wake

The review of (by reading, and with a model of two services: over 300,000 wakes within 850 ms, a trial) found that wake timers multiply: an earlier wake left the later one among the timers, and each of them armed the next ones anew.

The thread holds one time now, the earliest, which is no timer. There is no test of ours that failed before: one with a paused server and repeated waves at the other one passed on both.

--- a/src/libs/process/request_timers.h
+++ b/src/libs/process/request_timers.h
@@ -19,9 +19,6 @@
   HeadTimeout,
   /// The lookup of the holder of the request's key is repeated.
   HolderRetry,
-  /// Queued requests may get a server, such as for a trial of an ejected one;
-  /// not tied to a request.
-  Wake,
   /// Work reports to other proxies are due; not tied to a request.
   WorkReport,
 };
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -109,6 +109,8 @@
   void onWake(steady_time Now) {
     Transport.onWake(Now);
     runTimers(Now);
+    if (ScheduledWake && Now >= *ScheduledWake)
+      startNextOfAll(Now);
     for (const death_detector::death &Death : Deaths.takeDeaths(Now))
       onDeath(Death, Now);
     if (Now >= NextReport)
@@ -122,6 +124,7 @@
         Next = At;
     };
     Consider(Timers.nextDue());
+    Consider(ScheduledWake);
     Consider(Deaths.nextWake());
     if (!Requests.empty())
       Consider(NextReport);
@@ -733,7 +736,6 @@
     if (ScheduledWake && *ScheduledWake <= At)
       return;
     ScheduledWake = At;
-    Timers.add(At, {0, 0, timer_kind::Wake});
   }
 
   void startNextAfter(const running_attempt &Attempt, steady_time Now) {
@@ -1240,9 +1242,7 @@
   void runTimers(steady_time Now) {
     while (auto Due = Timers.takeDue(Now)) {
       auto Found = Requests.find(Due->Request);
-      if (Due->Kind == timer_kind::Wake)
-        startNextOfAll(Now);
-      else if (Due->Kind == timer_kind::WorkReport)
+      if (Due->Kind == timer_kind::WorkReport)
         reportAllWork(Now);
       else if (Found != Requests.end())
         onTimer(Found->second, *Due, Now);
@@ -1416,6 +1416,7 @@
   quarantine Quarantine;
   death_detector Deaths;
   attempt_id NextAttempt = 1;
+  /// When queued requests may get a server without any other event.
   std::optional<steady_time> ScheduledWake;
   steady_time NextReport;
   bool Finishing = false;
