Use a server again that a request found leaving after its entry had lapsed

The mark that it is leaving, set on a server that is no longer listed, stayed when the server was listed again. It ends with the next listing after the lapse now, whenever it was set.

The new case in test_server_return failed before and passes now.

--- a/src/libs/process/pool_scheduler.cpp
+++ b/src/libs/process/pool_scheduler.cpp
@@ -135,7 +135,8 @@
   for (rank Rank : AllRanks)
     Queues[rankIndex(Rank)].setLimit(Definition.QueueLimit[rankIndex(Rank)]);
   for (pooled_server &Server : Servers)
-    Server.Delisted = true;
+    if (std::exchange(Server.Delisted, true))
+      Server.Leaving = false;
   for (const backend_server &Entry : Listed) {
     pooled_server *Known = find(Entry.Address);
     if (!Known) {
@@ -162,9 +163,6 @@
         1, Entry.Slots != 0 ? Entry.Slots : Definition.SlotsPerServer);
     Known->ColdUntil = Entry.ColdUntil;
   }
-  for (pooled_server &Server : Servers)
-    if (Server.Delisted)
-      Server.Leaving = false;
   PoolKnown = PoolKnown || !Servers.empty();
   removeDelisted(Now);
 }
--- a/tests/auto/process/tst_server_return.cpp
+++ b/tests/auto/process/tst_server_return.cpp
@@ -63,6 +63,17 @@
   CHECK(place() == "a");
 }
 
+TEST_CASE_METHOD(one_server_fixture,
+                 "a server is used again also if a request found it leaving "
+                 "after its entry had lapsed") {
+  REQUIRE(place() == "a");
+  Scheduler.configure(Definition, {}, Now);
+  Scheduler.markLeaving("a", Now);
+  Scheduler.configure(Definition, {&Server, 1}, Now);
+  Now += 10s;
+  CHECK(place() == "a");
+}
+
 TEST_CASE_METHOD(one_server_fixture,
                  "a pause that an earlier process of a server has asked for "
                  "does not bind the next one under the same instance") {
