End a refused connection in time also when the refusal can't be sent

By reading (review): the linger time of a refused request began when its answer had left, so that a caller who read nothing held the connection until some other time-out. It begins with the refusal now. The line on a written refusal no longer counts the bytes of the answer before it. A front end that can't start its threads says so instead of ending the process. No test of ours showed these.

--- a/src/libs/http/connection_worker.h
+++ b/src/libs/http/connection_worker.h
@@ -306,7 +306,9 @@
     Entry.Closing = true;
     Entry.KeepAlive = false;
     Entry.AnswerEnded = true;
+    Entry.BytesSent = 0;
     releaseMemory(Entry);
+    expectBy(Entry, LingerTime);
     send(Entry, answerHeadText(Head, body_framing::Length, false) + Body, 0);
   }
 
--- a/src/libs/http/front_end.h
+++ b/src/libs/http/front_end.h
@@ -153,15 +153,15 @@
 
   /// Begins to listen. Fails with BadSettings when the address can't be used.
   result<void> start() {
-    BOOST_LEAF_ASSIGN(Acceptor, detail::connection_acceptor::create(
-                                    Settings.Address, Settings.Port,
-                                    [this](detail::owned_socket Socket) {
-                                      auto &Worker =
-                                          Workers[Accepted++ % Workers.size()];
-                                      Worker->post(std::move(Socket));
-                                    }));
-    Port = Acceptor->port();
     try {
+      BOOST_LEAF_ASSIGN(
+          Acceptor, detail::connection_acceptor::create(
+                        Settings.Address, Settings.Port,
+                        [this](detail::owned_socket Socket) {
+                          auto &Worker = Workers[Accepted++ % Workers.size()];
+                          Worker->post(std::move(Socket));
+                        }));
+      Port = Acceptor->port();
       startWorkers();
     } catch (const std::exception &Error) {
       return fail(error_kind::Internal,
@@ -238,11 +238,12 @@
   explicit front_end(const front_end_settings &Settings) : Settings(Settings) {}
 
   void startWorkers() {
-    Reactor = Pistache::Aio::Reactor::create();
-    Reactor->init(Pistache::Aio::AsyncContext(Workers.size(), "connection"));
-    Reactor->addHandler(std::make_shared<detail::front_transport<Sink>>(
+    auto Started = Pistache::Aio::Reactor::create();
+    Started->init(Pistache::Aio::AsyncContext(Workers.size(), "connection"));
+    Started->addHandler(std::make_shared<detail::front_transport<Sink>>(
         Workers, NextWorker, Workers.front().get()));
-    Reactor->run();
+    Started->run();
+    Reactor = std::move(Started);
   }
 
   front_end_settings Settings;
