Bound the connections of a server in the soak of late copies

mixed_soak failed once under the thread sanitizer, beside a fuzz loop and a build ("CHECK failed: tsan_rtl.cpp:323", in pthread_create of raw_server).

Traced: the sanitizer's runtime on arm64 ends the process between 400 and 500 threads at once, with the same two addresses (trial, a program that only starts threads). The play has 311 on a quiet machine, one for each connection to its servers, and more where connections are made anew. Its servers reset connections beyond 56 now, as the users' targets do beyond a limit; the promises that are checked are the same.

--- a/tests/auto/platform/soak_fixture.h
+++ b/tests/auto/platform/soak_fixture.h
@@ -383,9 +383,9 @@
   soak_server(const soak_options &Options, answer_ledger &Ledger,
               soak_counts &Counts, std::size_t Index)
       : Options(Options), Ledger(Ledger), Counts(Counts), Index(Index),
-        Server([this](raw_connection Caller, std::size_t Connection) {
-          serve(Caller, Connection);
-        }) {}
+        Server([this](raw_connection Caller,
+                      std::size_t Connection) { serve(Caller, Connection); },
+               MaxConnections) {}
 
   void report(live_store &Store) {
     std::lock_guard Lock(Mutex);
@@ -409,6 +409,8 @@
 
 private:
   static constexpr int IdleMilliseconds = 1'500;
+  /// The thread sanitizer bears some 400 threads at once here.
+  static constexpr std::size_t MaxConnections = 56;
 
   struct written_answer {
     std::string Bytes;
--- a/tests/auto/raw_socket.h
+++ b/tests/auto/raw_socket.h
@@ -10,6 +10,7 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <stdexcept>
 #include <string>
@@ -146,7 +147,11 @@
 public:
   using handler = std::function<void(raw_connection, std::size_t Index)>;
 
-  explicit raw_server(handler Handle) : Handle(std::move(Handle)) {
+  /// Resets the connections beyond \p MaxConnections at once.
+  explicit raw_server(
+      handler Handle,
+      std::size_t MaxConnections = std::numeric_limits<std::size_t>::max())
+      : Handle(std::move(Handle)), MaxConnections(MaxConnections) {
     Listening = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in Address = loopback(0);
     socklen_t Size = sizeof(Address);
@@ -177,6 +182,10 @@
         return;
       std::erase_if(Connections,
                     [](const served &Each) { return Each.Ended->load(); });
+      if (Connections.size() >= MaxConnections) {
+        raw_connection(Accepted).resetNow();
+        continue;
+      }
       auto Ended = std::make_shared<std::atomic<bool>>(false);
       Connections.push_back(
           {Ended, std::jthread([this, Accepted, Index, Ended] {
@@ -193,6 +202,7 @@
   };
 
   handler Handle;
+  std::size_t MaxConnections;
   int Listening = -1;
   std::uint16_t Port = 0;
   std::thread Thread;
