Tell how long requests wait for the threads of a host

New are the line thread_late (how long messages and due timers waited, by thread), the gauge traffic_late_milliseconds, and in error_answered intake_ms (from the arrival of the request's first bytes, as the kernel knows it, to the traffic thread) and round_trip_ms (to the caller). A mailbox knows when its first message was posted. No decision has changed.

--- a/src/libs/connection/caller_connection.cpp
+++ b/src/libs/connection/caller_connection.cpp
@@ -4,10 +4,14 @@
 
 namespace endiverail {
 
-result<void> caller_connection::receive(std::string_view Bytes) {
+result<void> caller_connection::receive(std::string_view Bytes,
+                                        request_arrival Arrived) {
   if (Buffer.size() + Bytes.size() > Limits.HeadBytes + Limits.BodyBytes)
     return fail(error_kind::BodyTooLarge,
                 "too much data sent ahead of the response");
+  if (Buffer.empty())
+    FirstArrival = Arrived;
+  LastArrival = Arrived;
   Buffer.append(Bytes);
   return {};
 }
@@ -30,9 +34,9 @@
   Buffer.resize(Frame->size());
   Buffer.erase(0, Frame->HeadBytes);
   std::optional<received_request> Request;
-  Request.emplace(
-      received_request{LastSequence, std::move(*Frame),
-                       std::exchange(Buffer, std::move(Remainder))});
+  Request.emplace(received_request{LastSequence, std::move(*Frame),
+                                   std::exchange(Buffer, std::move(Remainder)),
+                                   std::exchange(FirstArrival, LastArrival)});
   return Request;
 }
 
@@ -47,8 +51,9 @@
   Buffer.erase(0, Frame.HeadBytes + Read->EncodedBytes);
   Frame.BodyBytes = Read->Body.size();
   std::optional<received_request> Request;
-  Request.emplace(
-      received_request{LastSequence, std::move(Frame), std::move(Read->Body)});
+  Request.emplace(received_request{LastSequence, std::move(Frame),
+                                   std::move(Read->Body),
+                                   std::exchange(FirstArrival, LastArrival)});
   return Request;
 }
 
--- a/src/libs/connection/caller_connection.h
+++ b/src/libs/connection/caller_connection.h
@@ -2,6 +2,7 @@
 
 #include "base/time.h"
 #include "connection/request_framing.h"
+#include "request/request_arrival.h"
 
 #include <cstdint>
 #include <optional>
@@ -15,6 +16,7 @@
   std::uint64_t Sequence = 0;
   request_frame Frame;
   std::string Body;
+  request_arrival Arrival{};
 };
 
 /// Receive buffer and response state of a caller's connection. Only one request
@@ -25,9 +27,10 @@
 public:
   explicit caller_connection(framing_limits Limits) : Limits(Limits) {}
 
-  /// Appends received bytes to the buffer. Fails with BodyTooLarge if a caller
-  /// sends more data ahead than one request may contain.
-  result<void> receive(std::string_view Bytes);
+  /// Appends bytes that have reached this host at \p Arrived to the buffer.
+  /// Fails with BodyTooLarge if a caller sends more data ahead than one request
+  /// may contain.
+  result<void> receive(std::string_view Bytes, request_arrival Arrived = {});
 
   /// Returns the frame of the next request once its head has been received, or
   /// nullopt while another request is in progress. Fails like frameRequest.
@@ -55,6 +58,9 @@
 
   framing_limits Limits;
   std::string Buffer;
+  /// Arrival of the first and of the last bytes in the buffer.
+  request_arrival FirstArrival;
+  request_arrival LastArrival;
   std::uint64_t LastSequence = 0;
   bool InProgress = false;
 };
--- a/src/libs/daemon/control_thread.h
+++ b/src/libs/daemon/control_thread.h
@@ -156,7 +156,8 @@
   }
 
   void readInbox(steady_time Now) {
-    for (control_message &Message : Inbox.takeAll())
+    auto Batch = Inbox.takeAll();
+    for (control_message &Message : Batch.Messages)
       std::visit([&](auto &Part) { take(Part, Now); }, Message);
   }
 
--- a/src/libs/daemon/route_placement.cpp
+++ b/src/libs/daemon/route_placement.cpp
@@ -20,6 +20,7 @@
   Request.Headers = std::move(Received.Frame.Fields);
   Request.Body = std::move(Received.Body);
   Request.Arrived = Now;
+  Request.Arrival = Received.Arrival;
   Request.Name = Words.RequestId;
 
   const route *Route = Version.Routes->find(Words.Host, Request.path());
--- a/src/libs/daemon/store_control_thread.h
+++ b/src/libs/daemon/store_control_thread.h
@@ -199,7 +199,8 @@
 
   void readInbox(steady_time Now) {
     store_control_actions Actions;
-    for (store_control_message &Message : Inbox.takeAll())
+    auto Batch = Inbox.takeAll();
+    for (store_control_message &Message : Batch.Messages)
       std::visit([&](auto &Part) { take(Part, Now, Actions); }, Message);
     perform(Actions);
   }
--- a/src/libs/http/connection_io.cpp
+++ b/src/libs/http/connection_io.cpp
@@ -1,10 +1,15 @@
 #include "http/connection_io.h"
 
+#include <linux/tcp.h>
+#include <netinet/in.h>
 #include <sys/socket.h>
 #include <sys/timerfd.h>
 #include <unistd.h>
 
 #include <cerrno>
+#include <cstddef>
+#include <cstdint>
+#include <limits>
 #include <string>
 
 namespace endiverail::detail {
@@ -27,6 +32,20 @@
   return Size > 0 ? static_cast<std::size_t>(Size) : 0;
 }
 
+request_arrival arrivalOf(int Descriptor, steady_time Now) {
+  tcp_info Info{};
+  socklen_t Size = sizeof(Info);
+  if (::getsockopt(Descriptor, IPPROTO_TCP, TCP_INFO, &Info, &Size) != 0)
+    return {Now};
+  // The smoothed round trip holds the caller's delayed acknowledgements, too.
+  constexpr auto NotMeasured = std::numeric_limits<std::uint32_t>::max();
+  constexpr std::size_t SizeWithShortest =
+      offsetof(tcp_info, tcpi_min_rtt) + sizeof(Info.tcpi_min_rtt);
+  bool Measured = Size >= SizeWithShortest && Info.tcpi_min_rtt != NotMeasured;
+  return {Now - milliseconds(Info.tcpi_last_data_recv),
+          microseconds(Measured ? Info.tcpi_min_rtt : 0)};
+}
+
 void breakConnection(const Pistache::Tcp::Peer &Peer) {
   ::shutdown(Peer.fd(), SHUT_RDWR);
 }
--- a/src/libs/http/connection_io.h
+++ b/src/libs/http/connection_io.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "request/request_arrival.h"
 
 #include <pistache/peer.h>
 
@@ -20,6 +21,10 @@
 /// Number of bytes that wait to be read from a socket, counted up to \p Max.
 std::size_t waitingBytes(int Descriptor, std::size_t Max);
 
+/// When the bytes that were just read from a socket reached this host, as the
+/// kernel tells; \p Now if it doesn't.
+request_arrival arrivalOf(int Descriptor, steady_time Now);
+
 /// Closes both directions; Pistache then reports the disconnection.
 void breakConnection(const Pistache::Tcp::Peer &Peer);
 
--- a/src/libs/http/connection_worker.h
+++ b/src/libs/http/connection_worker.h
@@ -9,6 +9,7 @@
 #include "log/event_line.h"
 #include "process/mailbox.h"
 #include "process/memory_budget.h"
+#include "process/thread_lag.h"
 
 #include <algorithm>
 #include <atomic>
@@ -117,8 +118,13 @@
       return;
     entry &Entry = Found->second;
     bool FirstBytes = !Entry.State.inProgress() && !Entry.State.hasBytes();
-    handleFailure([&]() -> result<void> { return Entry.State.receive(Bytes); },
-                  [&](const failure &Failure) { refuse(Entry, Failure); });
+    // Only the first bytes of a request tell when it arrived.
+    request_arrival Arrived{steadyNow()};
+    if (!Entry.State.hasBytes())
+      Arrived = arrivalOf(Entry.Peer->fd(), Arrived.At);
+    handleFailure(
+        [&]() -> result<void> { return Entry.State.receive(Bytes, Arrived); },
+        [&](const failure &Failure) { refuse(Entry, Failure); });
     if (FirstBytes)
       expectHead(Entry);
     takeRequests(Entry);
@@ -148,11 +154,17 @@
   }
 
   void onInbox() {
-    for (worker_message &Message : Inbox.takeAll())
+    auto Batch = Inbox.takeAll();
+    steady_time Now = steadyNow();
+    Lag.recordMessages(Batch.FirstPosted, Now);
+    for (worker_message &Message : Batch.Messages)
       std::visit([&](auto &Part) { take(Part); }, Message);
+    Lag.report(Now);
   }
 
   void onTimer(steady_time Now) {
+    if (Timer.armedFor())
+      Lag.recordTimer(*Timer.armedFor(), Now);
     Timer.clear();
     std::optional<steady_time> Next;
     for (auto &[Id, Entry] : Connections) {
@@ -479,6 +491,7 @@
   connection_adopter Adopt;
   writable_watch WatchWritable;
   std::atomic<std::size_t> Count = 0;
+  thread_lag Lag{"connection"};
   bool KeepNone = false;
   std::optional<std::promise<void>> Closed;
 };
--- a/src/libs/process/active_request.h
+++ b/src/libs/process/active_request.h
@@ -79,6 +79,8 @@
 /// response.
 struct active_request {
   caller_request Request;
+  /// When the traffic thread got the request.
+  steady_time TakenUp;
   request_fingerprint Fingerprint = 0;
   std::vector<std::string> FailedServers;
   std::size_t Attempts = 0;
--- a/src/libs/process/mailbox.h
+++ b/src/libs/process/mailbox.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/error_kind.h"
+#include "base/time.h"
 
 #include <mutex>
 #include <utility>
@@ -32,6 +33,13 @@
   int Descriptor;
 };
 
+/// The messages that were waiting for a thread, in the order of posting.
+template <typename Message> struct message_batch {
+  std::vector<Message> Messages;
+  /// When the first of them was posted; meaningless if there are none.
+  steady_time FirstPosted;
+};
+
 /// Message queue from any thread to the thread that owns the mailbox. The owner
 /// is woken through the descriptor and need not poll the queue.
 template <typename Message> class mailbox {
@@ -42,15 +50,17 @@
     bool WasEmpty = false;
     {
       std::lock_guard Lock(Mutex);
-      WasEmpty = Pending.empty();
-      Pending.push_back(std::move(Posted));
+      WasEmpty = Pending.Messages.empty();
+      if (WasEmpty)
+        Pending.FirstPosted = steadyNow();
+      Pending.Messages.push_back(std::move(Posted));
     }
     if (WasEmpty)
       Event.notify();
   }
 
-  /// Removes and returns all pending messages in the order of posting.
-  std::vector<Message> takeAll() {
+  /// Removes and returns all pending messages.
+  message_batch<Message> takeAll() {
     Event.clear();
     std::lock_guard Lock(Mutex);
     return std::exchange(Pending, {});
@@ -61,7 +71,7 @@
 private:
   event_descriptor Event;
   std::mutex Mutex;
-  std::vector<Message> Pending;
+  message_batch<Message> Pending;
 };
 
 } // namespace endiverail
--- a/src/libs/process/request_log.h
+++ b/src/libs/process/request_log.h
@@ -123,7 +123,12 @@
       .with("detail", Detail)
       .with("retry_after", findHeader(Head.Headers, "Retry-After"))
       .with("held_ms", millisecondsBetween(Request.Arrived, Now))
-      .with("left_ms", millisecondsBetween(Now, Request.Deadline));
+      .with("left_ms", millisecondsBetween(Now, Request.Deadline))
+      .with("intake_ms",
+            millisecondsBetween(Request.Arrival.At, Active.TakenUp))
+      .with("round_trip_ms",
+            std::chrono::duration<double, std::milli>(Request.Arrival.RoundTrip)
+                .count());
   if (Active.RetryObstacle)
     Line.with("not_retried", retryObstacleName(*Active.RetryObstacle));
   addCaller(Line, Request);
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -20,6 +20,7 @@
 #include "process/request_timers.h"
 #include "process/response_writer.h"
 #include "process/service_state.h"
+#include "process/thread_lag.h"
 #include "process/traffic_message.h"
 #include "version/peer_choice.h"
 
@@ -95,15 +96,17 @@
 
   void onReady(const ready_descriptor &Ready, steady_time Now) {
     if (Ready.Descriptor == Inbox.descriptor())
-      readInbox(Now);
+      Lag.recordMessages(readInbox(Now), Now);
     else
       Transport.onReady(Ready);
   }
 
-  /// Handles all pending messages.
-  void readInbox(steady_time Now) {
-    for (traffic_message &Message : Inbox.takeAll())
+  /// Handles all pending messages and returns when the first was posted.
+  steady_time readInbox(steady_time Now) {
+    auto Batch = Inbox.takeAll();
+    for (traffic_message &Message : Batch.Messages)
       std::visit([&](auto &Part) { handle(Part, Now); }, Message);
+    return Batch.FirstPosted;
   }
 
   void onWake(steady_time Now) {
@@ -115,6 +118,10 @@
       onDeath(Death, Now);
     if (Now >= NextReport)
       reportStatus(Now);
+    if (auto Ended = Lag.report(Now))
+      Metrics.setGauge("traffic_late_milliseconds",
+                       static_cast<double>(
+                           std::max(Ended->Messages, Ended->Timers).count()));
   }
 
   std::optional<steady_time> nextWake() const {
@@ -318,6 +325,7 @@
     request_id Id = Run.Request.Id;
     active_request &Active = Requests[Id];
     Active.Request = std::move(Run.Request);
+    Active.TakenUp = Now;
     ByConnection[Active.Request.ResponseHandle.Connection] = Id;
     Timers.add(Active.Request.Deadline, {Id, 0, timer_kind::Deadline});
     runStep(Active, Now, [&] { return admit(Active, Now); });
@@ -1240,6 +1248,8 @@
   // Timers.
 
   void runTimers(steady_time Now) {
+    if (auto Due = Timers.nextDue(); Due && *Due <= Now)
+      Lag.recordTimer(*Due, Now);
     while (auto Due = Timers.takeDue(Now)) {
       auto Found = Requests.find(Due->Request);
       if (Due->Kind == timer_kind::WorkReport)
@@ -1419,6 +1429,7 @@
   /// When queued requests may get a server without any other event.
   std::optional<steady_time> ScheduledWake;
   steady_time NextReport;
+  thread_lag Lag{"traffic"};
   bool Finishing = false;
   bool Immediate = false;
 };
--- a/src/libs/request/caller_request.h
+++ b/src/libs/request/caller_request.h
@@ -2,6 +2,7 @@
 
 #include "base/error_kind.h"
 #include "base/time.h"
+#include "request/request_arrival.h"
 #include "version/configuration.h"
 #include "version/route_table.h"
 
@@ -67,6 +68,8 @@
   /// Backend server that a peer asks to try with this request; may be empty.
   std::string TryServer;
   steady_time Arrived;
+  /// Of the first bytes.
+  request_arrival Arrival{};
   steady_time Deadline;
 
   std::string_view path() const {
--- a/src/libs/standin/standin_process.cpp
+++ b/src/libs/standin/standin_process.cpp
@@ -124,7 +124,8 @@
   void run() { runEventLoop(Poller, *this); }
 
   void onReady(const ready_descriptor &, steady_time) {
-    for (standin_message &Message : Inbox.takeAll())
+    auto Batch = Inbox.takeAll();
+    for (standin_message &Message : Batch.Messages)
       std::visit([&](auto &Part) { take(Part); }, Message);
   }
 
