--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -89,6 +89,7 @@
   void post(traffic_message Message) { Inbox.post(std::move(Message)); }
 
   TransportOf<traffic_thread> &transport() { return Transport; }
+  int inboxDescriptor() const { return Inbox.descriptor(); }
 
   /// Runs the event loop on the calling thread. Returns after a finish_traffic
   /// message, once all requests are answered or immediately if it says so.
--- a/tests/auto/process/fake_transport.h
+++ b/tests/auto/process/fake_transport.h
@@ -5,6 +5,7 @@
 #include "process/event_loop.h"
 #include "process/traffic_message.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -102,6 +103,8 @@
 class response_collector {
 public:
   void post(response_message Message) {
+    if (OnPost)
+      OnPost();
     collected_response &Response =
         Responses[responseHandleOf(Message).Connection];
     if (auto *Begin = std::get_if<response_begin>(&Message))
@@ -112,6 +115,8 @@
     Response.Broken |= std::holds_alternative<response_abort>(Message);
   }
   std::map<std::uint64_t, collected_response> Responses;
+  /// Called with each part of a response.
+  std::function<void()> OnPost;
 };
 
 struct notice_collector {
