Count a request's time from its arrival at the host

Callers saw answers 504 over half a second after their route's time-out. The clock of a request began when a connection thread had read it whole and placed it: what it had waited in the kernel, for the thread and for the rest of its bytes was given to it again, and the way to the caller came on top.

The deadline now counts from the arrival of the first bytes, as the kernel tells it (TCP_INFO), less the shortest round trip to the caller, but no more than half of the time that is allowed, so that far callers are served. The time that servers are told and the caller's own deadline follow, as do the times in metrics and lines. How long a request may queue still counts from when it had been read, or slow uploads would be refused for want of a slot. The own interface had the same fault.

--- a/src/libs/daemon/request_placement.cpp
+++ b/src/libs/daemon/request_placement.cpp
@@ -34,7 +34,8 @@
   Request.Target = std::move(Received.Frame.Target);
   Request.Headers = std::move(Received.Frame.Fields);
   Request.Body = std::move(Received.Body);
-  Request.Arrived = Now;
+  Request.Arrival = Received.Arrival;
+  Request.ReadAt = Now;
   if (!Version.Ready)
     return fail(error_kind::NotReady,
                 "the configuration or the hosts are not known");
@@ -58,7 +59,7 @@
   if (Request.Forwarded && Request.Kind->Idempotent)
     Request.TryServer = findHeader(Request.Headers, "Endiverail-Try");
   BOOST_LEAF_AUTO(Allowed, timeAllowed(Request));
-  Request.Deadline = Now + Allowed;
+  Request.Deadline = deadlineOf(Request.Arrival, Allowed);
   return Request;
 }
 
--- a/src/libs/daemon/route_placement.cpp
+++ b/src/libs/daemon/route_placement.cpp
@@ -19,8 +19,8 @@
   Request.Target = std::move(Received.Frame.Target);
   Request.Headers = std::move(Received.Frame.Fields);
   Request.Body = std::move(Received.Body);
-  Request.Arrived = Now;
   Request.Arrival = Received.Arrival;
+  Request.ReadAt = Now;
   Request.Name = Words.RequestId;
 
   const route *Route = Version.Routes->find(Words.Host, Request.path());
@@ -36,9 +36,9 @@
                 "the route's service is not configured: " + Part.Service);
   milliseconds Allowed = std::min(Words.TimeLeft.value_or(Route->Kind.Timeout),
                                   Route->Kind.Timeout);
-  if (Allowed.count() <= 0)
+  Request.Deadline = deadlineOf(Request.Arrival, Allowed);
+  if (Request.Deadline <= Now)
     return fail(error_kind::DeadlineBeforeRun, "the caller waits no longer");
-  Request.Deadline = Now + Allowed;
   return Request;
 }
 
--- a/src/libs/experiment/simulated_pool.cpp
+++ b/src/libs/experiment/simulated_pool.cpp
@@ -79,7 +79,7 @@
   Request.Service = Service;
   Request.Kind = Service->Definition.findKind(Method, Request.Target);
   Request.Organisation = Organisation;
-  Request.Arrived = Now;
+  Request.Arrival.At = Request.ReadAt = Now;
   Request.Deadline = Now + Request.Kind->Timeout;
   auto Kind =
       static_cast<std::size_t>(Request.Kind - Service->Definition.Kinds.data());
--- a/src/libs/process/request_log.h
+++ b/src/libs/process/request_log.h
@@ -122,7 +122,7 @@
       .with("may_have_run", Active.MayHaveRun)
       .with("detail", Detail)
       .with("retry_after", findHeader(Head.Headers, "Retry-After"))
-      .with("held_ms", millisecondsBetween(Request.Arrived, Now))
+      .with("held_ms", millisecondsBetween(Request.Arrival.At, Now))
       .with("left_ms", millisecondsBetween(Now, Request.Deadline))
       .with("intake_ms",
             millisecondsBetween(Request.Arrival.At, Active.TakenUp))
@@ -167,7 +167,7 @@
       .with("attempts", Active.Attempts)
       .with("server",
             Active.Attempt ? Active.Attempt->Target.Server : std::string())
-      .with("after_ms", millisecondsBetween(Active.Request.Arrived, Now));
+      .with("after_ms", millisecondsBetween(Active.Request.Arrival.At, Now));
 }
 
 /// A request is sent to a backend server that was idle.
--- a/src/libs/process/response_writer.h
+++ b/src/libs/process/response_writer.h
@@ -69,10 +69,10 @@
 private:
   void recordMetrics(const active_request &Active, outcome Outcome,
                      std::string_view Error, steady_time Now) {
-    Metrics.onResponse(
-        Active.Request.Service->Definition.Name, Active.Request.Kind->Rank,
-        Outcome, Error,
-        std::chrono::duration_cast<microseconds>(Now - Active.Request.Arrived));
+    Metrics.onResponse(Active.Request.Service->Definition.Name,
+                       Active.Request.Kind->Rank, Outcome, Error,
+                       std::chrono::duration_cast<microseconds>(
+                           Now - Active.Request.Arrival.At));
   }
 
   Sink &Output;
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -602,7 +602,7 @@
             Request.Kind->Bulk,
             Request.Kind->Idempotent,
             Request.Organisation,
-            Request.Arrived,
+            Request.ReadAt,
             Request.Kind->LatencyTarget,
             Request.Deadline,
             State.answerTimes(*Request.Kind).usual(),
--- a/src/libs/request/caller_request.h
+++ b/src/libs/request/caller_request.h
@@ -67,9 +67,9 @@
   bool Forwarded = false;
   /// Backend server that a peer asks to try with this request; may be empty.
   std::string TryServer;
-  steady_time Arrived;
-  /// Of the first bytes.
   request_arrival Arrival{};
+  /// When the whole request had been read.
+  steady_time ReadAt;
   steady_time Deadline;
 
   std::string_view path() const {
