Let due timers and responses go before new work on a traffic thread

Time-outs fired up to 3 s late on a host with little processor time: the thread handled all that was in its mailbox, some 400 reports of other proxies a second among it, before it looked at its timers.

A turn now reads the servers' responses, runs what is due, and handles requests and then other proxies' reports for 5 ms each. Messages that are left wake the thread at once. Reports of a turn are taken before requests are placed by them, once a service instead of once a report, and openings are only sought while requests wait.

test_busy_traffic_thread failed before (refused after 1.2 s instead of 0.1 s) and passes.

--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -27,11 +27,13 @@
 #include <algorithm>
 #include <atomic>
 #include <cstdint>
+#include <deque>
 #include <iterator>
 #include <map>
 #include <memory>
 #include <optional>
 #include <ranges>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -95,28 +97,37 @@
   /// message, once all requests are answered or immediately if it says so.
   void run() { runEventLoop(Poller, *this); }
 
-  void onReady(const ready_descriptor &Ready, steady_time Now) {
+  void onReady(const ready_descriptor &Ready, steady_time) {
     if (Ready.Descriptor == Inbox.descriptor())
-      Lag.recordMessages(readInbox(Now), Now);
+      InboxReady = true;
     else
       Transport.onReady(Ready);
   }
 
-  /// Handles all pending messages and returns when the first was posted.
-  steady_time readInbox(steady_time Now) {
-    auto Batch = Inbox.takeAll();
-    for (traffic_message &Message : Batch.Messages)
-      std::visit([&](auto &Part) { handle(Part, Now); }, Message);
-    return Batch.FirstPosted;
+  /// Handles all pending messages.
+  void readInbox(steady_time Now) {
+    takeInbox(Now);
+    while (!Messages.empty())
+      handleFirst(Messages, Now);
+    while (!PeerReports.empty())
+      handleFirst(PeerReports, Now);
+    startNextOfReported(Now);
   }
 
+  /// The responses of backend servers have been read by now. What is due goes
+  /// before new work, so that requests end in time on a busy thread, too.
   void onWake(steady_time Now) {
     Transport.onWake(Now);
     runTimers(Now);
-    if (ScheduledWake && Now >= *ScheduledWake)
-      startNextOfAll(Now);
     for (const death_detector::death &Death : Deaths.takeDeaths(Now))
       onDeath(Death, Now);
+    if (InboxReady && Messages.empty())
+      takeInbox(Now);
+    handleSome(Messages);
+    handleSome(PeerReports);
+    startNextOfReported(Clock.now());
+    if (ScheduledWake && Now >= *ScheduledWake)
+      startNextOfAll(Now);
     if (Now >= NextReport)
       reportStatus(Now);
     if (auto Ended = Lag.report(Now))
@@ -136,10 +147,14 @@
     Consider(Deaths.nextWake());
     if (!Requests.empty())
       Consider(NextReport);
+    if (!Messages.empty() || !PeerReports.empty())
+      Consider(steady_time{});
     return Next;
   }
 
-  bool finished() const { return Finishing && (Immediate || Requests.empty()); }
+  bool finished() const {
+    return Finishing && (Immediate || (Requests.empty() && Messages.empty()));
+  }
 
   /// Finished keys to hand over to the successor of this process. May be called
   /// only after run() has returned.
@@ -322,6 +337,33 @@
 
   // Messages.
 
+  /// How long messages of a kind keep responses and timers waiting.
+  static constexpr milliseconds MaxHandling{5};
+
+  void takeInbox(steady_time Now) {
+    InboxReady = false;
+    auto Batch = Inbox.takeAll();
+    if (Batch.Messages.empty())
+      return;
+    Lag.recordMessages(Batch.FirstPosted, Now);
+    for (traffic_message &Message : Batch.Messages)
+      (std::holds_alternative<peer_work>(Message) ? PeerReports : Messages)
+          .push_back(std::move(Message));
+  }
+
+  void handleFirst(std::deque<traffic_message> &Waiting, steady_time Now) {
+    traffic_message Message = std::move(Waiting.front());
+    Waiting.pop_front();
+    std::visit([&](auto &Part) { handle(Part, Now); }, Message);
+  }
+
+  void handleSome(std::deque<traffic_message> &Waiting) {
+    steady_time Begin = Clock.now();
+    for (steady_time Now = Begin; !Waiting.empty() && Now < Begin + MaxHandling;
+         Now = Clock.now())
+      handleFirst(Waiting, Now);
+  }
+
   void handle(run_request &Run, steady_time Now) {
     request_id Id = Run.Request.Id;
     active_request &Active = Requests[Id];
@@ -417,10 +459,16 @@
         return;
       for (const server_work &Work : Peer.Report.Servers)
         State->applyRemoteWork(Peer.ProxyId, Work, Now);
-      startNext(Peer.Report.Service, Now);
+      ReportedServices.insert(Peer.Report.Service);
     }
   }
 
+  /// Places queued requests by what peers have reported.
+  void startNextOfReported(steady_time Now) {
+    for (const std::string &Name : std::exchange(ReportedServices, {}))
+      startNext(Name, Now);
+  }
+
   void handle(server_death &Death, steady_time Now) {
     Quarantine.recordDeath(Death.Fingerprint, Death.Server, Now);
   }
@@ -688,9 +736,9 @@
           Trial && Scheduler.waiting() > 0 && *Trial > Now)
         scheduleWake(*Trial);
     if constexpr (sharing_scheduler<Policy>) {
-      if (auto Opening = Scheduler.nextOpening(Now);
-          Opening && Scheduler.waiting() > 0)
-        scheduleWake(*Opening);
+      if (Scheduler.waiting() > 0)
+        if (auto Opening = Scheduler.nextOpening(Now))
+          scheduleWake(*Opening);
       reportWork(Found->second.Work, Now);
     }
   }
@@ -1403,6 +1451,13 @@
 
   poller Poller;
   mailbox<traffic_message> Inbox;
+  bool InboxReady = false;
+  /// Taken from the mailbox and not handled yet.
+  std::deque<traffic_message> Messages;
+  /// The same, of other proxies' reports, which no caller waits for.
+  std::deque<traffic_message> PeerReports;
+  /// Services about which peers have reported.
+  std::set<std::string, std::less<>> ReportedServices;
   traffic_settings Settings;
   Dialect MessageDialect;
   response_writer<Sink, Dialect> Responses;
