Allow for reports of other proxies that are taken up late

A server is idle only after the usual time plus the delay with which reports are taken up here, above 100 ms. Reports that have waited for over 500 ms, after which slots in use are reported again, are dropped and counted (dropped_reports_total), so that they don't keep newer ones waiting.

New cases in test_pool and test_busy_traffic_thread.

--- a/src/libs/process/pool_scheduler.cpp
+++ b/src/libs/process/pool_scheduler.cpp
@@ -71,6 +71,9 @@
 /// of an entry that may try the server, and for one that is lost on its way.
 constexpr milliseconds IdleAfter{1'700};
 constexpr milliseconds MaxTrialLead{200};
+/// Reports of other entries that are taken up within this time are in the
+/// difference above.
+constexpr milliseconds ToleratedReportDelay{100};
 /// A request that has not reached its server after this time may be lost on the
 /// way. Covers the report of its arrival to the other entries.
 constexpr milliseconds ArrivalTimeout{150};
@@ -383,10 +386,12 @@
 milliseconds pool_scheduler::idleTime(steady_time Now) const {
   if (TrialPartition.Entries <= 1)
     return IdleAfter;
+  milliseconds Unheard =
+      ReportDelay < ToleratedReportDelay ? milliseconds(0) : ReportDelay;
   double Rate = std::max(1.0, StartRate.perSecond(Now));
   auto Lead = std::chrono::duration_cast<milliseconds>(
       std::chrono::duration<double>(1 / Rate));
-  return IdleAfter - std::min(Lead, MaxTrialLead);
+  return IdleAfter - std::min(Lead, MaxTrialLead) + Unheard;
 }
 
 /// Returns whether it is this entry's turn to try a server that needs a trial
--- a/src/libs/process/pool_scheduler.h
+++ b/src/libs/process/pool_scheduler.h
@@ -59,6 +59,10 @@
     TrialPartition = Partition;
   }
 
+  /// Sets how late the reports of other entries are taken up here. A server
+  /// that seems idle may have been used in that time.
+  void setReportDelay(milliseconds Delay) { ReportDelay = Delay; }
+
   /// Queues a request. Returns the request that is rejected in exchange, if
   /// any; it may be the same one.
   std::optional<request_id> submit(waiting_request Request, steady_time Now);
@@ -230,6 +234,7 @@
   service_definition Definition;
   std::string DataCentre;
   trial_partition TrialPartition;
+  milliseconds ReportDelay{0};
   /// Maximum number of idle servers for the last request that was placed.
   double IdleLimit = 0;
   std::vector<pooled_server> Servers;
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -73,6 +73,12 @@
 class traffic_thread {
   using state = service_state<Policy>;
 
+  struct waiting_message {
+    /// When the first message of its batch was posted.
+    steady_time PostedBy;
+    traffic_message Message;
+  };
+
 public:
   traffic_thread(poller Poller, event_descriptor Event,
                  traffic_settings Settings, Sink &Output, Link &Control,
@@ -106,7 +112,7 @@
 
   /// Handles all pending messages.
   void readInbox(steady_time Now) {
-    takeInbox(Now);
+    takeInbox();
     while (!Messages.empty())
       handleFirst(Messages, Now);
     while (!PeerReports.empty())
@@ -122,8 +128,9 @@
     for (const death_detector::death &Death : Deaths.takeDeaths(Now))
       onDeath(Death, Now);
     if (InboxReady && Messages.empty())
-      takeInbox(Now);
+      takeInbox();
     handleSome(Messages);
+    dropOldReports(Now);
     handleSome(PeerReports);
     startNextOfReported(Clock.now());
     if (ScheduledWake && Now >= *ScheduledWake)
@@ -131,9 +138,7 @@
     if (Now >= NextReport)
       reportStatus(Now);
     if (auto Ended = Lag.report(Now))
-      Metrics.setGauge("traffic_late_milliseconds",
-                       static_cast<double>(
-                           std::max(Ended->Messages, Ended->Timers).count()));
+      applyLag(*Ended);
   }
 
   std::optional<steady_time> nextWake() const {
@@ -246,6 +251,15 @@
   }
 
 private:
+  void applyLag(const thread_lag::period &Ended) {
+    Metrics.setGauge(
+        "traffic_late_milliseconds",
+        static_cast<double>(std::max(Ended.Messages, Ended.Timers).count()));
+    if constexpr (sharing_scheduler<Policy>)
+      for (auto &[Name, State] : Services)
+        State.Scheduler.setReportDelay(Ended.Messages);
+  }
+
   /// Whether the list of backend servers has gone unconfirmed for too long. A
   /// server may have left in the meantime.
   bool serversUnconfirmed(steady_time Now) const {
@@ -340,28 +354,43 @@
   /// How long messages of a kind keep responses and timers waiting.
   static constexpr milliseconds MaxHandling{5};
 
-  void takeInbox(steady_time Now) {
+  void takeInbox() {
     InboxReady = false;
     auto Batch = Inbox.takeAll();
-    if (Batch.Messages.empty())
-      return;
-    Lag.recordMessages(Batch.FirstPosted, Now);
     for (traffic_message &Message : Batch.Messages)
       (std::holds_alternative<peer_work>(Message) ? PeerReports : Messages)
-          .push_back(std::move(Message));
+          .push_back({Batch.FirstPosted, std::move(Message)});
   }
 
-  void handleFirst(std::deque<traffic_message> &Waiting, steady_time Now) {
-    traffic_message Message = std::move(Waiting.front());
+  void handleFirst(std::deque<waiting_message> &Waiting, steady_time Now) {
+    traffic_message Message = std::move(Waiting.front().Message);
     Waiting.pop_front();
     std::visit([&](auto &Part) { handle(Part, Now); }, Message);
   }
 
-  void handleSome(std::deque<traffic_message> &Waiting) {
+  void handleSome(std::deque<waiting_message> &Waiting) {
     steady_time Begin = Clock.now();
     for (steady_time Now = Begin; !Waiting.empty() && Now < Begin + MaxHandling;
-         Now = Clock.now())
+         Now = Clock.now()) {
+      Lag.recordMessages(Waiting.front().PostedBy, Now);
       handleFirst(Waiting, Now);
+    }
+  }
+
+  /// Reports that are too old to place requests by would only keep newer ones
+  /// waiting; slots in use are reported again within this time.
+  void dropOldReports(steady_time Now) {
+    auto IsFresh = [Now](const waiting_message &Report) {
+      return Now < Report.PostedBy + work_report_builder::RefreshInterval;
+    };
+    auto FirstFresh = std::ranges::find_if(PeerReports, IsFresh);
+    if (FirstFresh == PeerReports.begin())
+      return;
+    DroppedReports += static_cast<std::uint64_t>(
+        std::distance(PeerReports.begin(), FirstFresh));
+    Metrics.setGauge("dropped_reports_total",
+                     static_cast<double>(DroppedReports));
+    PeerReports.erase(PeerReports.begin(), FirstFresh);
   }
 
   void handle(run_request &Run, steady_time Now) {
@@ -1453,9 +1482,10 @@
   mailbox<traffic_message> Inbox;
   bool InboxReady = false;
   /// Taken from the mailbox and not handled yet.
-  std::deque<traffic_message> Messages;
+  std::deque<waiting_message> Messages;
   /// The same, of other proxies' reports, which no caller waits for.
-  std::deque<traffic_message> PeerReports;
+  std::deque<waiting_message> PeerReports;
+  std::uint64_t DroppedReports = 0;
   /// Services about which peers have reported.
   std::set<std::string, std::less<>> ReportedServices;
   traffic_settings Settings;
--- a/tests/auto/process/tst_busy_traffic_thread.cpp
+++ b/tests/auto/process/tst_busy_traffic_thread.cpp
@@ -77,3 +77,15 @@
       REQUIRE(Traffic->nextWake().value_or(Now + 1h) <= Now);
   }
 }
+
+TEST_CASE_METHOD(busy_fixture, "reports of other proxies that have waited for "
+                               "too long are dropped") {
+  bool IsOld = GENERATE(false, true);
+  Traffic->post(peer_work{"other", {"s", {{"a", 1}}}});
+  // Mailboxes stamp messages by the machine's clock.
+  Now = steadyNow() + (IsOld ? 1'000ms : 0ms);
+  turn();
+  bool Dropped =
+      Metrics.text().find("dropped_reports_total") != std::string::npos;
+  CHECK(Dropped == IsOld);
+}
--- a/tests/auto/process/tst_pool_scheduler.cpp
+++ b/tests/auto/process/tst_pool_scheduler.cpp
@@ -504,6 +504,21 @@
   CHECK(Tried);
 }
 
+TEST_CASE_METHOD(pool_fixture, "a server is not tried as idle while reports of "
+                               "its use may wait unread") {
+  // None of four servers may be idle for two seconds.
+  Scheduler.setTrialPartition({0, 12});
+  Scheduler.setReportDelay(1'000ms);
+  for (std::string Server : {"a", "b", "c", "d"})
+    Scheduler.observe(Server, attempt_signal::Accepted, Now);
+  Now += 1'900ms;
+  for (std::string Server : {"b", "c", "d"})
+    Scheduler.observe(Server, attempt_signal::Accepted, Now);
+  CHECK_FALSE(Scheduler.isIdle("a", Now));
+  Now += 900ms;
+  CHECK(Scheduler.isIdle("a", Now));
+}
+
 TEST_CASE_METHOD(pool_fixture, "a server that only finishes old requests is "
                                "idle") {
   // None of four servers may be idle for two seconds.
