Refuse requests early on a host that can't keep up

A host with too little processor time took every request and held it: requests waited for the traffic thread for seconds and were refused, or timed out, when their time had passed.

The connection threads now refuse a request before it is queued when it would wait too long for the traffic thread: the requests that wait there times the time from one to the next, with limits of 100, 200 and 300 ms by rank, so that the least urgent go first. Callers get 503 "overloaded", which has not run, and may come back after 250 ms. There is no state to recover from: when nothing waits, everything is taken. Each is counted (overload_refusals_total).

test_overload plays 0.5, 1, 2 and 10 times what a host can do: it serves over 0.8 of the most, urgent requests first, none waits for 0.5 s. A first form, by the wait of the request taken up last, failed it (2.9 s at 10 times).

--- a/src/libs/base/error_kind.cpp
+++ b/src/libs/base/error_kind.cpp
@@ -21,6 +21,7 @@
     error_answer{NotReady, 503, NotRun, "not-ready", 1},
     error_answer{Draining, 503, NotRun, "draining", 1},
     error_answer{MemoryLimit, 503, NotRun, "memory-limit", 1},
+    error_answer{Overloaded, 503, NotRun, "overloaded", 1},
     error_answer{QueueFull, 503, NotRun, "queue-full", 1},
     error_answer{DeadlineBeforeRun, 503, NotRun, "deadline-before-run", 1},
     error_answer{NoBackendServer, 503, NotRun, "no-backend-server", 1},
--- a/src/libs/base/error_kind.h
+++ b/src/libs/base/error_kind.h
@@ -34,6 +34,7 @@
   NotReady,
   Draining,
   MemoryLimit,
+  Overloaded,
   QueueFull,
   DeadlineBeforeRun,
   NoBackendServer,
--- a/src/libs/daemon/store_daemon.h
+++ b/src/libs/daemon/store_daemon.h
@@ -6,6 +6,7 @@
 #include "files/store_daemon_settings.h"
 #include "http/curl_transport.h"
 #include "log/event_line.h"
+#include "process/overload_controller.h"
 #include "process/traffic_thread.h"
 #include "version/caller_addresses.h"
 
@@ -44,8 +45,10 @@
 template <store_edge Edge, typename Traffic> class request_dispatch {
 public:
   request_dispatch(published<fleet_version> &Versions, Traffic &ToTraffic,
-                   answer_route &Answers)
-      : Versions(Versions), ToTraffic(ToTraffic), Answers(Answers) {}
+                   answer_route &Answers, overload_controller &Overload,
+                   process_metrics &Metrics)
+      : Versions(Versions), ToTraffic(ToTraffic), Answers(Answers),
+        Overload(Overload), Metrics(Metrics) {}
 
   request_owner onRequest(const response_handle &ResponseHandle,
                           received_request Request) {
@@ -61,6 +64,12 @@
               !Version->ShutdownSchedule->accepts(Placed.Deadline, steadyNow()))
             return fail(error_kind::Draining,
                         "the process may end before the answer");
+          if (Overload.refuses(Placed.Kind->Rank)) {
+            Metrics.onOverloadRefusal(Placed.Service->Definition.Name);
+            return fail(error_kind::Overloaded,
+                        "this host can't keep up with its requests");
+          }
+          Overload.recordAdmitted();
           Placed.Id = Id;
           request_owner Owner =
               ToTraffic.indexOf(Placed.Service->Definition.Name);
@@ -72,9 +81,7 @@
           Body.append(": ").append(Failure.Detail).push_back('\n');
           postResponse(Answers, ResponseHandle,
                        Edge::dialect::errorResponseHead(
-                           Failure.Kind, Failure.Kind == error_kind::Draining
-                                             ? DrainingPause
-                                             : RefusedPause),
+                           Failure.Kind, pauseAfter(Failure.Kind)),
                        std::move(Body));
           return NoTrafficThread;
         });
@@ -95,10 +102,25 @@
   static constexpr milliseconds RefusedPause{500};
   /// Other daemons can take at once what one that ends can't.
   static constexpr milliseconds DrainingPause{20};
+  /// Other daemons may be short of processor time, too.
+  static constexpr milliseconds OverloadPause{250};
+
+  static milliseconds pauseAfter(error_kind Kind) {
+    switch (Kind) {
+    case error_kind::Draining:
+      return DrainingPause;
+    case error_kind::Overloaded:
+      return OverloadPause;
+    default:
+      return RefusedPause;
+    }
+  }
 
   published<fleet_version> &Versions;
   Traffic &ToTraffic;
   answer_route &Answers;
+  overload_controller &Overload;
+  process_metrics &Metrics;
   std::atomic<request_id> NextRequest = 1;
   /// Daemons begin to share split routes out at different positions.
   std::uint64_t FirstPosition = randomSeed();
@@ -303,7 +325,7 @@
   explicit store_daemon(const store_daemon_settings &From)
       : Settings(From), Self(selfOf(From)), Versions(firstVersion()),
         Memory(Settings.BodyMemoryBytes),
-        Requests(Versions, Traffic, RequestAnswers),
+        Requests(Versions, Traffic, RequestAnswers, Overload, Metrics),
         ReadyQuestions(Settings, Versions, Metrics, ReadyAnswers),
         DirectoryQuestions(Settings, Versions, Metrics, DirectoryAnswers),
         MetricsQuestions(Settings, Versions, Metrics, MetricsAnswers),
@@ -355,6 +377,7 @@
     Traffics.MaxBufferedBytes = Settings.MostBufferedBytes;
     Traffics.Versions = &Versions;
     Traffics.ServersUsableUntil = &ServersUsableUntil;
+    Traffics.Overload = &Overload;
     Traffic.add(std::make_unique<traffic_of_store>(
         std::move(Poller), std::move(Event), std::move(Traffics),
         RequestAnswers, Notices, Metrics));
@@ -405,6 +428,7 @@
   published<fleet_version> Versions;
   /// Until when requests may be sent to backend servers by what is published.
   std::atomic<steady_time> ServersUsableUntil;
+  overload_controller Overload;
   memory_budget Memory;
   answer_route RequestAnswers;
   answer_route ReadyAnswers;
--- a/src/libs/process/metrics.cpp
+++ b/src/libs/process/metrics.cpp
@@ -63,6 +63,11 @@
   ++ServersLeaving[std::string(Service)];
 }
 
+void process_metrics::onOverloadRefusal(std::string_view Service) {
+  std::lock_guard Lock(Mutex);
+  ++OverloadRefusals[std::string(Service)];
+}
+
 void process_metrics::onPauseRequest(std::string_view Service, bool Readable) {
   std::lock_guard Lock(Mutex);
   ++(Readable ? Pauses : UnreadablePauses)[std::string(Service)];
@@ -142,6 +147,11 @@
     fmt::format_to(Out,
                    "endiverail_servers_leaving_total{{service=\"{}\"}} {}\n",
                    Service, Count);
+  Text += "# TYPE endiverail_overload_refusals_total counter\n";
+  for (const auto &[Service, Count] : OverloadRefusals)
+    fmt::format_to(Out,
+                   "endiverail_overload_refusals_total{{service=\"{}\"}} {}\n",
+                   Service, Count);
   Text += "# TYPE endiverail_server_pauses_total counter\n";
   for (const auto &[Service, Count] : Pauses)
     fmt::format_to(Out, "endiverail_server_pauses_total{{service=\"{}\"}} {}\n",
--- a/src/libs/process/metrics.h
+++ b/src/libs/process/metrics.h
@@ -62,6 +62,8 @@
   /// Counts a backend server's request to be sent nothing for a time;
   /// \p Readable states whether it named a time.
   void onPauseRequest(std::string_view Service, bool Readable);
+  /// Counts a request that was refused as this host can't keep up.
+  void onOverloadRefusal(std::string_view Service);
   void setGauge(std::string_view Name, double Value);
   /// Sets the number of changes to the list of backend servers that were
   /// learned from \p Source since the process started.
@@ -100,6 +102,7 @@
   std::map<std::string, std::uint64_t, std::less<>> ServersLeaving;
   std::map<std::string, std::uint64_t, std::less<>> Pauses;
   std::map<std::string, std::uint64_t, std::less<>> UnreadablePauses;
+  std::map<std::string, std::uint64_t, std::less<>> OverloadRefusals;
   std::map<std::string, std::uint64_t, std::less<>> ServerChanges;
   struct service_reason {
     std::string Service;
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -14,6 +14,7 @@
 #include "process/mailbox.h"
 #include "process/message_dialect.h"
 #include "process/metrics.h"
+#include "process/overload_controller.h"
 #include "process/pool_use.h"
 #include "process/published.h"
 #include "process/request_log.h"
@@ -60,6 +61,9 @@
   /// Time until which the list of backend servers in the published version may
   /// be used. Null if versions do not expire. Must outlive the thread.
   const std::atomic<steady_time> *ServersUsableUntil = nullptr;
+  /// Told when requests are taken up. Null if nothing asks for it. Must outlive
+  /// the thread.
+  overload_controller *Overload = nullptr;
 };
 
 /// Processes the requests of the services assigned to this thread. One thread
@@ -398,6 +402,8 @@
     active_request &Active = Requests[Id];
     Active.Request = std::move(Run.Request);
     Active.TakenUp = Now;
+    if (Settings.Overload)
+      Settings.Overload->recordTakenUp(Now);
     ByConnection[Active.Request.ResponseHandle.Connection] = Id;
     Timers.add(Active.Request.Deadline, {Id, 0, timer_kind::Deadline});
     runStep(Active, Now, [&] { return admit(Active, Now); });
