--- a/src/libs/http/connection_worker.h
+++ b/src/libs/http/connection_worker.h
@@ -155,6 +155,9 @@
 
   void onInbox() {
     auto Batch = Inbox.takeAll();
+    // A message that is posted while the mailbox is read wakes the thread again.
+    if (Batch.Messages.empty())
+      return;
     steady_time Now = steadyNow();
     Lag.recordMessages(Batch.FirstPosted, Now);
     for (worker_message &Message : Batch.Messages)
