--- a/src/libs/http/connection_worker.h
+++ b/src/libs/http/connection_worker.h
@@ -155,7 +155,8 @@
 
   void onInbox() {
     auto Batch = Inbox.takeAll();
-    // A message that is posted while the mailbox is read wakes the thread again.
+    // A message that is posted while the mailbox is read wakes the thread
+    // again.
     if (Batch.Messages.empty())
       return;
     steady_time Now = steadyNow();
