Tell how a configuration came, and how long a copy was waited for

A late configuration could not be told from a quick one by the lines of its host: configuration_in_force did not say by which way the version came, nor since when it was known of, and copy_failed neither how long the request took nor whether its connection was kept. Both do now, and the metrics configuration_delay_milliseconds and copies_failed_total count the same.

No decision has changed.

--- a/src/libs/daemon/outgoing_calls.h
+++ b/src/libs/daemon/outgoing_calls.h
@@ -20,6 +20,8 @@
   std::string Answer;
   /// Without an answer: nothing was done at the other side.
   bool ProvenNotRun = false;
+  attempt_connection Connection{};
+  steady_time Started;
 
   bool succeeded() const {
     constexpr int Success = 200;
@@ -45,6 +47,7 @@
     attempt_id Id = NextId++;
     call &Call = Calls[Id];
     Call.Ended.For = std::move(For);
+    Call.Ended.Started = steadyNow();
     Call.Target = Target;
     Call.Body = Body;
     Transport.start(
@@ -96,6 +99,7 @@
   void onEnd(attempt_id Id, const attempt_end &End) {
     ended_call<Purpose> Ended = std::move(Calls.at(Id).Ended);
     Calls.erase(Id);
+    Ended.Connection = End.Connection;
     if (End.Failure) {
       Ended.Status = 0;
       Ended.ProvenNotRun = End.Failure->ProvenNotRun;
--- a/src/libs/daemon/store_control_thread.h
+++ b/src/libs/daemon/store_control_thread.h
@@ -295,6 +295,8 @@
     Metrics.setGauge("ready", Publish.Version->Ready ? 1 : 0);
     Metrics.setGauge("configuration_version",
                      static_cast<double>(State.version()));
+    Metrics.setGauge("configuration_delay_milliseconds",
+                     static_cast<double>(State.configurationDelay().count()));
     Metrics.setGauge("store_away", State.storeAway() ? 1 : 0);
     Metrics.setGauge("control_bytes_sent_total",
                      static_cast<double>(BytesSent));
@@ -355,7 +357,13 @@
         [&](const failure &Failure) {
           event_line("copy_failed", event_level::Warning)
               .with("peer", Fetch.From)
+              .with("kept_connection", Call.Connection.reused())
+              .with("waited_ms",
+                    std::chrono::duration_cast<milliseconds>(Now - Call.Started)
+                        .count())
               .with("detail", Failure.Detail);
+          Metrics.setGauge("copies_failed_total",
+                           static_cast<double>(++CopiesFailed));
           State.onCopyFailed(Now);
         });
   }
@@ -409,7 +417,7 @@
         [&]() -> result<void> {
           switch (Topic) {
           case store_topic::Configuration:
-            return takeConfiguration(Record);
+            return takeConfiguration(Record, Now);
           case store_topic::BackendServers:
             return takeServer(Record, Now);
           case store_topic::Members:
@@ -426,11 +434,11 @@
         });
   }
 
-  result<void> takeConfiguration(const keyed_record &Record) {
+  result<void> takeConfiguration(const keyed_record &Record, steady_time Now) {
     if (Record.Key != Protocol::configurationKey() || !Record.Value)
       return {};
     BOOST_LEAF_AUTO(Decoded, Protocol::decodeConfiguration(*Record.Value));
-    State.onConfiguration(std::move(Decoded), *Record.Value);
+    State.onConfiguration(std::move(Decoded), *Record.Value, Now);
     return {};
   }
 
@@ -471,6 +479,7 @@
   peer_traffic PeerTraffic;
   steady_time LastTurn = steadyNow();
   std::uint64_t StoreCalls = 0;
+  std::uint64_t CopiesFailed = 0;
   /// How long requests were held back, as nothing confirmed what is known.
   milliseconds UseHeld{0};
   std::optional<request_limits> Limits;
--- a/src/libs/process/copy_requester.cpp
+++ b/src/libs/process/copy_requester.cpp
@@ -12,6 +12,7 @@
   if (Version > NewestVersion) {
     std::uniform_int_distribution<std::int64_t> Delay(0, RequestJitter.count());
     NewestVersion = Version;
+    AnnouncedAt = Now;
     Failures = 0;
     Due = Now + milliseconds(Delay(Random));
   }
--- a/src/libs/process/copy_requester.h
+++ b/src/libs/process/copy_requester.h
@@ -59,6 +59,9 @@
   bool retriesExhausted(std::uint64_t CurrentVersion) const {
     return NewestVersion > CurrentVersion && Failures >= MaxFailures;
   }
+  /// When a peer first announced the newest version.
+  steady_time announcedAt() const { return AnnouncedAt; }
+  std::uint64_t newestVersion() const { return NewestVersion; }
   /// When a request for a version newer than \p CurrentVersion is due.
   std::optional<steady_time> nextWake(std::uint64_t CurrentVersion) const;
 
@@ -74,6 +77,7 @@
   std::mt19937_64 Random;
   std::vector<candidate> Candidates;
   std::uint64_t NewestVersion = 0;
+  steady_time AnnouncedAt;
   std::size_t Failures = 0;
   steady_time Due;
   /// The peer of the pending request.
--- a/src/libs/process/store_control_state.cpp
+++ b/src/libs/process/store_control_state.cpp
@@ -196,12 +196,27 @@
 }
 
 void store_control_state::onConfiguration(published_configuration Newer,
-                                          std::string_view Value) {
+                                          std::string_view Value,
+                                          steady_time Now) {
+  applyConfiguration(std::move(Newer), Value, "store", Now);
+}
+
+void store_control_state::applyConfiguration(published_configuration Newer,
+                                             std::string_view Value,
+                                             std::string_view Source,
+                                             steady_time Now) {
   if (Configuration && Newer.Version <= Configuration->Version)
     return;
+  bool Announced = CopyRequester.newestVersion() >= Newer.Version;
+  ConfigurationDelay =
+      Announced
+          ? std::chrono::ceil<milliseconds>(Now - CopyRequester.announcedAt())
+          : milliseconds(0);
   event_line("configuration_in_force")
       .with("version", Newer.Version)
       .with("before", version())
+      .with("source", Source)
+      .with("announced_ms", ConfigurationDelay.count())
       .with("routes", Newer.Routes->routes().size());
   Configuration = std::move(Newer);
   ConfigurationValue = Value;
@@ -228,7 +243,7 @@
       .with("version", Copy.Version)
       .with("before", version())
       .with("servers", Copy.Servers.size());
-  onConfiguration(std::move(Decoded), Copy.Configuration);
+  applyConfiguration(std::move(Decoded), Copy.Configuration, "copy", Now);
   // A daemon that has read the servers itself has information at least as new.
   if (!ServersKnown) {
     for (const server_statement &Statement : Copy.Servers)
--- a/src/libs/process/store_control_state.h
+++ b/src/libs/process/store_control_state.h
@@ -90,7 +90,7 @@
   // Records from the store, in the order of a page. onPage() follows after all
   // records of the page.
   void onConfiguration(published_configuration Configuration,
-                       std::string_view Value);
+                       std::string_view Value, steady_time Now);
   void onServer(std::string_view Id, const server_entry &Entry,
                 steady_time Now);
   /// The server's record can't be decoded; it may come from another writer.
@@ -132,6 +132,9 @@
   }
   bool ready() const { return Configuration && ServersKnown; }
   bool storeAway() const { return StoreUnavailable; }
+  /// Time from a peer's first announcement of the version in force until this
+  /// daemon had it; 0 if the store was read before.
+  milliseconds configurationDelay() const { return ConfigurationDelay; }
   std::vector<proxy_member> members() const { return Members.members(); }
   std::size_t serverCount() const { return Directory.servers().size(); }
   /// Time since the backend servers were last confirmed; empty before the first
@@ -196,6 +199,8 @@
   steady_time settlingEnd() const;
   /// Only copies with a newer version are useful.
   std::uint64_t completeVersion() const { return ready() ? version() : 0; }
+  void applyConfiguration(published_configuration Newer, std::string_view Value,
+                          std::string_view Source, steady_time Now);
   void pollConfigurationNow(steady_time Now, store_control_actions &Out);
   void mergeServers(const peer_message &Message, steady_time Now,
                     store_control_actions &Out);
@@ -262,6 +267,7 @@
   std::optional<published_configuration> Configuration;
   /// The value of the configuration's record.
   std::string ConfigurationValue;
+  milliseconds ConfigurationDelay{0};
   copy_requester CopyRequester;
   death_notices Deaths;
   /// Whether the configuration has to be announced to the other members.
--- a/tests/auto/process/store_fleet.h
+++ b/tests/auto/process/store_fleet.h
@@ -501,7 +501,8 @@
 
   void deliverConfiguration(store_control_state &State) const {
     if (ConfigurationVersion > 0)
-      State.onConfiguration(published(ConfigurationVersion), "configuration");
+      State.onConfiguration(published(ConfigurationVersion), "configuration",
+                            Now);
   }
 
   void completePendingReads() {
--- a/tests/auto/process/tst_store_control_state.cpp
+++ b/tests/auto/process/tst_store_control_state.cpp
@@ -1,3 +1,4 @@
+#include "event_capture.h"
 #include "store_fleet.h"
 
 #include <catch2/catch.hpp>
@@ -244,6 +245,22 @@
   CHECK(allHaveVersion(2));
 }
 
+TEST_CASE_METHOD(ten_daemons, "a daemon logs by which way a configuration came "
+                              "and since when it was announced") {
+  event_capture Events;
+  configure(2);
+  advance(1s);
+  auto Lines = Events.lines("configuration_in_force");
+  REQUIRE(Lines.size() == Daemons.size());
+  auto Copied =
+      std::ranges::count(Lines, "copy", [](const nlohmann::json &Line) {
+        return Line["source"].get<std::string>();
+      });
+  CHECK(static_cast<std::size_t>(Copied) == Lines.size() - readers().size());
+  for (const nlohmann::json &Line : Lines)
+    CHECK((Line["source"] == "store") == (Line["announced_ms"] == 0));
+}
+
 TEST_CASE_METHOD(ten_daemons,
                  "a draining daemon is no longer offered to callers") {
   store_control_actions Actions;
