Add tests that show configurations held up by silent peers

A real daemon beside three peers that announce versions. The copy has 0.9 s: two seconds for a configuration to be in force, less the 1.1 s that a waiting read takes on a silent connection.

--- /dev/null
+++ b/tests/auto/platform/tst_silent_peers.cpp
@@ -0,0 +1,87 @@
+#include "announcing_peer.h"
+#include "platform_fixture.h"
+
+#include <array>
+#include <chrono>
+#include <memory>
+#include <vector>
+
+using namespace endiverail;
+using namespace endiverail::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// What is left of the two seconds in which a confirmed configuration has to be
+/// in force when those that read the store wait on silent connections, too.
+constexpr milliseconds CopyBound = 900ms;
+
+std::string pathOf(std::uint64_t Version) {
+  return "/v" + std::to_string(Version) + "/";
+}
+
+/// A configuration whose only route tells its version.
+std::string configurationOf(std::uint64_t Version) {
+  char Digits[9];
+  std::snprintf(Digits, sizeof(Digits), "%08x", static_cast<unsigned>(Version));
+  std::string Text = OrdersConfiguration;
+  Text.replace(Text.find("00000007"), 8, Digits);
+  Text.replace(Text.find("/orders/"), 8, pathOf(Version));
+  return Text;
+}
+
+/// A daemon beside three peers that read the store for it.
+struct three_peers : platform_fixture {
+  three_peers() {
+    REQUIRE(eventually([&] { return isReady(First); }));
+  }
+
+  std::unique_ptr<announcing_peer> peer(const std::string &Id,
+                                        const std::string &DataCentre) const {
+    return std::make_unique<announcing_peer>(
+        Id, DataCentre, First + ":" + std::to_string(PeerPort),
+        settingsJson(First, "", "")["fleet_secret"]);
+  }
+
+  bool isInForce(std::uint64_t Version) const {
+    return order(First, pathOf(Version) + "x").starts_with("HTTP/1.1 200");
+  }
+
+  /// Time from the announcement by the given peers until the version is in
+  /// force.
+  milliseconds delayOf(std::uint64_t Version,
+                       const std::vector<announcing_peer *> &By) const {
+    steady_time Begin = steadyNow();
+    for (announcing_peer *Peer : By)
+      Peer->announce(Version, configurationOf(Version));
+    CHECK(eventually([&] { return isInForce(Version); }));
+    return std::chrono::duration_cast<milliseconds>(steadyNow() - Begin);
+  }
+
+  /// In the daemon's data centre, whose peers it prefers, and in another one.
+  std::unique_ptr<announcing_peer> Near = peer("a", "z");
+  std::unique_ptr<announcing_peer> AlsoNear = peer("b", "z");
+  std::unique_ptr<announcing_peer> Far = peer("c", "y");
+  std::unique_ptr<daemon> Daemon = start(First, Store->endpoint(), First);
+};
+
+} // namespace
+
+TEST_CASE_METHOD(three_peers,
+                 "connections to peers that have gone silent don't "
+                 "keep a configuration from coming into force") {
+  const std::array Peers{Near.get(), AlsoNear.get(), Far.get()};
+  std::uint64_t Version = 8;
+  for (announcing_peer *Peer : Peers)
+    delayOf(Version++, {Peer});
+  for (announcing_peer *Peer : Peers)
+    Peer->silenceConnections();
+  CHECK(delayOf(Version, {Peers.begin(), Peers.end()}) < CopyBound);
+}
+
+TEST_CASE_METHOD(three_peers, "peers that stand still don't keep a "
+                              "configuration from coming into force") {
+  Near->silenceAll();
+  AlsoNear->silenceAll();
+  CHECK(delayOf(8, {Near.get(), AlsoNear.get(), Far.get()}) < CopyBound);
+}
