Fetch copies of the configuration on connections of their own

Callers saw requests handled by an older version than the one that had been confirmed more than two seconds before, after open connections had gone silent. A daemon that does not read the store itself asks a peer for a copy of the announced version, and did so on the connection kept since an earlier copy. A silent one cost a second, and the next peer's may be silent, too.

A copy is now fetched on a new connection that is closed afterwards. Where it can't be had from peers, a daemon other than the readers reads the store on a new connection, as it already did for the servers: its kept one may not have been used since the start.

--- a/src/libs/connection/backend_connection.h
+++ b/src/libs/connection/backend_connection.h
@@ -18,6 +18,8 @@
   Fresh,
   /// A pooled connection may be reused.
   Reuse,
+  /// A new connection that is closed after the request.
+  Single,
 };
 
 /// A server may close a pooled connection at any time, after which it is not
--- a/src/libs/daemon/store_control_thread.h
+++ b/src/libs/daemon/store_control_thread.h
@@ -321,9 +321,11 @@
         Start.Call);
   }
 
+  /// A copy is rarely requested, and a kept connection may have been lost
+  /// without notice since the last time.
   void act(const fetch_copy &Fetch) {
     Calls.start(Fetch, Fetch.From, "GET", CopyPath, "",
-                connection_choice::Reuse, CallTimeout);
+                connection_choice::Single, CallTimeout);
   }
 
   void act(const abandon_store_calls &Abandon) {
--- a/src/libs/http/curl_exchange.cpp
+++ b/src/libs/http/curl_exchange.cpp
@@ -78,8 +78,10 @@
   curl_easy_setopt(Easy, CURLOPT_CONNECTTIMEOUT_MS, ConnectTimeoutMilliseconds);
   curl_easy_setopt(Easy, CURLOPT_TIMEOUT_MS,
                    std::max<long>(1, Request.Timeout.count()));
-  if (Request.Connection == connection_choice::Fresh)
+  if (Request.Connection != connection_choice::Reuse)
     curl_easy_setopt(Easy, CURLOPT_FRESH_CONNECT, 1L);
+  if (Request.Connection == connection_choice::Single)
+    curl_easy_setopt(Easy, CURLOPT_FORBID_REUSE, 1L);
   setMethod(Request);
   setHeaders(Request);
 }
--- a/src/libs/process/store_control_state.cpp
+++ b/src/libs/process/store_control_state.cpp
@@ -119,8 +119,13 @@
     Out.emplace_back(start_store_call{std::move(*Call), Consumer.connection()});
   };
   endTimedOutCalls(Now, Out);
-  if (Now >= configurationReadDue())
+  if (Now >= configurationReadDue()) {
+    // Other daemons than the readers may not have used their connection for
+    // long.
+    if (!isReader())
+      ConfigurationConsumer.useFreshConnection();
     StartIfDue(ConfigurationConsumer);
+  }
   if (auto Source = CopyRequester.nextPeer(completeVersion(), Now))
     Out.emplace_back(fetch_copy{std::move(*Source)});
   if (Now >= serversReadDue()) {
--- a/tests/auto/platform/announcing_peer.h
+++ b/tests/auto/platform/announcing_peer.h
@@ -73,8 +73,9 @@
   }
 
   void run(const std::stop_token &Stop) {
-    Members.addCandidates(std::span(&Daemon, 1));
     while (!Stop.stop_requested()) {
+      if (Members.members().size() == 1)
+        Members.addCandidates(std::span(&Daemon, 1));
       std::vector<outgoing_gossip> Gossip;
       while (auto Bytes = Socket.receive())
         Members.receive(
@@ -96,6 +97,7 @@
     Message.Gossip = std::move(Gossip.Message);
     Message.Digest.Configuration = copy().Version;
     Message.ReadsStore = true;
+    Message.Time.WallMilliseconds = wallNow().time_since_epoch().count();
     Socket.send(Gossip.To, Codec.encode(Message));
   }
 
--- a/tests/auto/platform/tst_silent_peers.cpp
+++ b/tests/auto/platform/tst_silent_peers.cpp
@@ -58,6 +58,7 @@
     return std::chrono::duration_cast<milliseconds>(steadyNow() - Begin);
   }
 
+  std::uint64_t Version = 8;
   /// In the daemon's data centre, whose peers it prefers, and in another one.
   std::unique_ptr<announcing_peer> Near = peer("a", "z");
   std::unique_ptr<announcing_peer> AlsoNear = peer("b", "z");
@@ -71,7 +72,6 @@
                  "connections to peers that have gone silent don't "
                  "keep a configuration from coming into force") {
   const std::array Peers{Near.get(), AlsoNear.get(), Far.get()};
-  std::uint64_t Version = 8;
   for (announcing_peer *Peer : Peers)
     delayOf(Version++, {Peer});
   for (announcing_peer *Peer : Peers)
@@ -81,7 +81,10 @@
 
 TEST_CASE_METHOD(three_peers, "peers that stand still don't keep a "
                               "configuration from coming into force") {
+  // Once all are known to the daemon.
+  for (announcing_peer *Peer : {Near.get(), AlsoNear.get(), Far.get()})
+    delayOf(Version++, {Peer});
   Near->silenceAll();
   AlsoNear->silenceAll();
-  CHECK(delayOf(8, {Near.get(), AlsoNear.get(), Far.get()}) < CopyBound);
+  CHECK(delayOf(Version, {Near.get(), AlsoNear.get(), Far.get()}) < CopyBound);
 }
--- a/tests/auto/process/tst_store_control_state.cpp
+++ b/tests/auto/process/tst_store_control_state.cpp
@@ -245,6 +245,19 @@
   CHECK(allHaveVersion(2));
 }
 
+TEST_CASE_METHOD(
+    ten_daemons,
+    "a silent connection to the store doesn't keep a configuration "
+    "from a daemon that gets no copies") {
+  PeersServeCopies = false;
+  for (std::size_t Index = 0; Index < Daemons.size(); ++Index)
+    setReusedConnectionSilent(Index, std::ranges::count(readers(), Index) == 0);
+  configure(2);
+  advance(copy_requester::RequestJitter +
+          copy_requester::MaxFailures * copy_requester::RetryDelay + 100ms);
+  CHECK(allHaveVersion(2));
+}
+
 TEST_CASE_METHOD(ten_daemons, "a daemon logs by which way a configuration came "
                               "and since when it was announced") {
   event_capture Events;
