Ask another peer beside one that is slow to send a copy

A peer that takes a request and does not answer, because it stands still or its link is gone, kept a daemon from a new configuration for a second, and the next one for another: three of them are longer than the two seconds that a configuration has to be in force. A peer that went on announcing was asked again and again instead of others.

Another peer is asked when one has not begun to answer within 150 ms, or has not ended within 500 ms; the first copy counts. After three such requests the store is read beside them, without waiting for their ends. A peer that has failed is asked again only in the next round.

--- a/src/libs/daemon/store_control_thread.h
+++ b/src/libs/daemon/store_control_thread.h
@@ -117,6 +117,8 @@
       State.onCallSent(*Topic, steadyNow());
   }
   template <typename Purpose> void onCallAnswering(const Purpose &For) {
+    if (const auto *Fetch = std::get_if<fetch_copy>(&For))
+      State.onCopyAnswering(Fetch->From);
     if (auto Topic = topicRead(For))
       State.onCallAnswering(*Topic, steadyNow());
   }
@@ -353,7 +355,7 @@
           BOOST_LEAF_AUTO(Copy, Codec.decodeCopy(Call.Answer));
           BOOST_LEAF_AUTO(Decoded,
                           Protocol::decodeConfiguration(Copy.Configuration));
-          State.onCopy(Copy, std::move(Decoded), Now, Actions);
+          State.onCopy(Fetch.From, Copy, std::move(Decoded), Now, Actions);
           return {};
         },
         [&](const failure &Failure) {
@@ -366,7 +368,7 @@
               .with("detail", Failure.Detail);
           Metrics.setGauge("copies_failed_total",
                            static_cast<double>(++CopiesFailed));
-          State.onCopyFailed(Now);
+          State.onCopyFailed(Fetch.From, Now);
         });
   }
 
--- a/src/libs/process/store_control_state.cpp
+++ b/src/libs/process/store_control_state.cpp
@@ -84,10 +84,12 @@
 
 /// Only the readers poll the configuration; the others copy it from peers.
 steady_time store_control_state::configurationReadDue() const {
-  if (!Configuration || CopyRequester.retriesExhausted(version()))
+  if (!Configuration)
     return steady_time{};
   steady_time Begin = Started + SettlingTime;
-  return isReader() ? Begin : std::max(Begin, readersTimeOutAt());
+  steady_time Due = isReader() ? Begin : std::max(Begin, readersTimeOutAt());
+  auto Exhausted = CopyRequester.exhaustedFrom(version());
+  return Exhausted ? std::min(*Exhausted, Due) : Due;
 }
 
 steady_time store_control_state::settlingEnd() const {
@@ -119,6 +121,11 @@
     Out.emplace_back(start_store_call{std::move(*Call), Consumer.connection()});
   };
   endTimedOutCalls(Now, Out);
+  if (auto Source = CopyRequester.nextPeer(completeVersion(), Now))
+    Out.emplace_back(fetch_copy{std::move(*Source)});
+  if (CopyRequester.takeExhausted(version(), Now) &&
+      !ConfigurationConsumer.callPending())
+    ConfigurationConsumer.restart(Now);
   if (Now >= configurationReadDue()) {
     // Other daemons than the readers may not have used their connection for
     // long.
@@ -126,8 +133,6 @@
       ConfigurationConsumer.useFreshConnection();
     StartIfDue(ConfigurationConsumer);
   }
-  if (auto Source = CopyRequester.nextPeer(completeVersion(), Now))
-    Out.emplace_back(fetch_copy{std::move(*Source)});
   if (Now >= serversReadDue()) {
     if (ServersConsumer.hasListing() &&
         Now > ServersConsumer.lastResponse() + MaxReadGap &&
@@ -237,13 +242,17 @@
                     Directory.allStatements(Now)};
 }
 
-void store_control_state::onCopy(const fleet_copy &Copy,
+void store_control_state::onCopyAnswering(std::string_view Peer) {
+  CopyRequester.onResponseStarted(Peer);
+}
+
+void store_control_state::onCopy(std::string_view Peer, const fleet_copy &Copy,
                                  published_configuration Decoded,
                                  steady_time Now, store_control_actions &Out) {
   if (Decoded.Version > completeVersion())
-    CopyRequester.onCopy();
+    CopyRequester.onCopy(Peer);
   else
-    CopyRequester.onFailure(Now);
+    CopyRequester.onFailure(Peer, Now);
   event_line("copy_taken")
       .with("version", Copy.Version)
       .with("before", version())
@@ -261,10 +270,8 @@
   tick(Now, Out);
 }
 
-void store_control_state::onCopyFailed(steady_time Now) {
-  CopyRequester.onFailure(Now);
-  if (CopyRequester.retriesExhausted(version()))
-    ConfigurationConsumer.restart(Now);
+void store_control_state::onCopyFailed(std::string_view Peer, steady_time Now) {
+  CopyRequester.onFailure(Peer, Now);
 }
 
 void store_control_state::onServer(std::string_view Id,
--- a/src/libs/process/store_control_state.h
+++ b/src/libs/process/store_control_state.h
@@ -111,10 +111,13 @@
 
   /// The copy for a peer that requests one; empty until this daemon is ready.
   std::optional<fleet_copy> copyForPeer(steady_time Now) const;
+  /// The header of a peer's successful response was received.
+  void onCopyAnswering(std::string_view Peer);
   /// A requested copy was received from a peer.
-  void onCopy(const fleet_copy &Copy, published_configuration Decoded,
-              steady_time Now, store_control_actions &Out);
-  void onCopyFailed(steady_time Now);
+  void onCopy(std::string_view Peer, const fleet_copy &Copy,
+              published_configuration Decoded, steady_time Now,
+              store_control_actions &Out);
+  void onCopyFailed(std::string_view Peer, steady_time Now);
 
   void onDatagram(const peer_message &Message, steady_time Now,
                   store_control_actions &Out);
--- a/tests/auto/process/store_fleet.h
+++ b/tests/auto/process/store_fleet.h
@@ -397,9 +397,9 @@
         Copy = Daemons[Giver].State.copyForPeer(Now);
     store_control_state &State = Daemons[Index].State;
     if (!Copy)
-      return State.onCopyFailed(Now);
+      return State.onCopyFailed(From, Now);
     store_control_actions Actions;
-    State.onCopy(*Copy, published(Copy->Version), Now, Actions);
+    State.onCopy(From, *Copy, published(Copy->Version), Now, Actions);
     perform(Index, Actions);
   }
 
--- a/tests/auto/process/tst_store_control_state.cpp
+++ b/tests/auto/process/tst_store_control_state.cpp
@@ -137,7 +137,8 @@
          ++Position)
       if (std::holds_alternative<fetch_copy>(Actions[Position])) {
         ++Requests;
-        State.onCopy({1, "old", {}}, published(1), Now, Actions);
+        auto Fetch = std::get<fetch_copy>(Actions[Position]);
+        State.onCopy(Fetch.From, {1, "old", {}}, published(1), Now, Actions);
       }
     Now += 10ms;
   }
