Read everything again when the store returns from an older copy

The users' new rule: in a drill the store comes back from a copy some seconds old, gives out offsets again, and tells so by a count in all its answers. The daemons read on from offsets of before: a version written at an offset that had been read was never seen. Callers on the route that it added got 404.

The count is decoded in platform/ and judged by the control state before an answer is used. With a greater one, all consumers begin with a listing, pending reads are abandoned and the daemon registers again, as its own record may be lost; an answer with a smaller one is made again. A version in force stays. A server that the copy lacks has the time to register that follows an outage; one that had been removed is not restored by the copy.

--- a/src/libs/daemon/outgoing_calls.h
+++ b/src/libs/daemon/outgoing_calls.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace endiverail {
 
@@ -17,6 +18,7 @@
   Purpose For;
   /// 0 when there was no whole answer.
   int Status = 0;
+  std::vector<header_field> Headers;
   std::string Answer;
   /// Without an answer: nothing was done at the other side.
   bool ProvenNotRun = false;
@@ -82,6 +84,7 @@
                                    const backend_response_head &Head) {
     ended_call<Purpose> &Ended = Calls.at(Id).Ended;
     Ended.Status = Head.Status;
+    Ended.Headers = Head.Headers;
     if constexpr (HearsProgress)
       if (Ended.succeeded())
         To.onCallAnswering(Ended.For);
--- a/src/libs/daemon/store_control_thread.h
+++ b/src/libs/daemon/store_control_thread.h
@@ -341,9 +341,18 @@
 
   // What the store has answered.
 
+  /// Whether an answer is from the history of the store that is followed.
+  bool isCurrent(std::optional<store_topic> Topic, const finished_call &Call,
+                 store_control_actions &Actions) {
+    auto History = Protocol::historyOf(Call.Headers);
+    return !History ||
+           State.acceptHistory(Topic, *History, steadyNow(), Actions);
+  }
+
   void finish(const put_record &, const finished_call &Call,
-              store_control_actions &) {
-    State.onPut(Call.succeeded(), steadyNow());
+              store_control_actions &Actions) {
+    bool Current = isCurrent(std::nullopt, Call, Actions);
+    State.onPut(Current && Call.succeeded(), steadyNow());
   }
 
   void finish(const fetch_copy &Fetch, const finished_call &Call,
@@ -382,11 +391,14 @@
 
   void finish(const list_newest &List, const finished_call &Call,
               store_control_actions &Actions) {
-    finishRead(List.Topic, Call, Protocol::decodeNewest, Actions);
+    if (isCurrent(List.Topic, Call, Actions))
+      finishRead(List.Topic, Call, Protocol::decodeNewest, Actions);
   }
 
   void finish(const read_records &Read, const finished_call &Call,
               store_control_actions &Actions) {
+    if (!isCurrent(Read.Topic, Call, Actions))
+      return;
     if (Protocol::meansRecordsDeleted(Call.Status))
       return State.onRecordsDeleted(Read.Topic, steadyNow());
     finishRead(Read.Topic, Call, Protocol::decodeRecords, Actions);
--- a/src/libs/process/keyed_store.h
+++ b/src/libs/process/keyed_store.h
@@ -2,14 +2,17 @@
 
 #include "base/error_kind.h"
 #include "base/time.h"
+#include "request/caller_request.h"
 #include "version/configuration.h"
 #include "version/fleet_view.h"
 #include "version/request_limits.h"
 #include "version/route_table.h"
 
+#include <array>
 #include <concepts>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -26,6 +29,10 @@
   Members,
 };
 
+inline constexpr std::array StoreTopics{store_topic::Configuration,
+                                        store_topic::BackendServers,
+                                        store_topic::Members};
+
 constexpr std::string_view topicName(store_topic Topic) {
   switch (Topic) {
   case store_topic::Configuration:
@@ -106,6 +113,12 @@
   { Protocol.encode(Call) } -> std::same_as<encoded_call>;
   { Protocol.decodeNewest(Body) } -> std::same_as<result<keyed_page>>;
   { Protocol.decodeRecords(Body) } -> std::same_as<result<keyed_page>>;
+  /// Which history of the store an answer is from, if it says so. The number
+  /// increases when the store loses its newest records and assigns their
+  /// offsets again.
+  {
+    Protocol.historyOf(std::span<const header_field>())
+    } -> std::same_as<std::optional<std::uint64_t>>;
   /// Whether a status means that the requested records were deleted.
   { Protocol.meansRecordsDeleted(int{}) } -> std::same_as<bool>;
   /// The key of the configuration within its topic.
--- a/src/libs/process/server_directory.cpp
+++ b/src/libs/process/server_directory.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <functional>
 #include <numeric>
+#include <ranges>
 #include <tuple>
 
 namespace endiverail {
@@ -50,7 +51,7 @@
       return false;
     // A repeated registration doesn't restore a removed server.
     if (!Known.Present && recordOrder(Entry) == recordOrder(Known.Entry) &&
-        !InGracePeriod)
+        (!InGracePeriod || Known.RemovedBeforeReturn))
       return false;
   }
   bool New = !Known.Present ||
@@ -66,7 +67,7 @@
   ExpiredCount -= Known.Expired ? 1 : 0;
   std::uint64_t &Bucket = Buckets[bucketOf(Id)];
   Bucket ^= digestOf(Id, Known);
-  Known = {std::move(Entry), Present, false};
+  Known = {std::move(Entry), Present};
   Bucket ^= digestOf(Id, Known);
 }
 
@@ -185,6 +186,12 @@
   ListedIds.reset();
 }
 
+void server_directory::onStoreReturned(steady_time Now) {
+  beginGracePeriod(std::max(Now, GracePeriodEnd - GracePeriod));
+  for (known_server &Known : Servers | std::views::values)
+    Known.RemovedBeforeReturn = !Known.Present;
+}
+
 bool server_directory::removeExpired(steady_time Now) {
   if (inGracePeriod(Now) || ExpiredCount == 0)
     return false;
--- a/src/libs/process/server_directory.h
+++ b/src/libs/process/server_directory.h
@@ -89,6 +89,10 @@
     GracePeriodEnd = RecoveredAt + GracePeriod;
   }
 
+  /// The store has returned from an older copy. It may lack registrations for
+  /// as long as after an outage, and may hold some that have been removed.
+  void onStoreReturned(steady_time Now);
+
   /// Removes expired entries after the grace period. Returns whether any server
   /// was removed.
   bool removeExpired(steady_time Now);
@@ -111,6 +115,9 @@
     /// The registration expired during an outage of the store, or shortly
     /// afterwards. The server is removed at the end of the grace period.
     bool Expired = false;
+    /// The server was removed in an earlier history of the store, so that only
+    /// a newer registration restores it.
+    bool RemovedBeforeReturn = false;
   };
 
   bool inGracePeriod(steady_time Now) const;
--- a/src/libs/process/store_control_state.cpp
+++ b/src/libs/process/store_control_state.cpp
@@ -376,6 +376,35 @@
   updateStoreAvailability(false, Now, Out);
 }
 
+bool store_control_state::acceptHistory(std::optional<store_topic> Topic,
+                                        std::uint64_t History, steady_time Now,
+                                        store_control_actions &Out) {
+  std::uint64_t Known = StoreHistory.value_or(History);
+  StoreHistory = std::max(Known, History);
+  if (History == Known)
+    return true;
+  if (Topic)
+    consumer(*Topic).discardAnswer(Now);
+  if (History < Known)
+    return false;
+  event_line("store_returned", event_level::Warning)
+      .with("history", History)
+      .with("before", Known)
+      .with("version", version());
+  Directory.onStoreReturned(Now);
+  for (store_topic Each : StoreTopics) {
+    if (consumer(Each).callPending())
+      Out.emplace_back(abandon_store_calls{Each});
+    consumer(Each).discardAnswer(Now);
+    consumer(Each).restart(Now);
+  }
+  // The registration may be among what the store has lost.
+  Registered = false;
+  PutDue = Now;
+  tick(Now, Out);
+  return false;
+}
+
 void store_control_state::onCallSent(store_topic Topic, steady_time Now) {
   consumer(Topic).onSent(Now);
 }
@@ -386,8 +415,7 @@
 
 void store_control_state::endTimedOutCalls(steady_time Now,
                                            store_control_actions &Out) {
-  for (store_topic Topic : {store_topic::Configuration,
-                            store_topic::BackendServers, store_topic::Members})
+  for (store_topic Topic : StoreTopics)
     switch (consumer(Topic).takeTimeout(Now)) {
     case call_timeout::None:
       break;
--- a/src/libs/process/store_control_state.h
+++ b/src/libs/process/store_control_state.h
@@ -103,6 +103,12 @@
   void onRecordsDeleted(store_topic Topic, steady_time Now);
   void onCallFailed(store_topic Topic, steady_time Now,
                     store_control_actions &Out);
+  /// An answer to a read of \p Topic, or to a write, is from the given history
+  /// of the store. Returns whether the answer may be used: one from an earlier
+  /// history may not, and with the first one from a later history, everything
+  /// is read again.
+  bool acceptHistory(std::optional<store_topic> Topic, std::uint64_t History,
+                     steady_time Now, store_control_actions &Out);
   /// A read of a topic was sent; the header of a successful response was
   /// received.
   void onCallSent(store_topic Topic, steady_time Now);
@@ -280,6 +286,7 @@
   std::mt19937_64 Random;
   bool ServersKnown = false;
   bool StoreUnavailable = false;
+  std::optional<std::uint64_t> StoreHistory;
   bool Draining = false;
   std::optional<shutdown_schedule> End;
   bool Registered = false;
--- a/tests/auto/platform/tst_store_protocol.cpp
+++ b/tests/auto/platform/tst_store_protocol.cpp
@@ -146,3 +146,19 @@
     CHECK(Page.Records[2].Key == "c");
   }
 }
+
+TEST_CASE("the store's history is read from an answer's header") {
+  struct row {
+    std::vector<header_field> Fields;
+    std::optional<std::uint64_t> History;
+  };
+  const row Rows[]{
+      {{{"Content-Length", "3"}, {"store-era", "7"}}, 7},
+      {{{"Store-Era", "0"}}, 0},
+      {{{"Content-Length", "3"}}, std::nullopt},
+      {{{"Store-Era", "new"}}, std::nullopt},
+      {{{"Store-Era", "-1"}}, std::nullopt},
+  };
+  for (const row &Row : Rows)
+    CHECK(log_store_protocol::historyOf(Row.Fields) == Row.History);
+}
--- a/tests/auto/process/tst_server_directory.cpp
+++ b/tests/auto/process/tst_server_directory.cpp
@@ -210,3 +210,28 @@
   CHECK(Other.servers() == Directory.servers());
   CHECK(Directory.differingStatements(Other.digestBuckets(), Now).empty());
 }
+
+TEST_CASE_METHOD(directory_fixture,
+                 "a removed server that an older copy of the "
+                 "store still holds is not used") {
+  Directory.apply("i", entry("a:1", 7), Now);
+  Directory.remove("i", Now);
+  Directory.onStoreReturned(Now);
+  Directory.apply("i", entry("a:1", 7), Now);
+  CHECK(count() == 0);
+  Directory.apply("i", entry("a:1", 8), Now);
+  CHECK(count() == 1);
+}
+
+TEST_CASE_METHOD(directory_fixture,
+                 "a server that an older copy of the store lacks is used until "
+                 "it has had time to register again") {
+  Directory.apply("i", entry("a:1", 7), Now);
+  Directory.onStoreReturned(Now);
+  Directory.beginListing();
+  Directory.endListing(Now);
+  CHECK(count() == 1);
+  Now += server_directory::GracePeriod;
+  CHECK(Directory.removeExpired(Now));
+  CHECK(count() == 0);
+}
--- a/tests/auto/process/tst_store_control_state.cpp
+++ b/tests/auto/process/tst_store_control_state.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
 #include <string>
 
 using namespace endiverail;
@@ -293,3 +294,43 @@
   advance(5s);
   CHECK(Daemons[0].Version->View.Proxies.size() == 9);
 }
+
+TEST_CASE_METHOD(ten_daemons,
+                 "with the first answer from a later history of the "
+                 "store, everything is read again") {
+  std::size_t Reader = readers().front();
+  store_control_state &State = Daemons[Reader].State;
+  store_control_actions Actions;
+  CHECK(State.acceptHistory(store_topic::Configuration, 4, Now, Actions));
+  CHECK(Actions.empty());
+  CHECK_FALSE(State.acceptHistory(store_topic::Configuration, 5, Now, Actions));
+  std::set<store_topic> Listed;
+  std::size_t Puts = 0;
+  for (const store_control_action &Action : Actions)
+    if (const auto *Start = std::get_if<start_store_call>(&Action)) {
+      if (const auto *List = std::get_if<list_newest>(&Start->Call))
+        Listed.insert(List->Topic);
+      Puts += std::holds_alternative<put_record>(Start->Call) ? 1 : 0;
+    }
+  CHECK(Listed.contains(store_topic::Configuration));
+  CHECK(Listed.contains(store_topic::BackendServers));
+  CHECK(Puts == 1);
+}
+
+TEST_CASE_METHOD(ten_daemons, "an answer from an earlier history of the store "
+                              "is not used, and its read is made again") {
+  std::size_t Reader = readers().front();
+  store_control_state &State = Daemons[Reader].State;
+  store_control_actions Actions;
+  for (std::uint64_t History : {4, 5})
+    State.acceptHistory(store_topic::Configuration, History, Now, Actions);
+  Actions.clear();
+  CHECK_FALSE(State.acceptHistory(store_topic::Configuration, 4, Now, Actions));
+  State.tick(Now, Actions);
+  auto Reads = std::ranges::count_if(Actions, [](const auto &Action) {
+    const auto *Start = std::get_if<start_store_call>(&Action);
+    const auto *List = Start ? std::get_if<list_newest>(&Start->Call) : nullptr;
+    return List && List->Topic == store_topic::Configuration;
+  });
+  CHECK(Reads == 1);
+}
