--- a/tests/auto/platform/platform_fixture.h
+++ b/tests/auto/platform/platform_fixture.h
@@ -7,7 +7,9 @@
 #include "test_ports.h"
 
 #include <catch2/catch.hpp>
+#include <spdlog/fmt/fmt.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -35,6 +37,18 @@
      "action":{"service":"orders","timeout-s":4,"attempts":2}}]}],
   "clusters":[{"name":"orders"}]})";
 
+inline std::string pathOfVersion(std::uint64_t Version) {
+  return "/v" + std::to_string(Version) + "/";
+}
+
+/// The same configuration with another version, whose only route tells it.
+inline std::string configurationOfVersion(std::uint64_t Version) {
+  std::string Text = OrdersConfiguration;
+  Text.replace(Text.find("00000007"), 8, fmt::format("{:08x}", Version));
+  Text.replace(Text.find("/orders/"), 8, pathOfVersion(Version));
+  return Text;
+}
+
 /// A request as a target reads it.
 struct target_request {
   std::string Head;
@@ -211,6 +225,12 @@
     return Started;
   }
 
+  /// Whether a version of configurationOfVersion() is in force at a daemon.
+  bool isInForce(const std::string &Host, std::uint64_t Version) const {
+    return order(Host, pathOfVersion(Version) + "x")
+        .starts_with("HTTP/1.1 200");
+  }
+
   bool isReady(const std::string &Host) const {
     return call(Host, ReadyPort, "GET /-/readiness HTTP/1.1")
         .starts_with("HTTP/1.1 200");
--- a/tests/auto/platform/tst_silent_peers.cpp
+++ b/tests/auto/platform/tst_silent_peers.cpp
@@ -16,20 +16,6 @@
 /// in force when those that read the store wait on silent connections, too.
 constexpr milliseconds CopyBound = 900ms;
 
-std::string pathOf(std::uint64_t Version) {
-  return "/v" + std::to_string(Version) + "/";
-}
-
-/// A configuration whose only route tells its version.
-std::string configurationOf(std::uint64_t Version) {
-  char Digits[9];
-  std::snprintf(Digits, sizeof(Digits), "%08x", static_cast<unsigned>(Version));
-  std::string Text = OrdersConfiguration;
-  Text.replace(Text.find("00000007"), 8, Digits);
-  Text.replace(Text.find("/orders/"), 8, pathOf(Version));
-  return Text;
-}
-
 /// A daemon beside three peers that read the store for it.
 struct three_peers : platform_fixture {
   three_peers() {
@@ -43,18 +29,14 @@
         settingsJson(First, "", "")["fleet_secret"]);
   }
 
-  bool isInForce(std::uint64_t Version) const {
-    return order(First, pathOf(Version) + "x").starts_with("HTTP/1.1 200");
-  }
-
   /// Time from the announcement by the given peers until the version is in
   /// force.
   milliseconds delayOf(std::uint64_t Version,
                        const std::vector<announcing_peer *> &By) const {
     steady_time Begin = steadyNow();
     for (announcing_peer *Peer : By)
-      Peer->announce(Version, configurationOf(Version));
-    CHECK(eventually([&] { return isInForce(Version); }));
+      Peer->announce(Version, configurationOfVersion(Version));
+    CHECK(eventually([&] { return isInForce(First, Version); }));
     return std::chrono::duration_cast<milliseconds>(steadyNow() - Begin);
   }
 
