Check which reads are abandoned when the store returns from an older copy

The case looked at what is read again, not at what still waits: without the abandonment, a read that waits for a record of the old offsets stays beside the new listing, and no test saw it.

--- a/tests/auto/process/tst_store_control_state.cpp
+++ b/tests/auto/process/tst_store_control_state.cpp
@@ -298,20 +298,28 @@
 TEST_CASE_METHOD(ten_daemons,
                  "with the first answer from a later history of the "
                  "store, everything is read again") {
+  auto Answered = GENERATE(store_topic::Configuration,
+                           store_topic::BackendServers, store_topic::Members);
   std::size_t Reader = readers().front();
   store_control_state &State = Daemons[Reader].State;
   store_control_actions Actions;
-  CHECK(State.acceptHistory(store_topic::Configuration, 4, Now, Actions));
+  CHECK(State.acceptHistory(Answered, 4, Now, Actions));
   CHECK(Actions.empty());
-  CHECK_FALSE(State.acceptHistory(store_topic::Configuration, 5, Now, Actions));
+  CHECK_FALSE(State.acceptHistory(Answered, 5, Now, Actions));
+  std::set<store_topic> Abandoned;
   std::set<store_topic> Listed;
   std::size_t Puts = 0;
-  for (const store_control_action &Action : Actions)
+  for (const store_control_action &Action : Actions) {
+    if (const auto *Abandon = std::get_if<abandon_store_calls>(&Action))
+      Abandoned.insert(Abandon->Topic);
     if (const auto *Start = std::get_if<start_store_call>(&Action)) {
       if (const auto *List = std::get_if<list_newest>(&Start->Call))
         Listed.insert(List->Topic);
       Puts += std::holds_alternative<put_record>(Start->Call) ? 1 : 0;
     }
+  }
+  // The read that waits for a record of the configuration.
+  CHECK(Abandoned.contains(store_topic::Configuration));
   CHECK(Listed.contains(store_topic::Configuration));
   CHECK(Listed.contains(store_topic::BackendServers));
   CHECK(Puts == 1);
