Add a test of the registrations that an older copy of the store lacks

Cause: a daemon learns of the store's return from the store's own answers, and only those that read it for all get any. The others' registrations stay lost. Callers see nothing as long as the daemons know each other; a daemon that starts then finds only the readers by the listing, and the rest by gossip.

--- a/tests/auto/process/store_fleet.h
+++ b/tests/auto/process/store_fleet.h
@@ -120,6 +120,20 @@
     ServerLog.emplace_back(std::move(Id), Entry);
   }
 
+  /// The store returns from a copy without the daemons' registrations.
+  void returnFromOlderCopy() {
+    ++StoreHistory;
+    MemberLog.clear();
+  }
+
+  /// Number of daemons whose registrations the store holds.
+  std::size_t registeredDaemons() const {
+    std::set<std::string> Ids;
+    for (const auto &[Id, Peer] : MemberLog)
+      Ids.insert(Id);
+    return Ids.size();
+  }
+
   /// The store removes a server's entry.
   void remove(std::string Id) {
     ServerLog.emplace_back(std::move(Id), std::nullopt);
@@ -350,6 +364,15 @@
       Daemons[Index].State.onCallSent(*Topic, Now);
   }
 
+  /// Whether a daemon uses the answer to a read of \p Topic.
+  bool acceptsAnswer(std::size_t Index, store_topic Topic) {
+    store_control_actions Actions;
+    bool Accepted =
+        Daemons[Index].State.acceptHistory(Topic, StoreHistory, Now, Actions);
+    perform(Index, Actions);
+    return Accepted;
+  }
+
   void reportAnswering(std::size_t Index, store_topic Topic) {
     if (Daemons[Index].StoreReachable)
       Daemons[Index].State.onCallAnswering(Topic, Now);
@@ -441,6 +464,8 @@
     reportAnswering(Index, Topic);
     if (!Daemons[Index].StoreReachable)
       return State.onCallFailed(Topic, Now, Actions);
+    if (!acceptsAnswer(Index, Topic))
+      return;
     keyed_page Page;
     if (Topic == store_topic::Configuration) {
       deliverConfiguration(State);
@@ -461,6 +486,8 @@
     daemon &Daemon = Daemons[Index];
     if (!Daemon.StoreReachable)
       return Daemon.State.onCallFailed(Read.Topic, Now, Actions);
+    if (!acceptsAnswer(Index, Read.Topic))
+      return;
     std::uint64_t End = Read.Topic == store_topic::Configuration
                             ? ConfigurationEnd
                             : ServerLog.size();
@@ -522,6 +549,7 @@
   steady_time Now{1h};
   std::vector<daemon> Daemons;
   std::map<endpoint_text, std::size_t> Indices;
+  std::uint64_t StoreHistory = 1;
   std::uint64_t ConfigurationVersion = 0;
   std::uint64_t ConfigurationEnd = 0;
   /// Long-polling reads of the configuration have to be completed.
--- a/tests/auto/process/tst_store_control_state.cpp
+++ b/tests/auto/process/tst_store_control_state.cpp
@@ -303,9 +303,9 @@
   std::size_t Reader = readers().front();
   store_control_state &State = Daemons[Reader].State;
   store_control_actions Actions;
-  CHECK(State.acceptHistory(Answered, 4, Now, Actions));
+  CHECK(State.acceptHistory(Answered, StoreHistory, Now, Actions));
   CHECK(Actions.empty());
-  CHECK_FALSE(State.acceptHistory(Answered, 5, Now, Actions));
+  CHECK_FALSE(State.acceptHistory(Answered, StoreHistory + 1, Now, Actions));
   std::set<store_topic> Abandoned;
   std::set<store_topic> Listed;
   std::size_t Puts = 0;
@@ -331,10 +331,11 @@
   std::size_t Reader = readers().front();
   store_control_state &State = Daemons[Reader].State;
   store_control_actions Actions;
-  for (std::uint64_t History : {4, 5})
-    State.acceptHistory(store_topic::Configuration, History, Now, Actions);
+  State.acceptHistory(store_topic::Configuration, StoreHistory + 1, Now,
+                      Actions);
   State.onCallAnswering(store_topic::Configuration, Now);
-  CHECK_FALSE(State.acceptHistory(store_topic::Configuration, 4, Now, Actions));
+  CHECK_FALSE(State.acceptHistory(store_topic::Configuration, StoreHistory, Now,
+                                  Actions));
   auto ReadsUntil = [&](steady_time At) {
     Actions.clear();
     State.tick(At, Actions);
