Refuse answers whose status HTTP does not define

A backend server's answer with status 600 to 999 went on to the caller, signed and whole; 000 to 099, other lengths and words were 502 already. Status codes end at 599 (RFC 9110, section 15), so such an answer is malformed now: 502, or another attempt where the request may be repeated.

--- a/src/libs/http/curl_exchange.cpp
+++ b/src/libs/http/curl_exchange.cpp
@@ -145,8 +145,12 @@
 
 result<bool> curl_exchange::readStatusLine(std::string_view Line) {
   constexpr int SwitchingProtocols = 101;
+  // Status codes that RFC 9110 allows, section 15.
+  constexpr int FirstStatus = 100;
+  constexpr int LastStatus = 599;
   auto Status = statusOf(Line);
-  if (!Status || *Status < 100 || *Status == SwitchingProtocols)
+  if (!Status || *Status < FirstStatus || *Status > LastStatus ||
+      *Status == SwitchingProtocols)
     return fail(error_kind::BackendMalformed, "malformed status line");
   Head.Status = *Status;
   return false;
