--- a/src/libs/daemon/store_control_thread.h
+++ b/src/libs/daemon/store_control_thread.h
@@ -195,6 +195,10 @@
                      static_cast<double>(Ended.OldestDatagram.count()));
     for (const auto &[Source, Count] : State.serverChangeCounts())
       Metrics.setServerChanges(Source, Count);
+    Metrics.setGauge("organisations_counted",
+                     static_cast<double>(State.quotaLedger().size()));
+    Metrics.setGauge("organisations_restricted",
+                     static_cast<double>(State.quotaLedger().restricted()));
     Metrics.setPeerTraffic(PeerTraffic);
     PeerTraffic.log(Now);
   }
--- a/src/libs/daemon/store_daemon.h
+++ b/src/libs/daemon/store_daemon.h
@@ -393,6 +393,7 @@
     Traffics.Seed = randomSeed();
     Traffics.DataCentre = Settings.DataCentre;
     Traffics.Retries = Settings.Retries;
+    Traffics.Quotas = Settings.Quotas;
     Traffics.MaxBufferedBytes = Settings.MostBufferedBytes;
     Traffics.Versions = &Versions;
     Traffics.ServersUsableUntil = &ServersUsableUntil;
@@ -411,6 +412,7 @@
     Controls.Self = Self;
     Controls.Seeds = Settings.Seeds;
     Controls.RegistrationInterval = Settings.RegistrationInterval;
+    Controls.Quotas = Settings.Quotas;
     Controls.Seed = randomSeed();
     Control = std::make_unique<control>(
         std::move(Poller), std::move(Event), std::move(Socket), Settings.Store,
--- a/src/libs/files/store_daemon_settings.cpp
+++ b/src/libs/files/store_daemon_settings.cpp
@@ -15,6 +15,13 @@
           Budget.requiredReal("extra", 0, 1e6)};
 }
 
+quota_settings readQuotas(checked_object &Quotas) {
+  std::chrono::duration<double> Window(Quotas.requiredReal("window_s", 1, 600));
+  return {std::chrono::duration_cast<milliseconds>(Window),
+          Quotas.requiredReal("overage", 0, 10),
+          Quotas.requiredReal("slack", 0, 1e6)};
+}
+
 /// Requests a second that a host carries with that share of a processor core
 /// and that link. What a request takes is measured on the users' calm days.
 std::uint32_t readCapacity(checked_object &Host) {
@@ -57,6 +64,10 @@
   File.object("retries", [&](checked_object &Budget) {
     Settings.Retries = readRetries(Budget);
   });
+  if (File.has("quotas"))
+    File.object("quotas", [&](checked_object &Quotas) {
+      Settings.Quotas = readQuotas(Quotas);
+    });
   File.object("host", [&](checked_object &Host) {
     Settings.Capacity = readCapacity(Host);
   });
--- a/src/libs/files/store_daemon_settings.h
+++ b/src/libs/files/store_daemon_settings.h
@@ -3,6 +3,7 @@
 #include "base/error_kind.h"
 #include "base/time.h"
 #include "process/retry_budget.h"
+#include "quota/quota_messages.h"
 #include "version/fleet_view.h"
 
 #include <cstdint>
@@ -40,6 +41,8 @@
   std::size_t MostBufferedBytes = 0;
   /// What the operator allows the fleet to retry.
   retry_allowance Retries;
+  /// How closely the quotas of organisations have to be kept.
+  quota_settings Quotas;
   /// Requests a second that this host can carry; 0 where that is not known.
   std::uint32_t Capacity = 0;
   milliseconds AddressLifetime{0};
--- a/src/libs/peer/gen/peer_types.cpp
+++ b/src/libs/peer/gen/peer_types.cpp
@@ -237,42 +237,17 @@
   capacity = other0.capacity;
   __isset = other0.__isset;
 }
-Member::Member(Member&& other1) noexcept {
-  id = std::move(other1.id);
-  dataCentre = std::move(other1.dataCentre);
-  address = std::move(other1.address);
+Member& Member::operator=(const Member& other1) {
+  id = other1.id;
+  dataCentre = other1.dataCentre;
+  address = other1.address;
   incarnation = other1.incarnation;
   offered = other1.offered;
   refutation = other1.refutation;
   state = other1.state;
-  callerAddress = std::move(other1.callerAddress);
+  callerAddress = other1.callerAddress;
   capacity = other1.capacity;
   __isset = other1.__isset;
-}
-Member& Member::operator=(const Member& other2) {
-  id = other2.id;
-  dataCentre = other2.dataCentre;
-  address = other2.address;
-  incarnation = other2.incarnation;
-  offered = other2.offered;
-  refutation = other2.refutation;
-  state = other2.state;
-  callerAddress = other2.callerAddress;
-  capacity = other2.capacity;
-  __isset = other2.__isset;
-  return *this;
-}
-Member& Member::operator=(Member&& other3) noexcept {
-  id = std::move(other3.id);
-  dataCentre = std::move(other3.dataCentre);
-  address = std::move(other3.address);
-  incarnation = other3.incarnation;
-  offered = other3.offered;
-  refutation = other3.refutation;
-  state = other3.state;
-  callerAddress = std::move(other3.callerAddress);
-  capacity = other3.capacity;
-  __isset = other3.__isset;
   return *this;
 }
 void Member::printTo(std::ostream& out) const {
@@ -383,26 +358,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ServiceVersion::ServiceVersion(const ServiceVersion& other4) {
-  serviceName = other4.serviceName;
-  version = other4.version;
-  __isset = other4.__isset;
-}
-ServiceVersion::ServiceVersion(ServiceVersion&& other5) noexcept {
-  serviceName = std::move(other5.serviceName);
-  version = other5.version;
-  __isset = other5.__isset;
-}
-ServiceVersion& ServiceVersion::operator=(const ServiceVersion& other6) {
-  serviceName = other6.serviceName;
-  version = other6.version;
-  __isset = other6.__isset;
-  return *this;
+ServiceVersion::ServiceVersion(const ServiceVersion& other2) {
+  serviceName = other2.serviceName;
+  version = other2.version;
+  __isset = other2.__isset;
 }
-ServiceVersion& ServiceVersion::operator=(ServiceVersion&& other7) noexcept {
-  serviceName = std::move(other7.serviceName);
-  version = other7.version;
-  __isset = other7.__isset;
+ServiceVersion& ServiceVersion::operator=(const ServiceVersion& other3) {
+  serviceName = other3.serviceName;
+  version = other3.version;
+  __isset = other3.__isset;
   return *this;
 }
 void ServiceVersion::printTo(std::ostream& out) const {
@@ -523,30 +487,17 @@
   swap(a.__isset, b.__isset);
 }
 
-Death::Death(const Death& other8) {
-  serviceName = other8.serviceName;
-  fingerprint = other8.fingerprint;
-  server = other8.server;
-  __isset = other8.__isset;
-}
-Death::Death(Death&& other9) noexcept {
-  serviceName = std::move(other9.serviceName);
-  fingerprint = other9.fingerprint;
-  server = std::move(other9.server);
-  __isset = other9.__isset;
-}
-Death& Death::operator=(const Death& other10) {
-  serviceName = other10.serviceName;
-  fingerprint = other10.fingerprint;
-  server = other10.server;
-  __isset = other10.__isset;
-  return *this;
+Death::Death(const Death& other4) {
+  serviceName = other4.serviceName;
+  fingerprint = other4.fingerprint;
+  server = other4.server;
+  __isset = other4.__isset;
 }
-Death& Death::operator=(Death&& other11) noexcept {
-  serviceName = std::move(other11.serviceName);
-  fingerprint = other11.fingerprint;
-  server = std::move(other11.server);
-  __isset = other11.__isset;
+Death& Death::operator=(const Death& other5) {
+  serviceName = other5.serviceName;
+  fingerprint = other5.fingerprint;
+  server = other5.server;
+  __isset = other5.__isset;
   return *this;
 }
 void Death::printTo(std::ostream& out) const {
@@ -651,26 +602,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Leaving::Leaving(const Leaving& other12) {
-  serviceName = other12.serviceName;
-  server = other12.server;
-  __isset = other12.__isset;
-}
-Leaving::Leaving(Leaving&& other13) noexcept {
-  serviceName = std::move(other13.serviceName);
-  server = std::move(other13.server);
-  __isset = other13.__isset;
-}
-Leaving& Leaving::operator=(const Leaving& other14) {
-  serviceName = other14.serviceName;
-  server = other14.server;
-  __isset = other14.__isset;
-  return *this;
+Leaving::Leaving(const Leaving& other6) {
+  serviceName = other6.serviceName;
+  server = other6.server;
+  __isset = other6.__isset;
 }
-Leaving& Leaving::operator=(Leaving&& other15) noexcept {
-  serviceName = std::move(other15.serviceName);
-  server = std::move(other15.server);
-  __isset = other15.__isset;
+Leaving& Leaving::operator=(const Leaving& other7) {
+  serviceName = other7.serviceName;
+  server = other7.server;
+  __isset = other7.__isset;
   return *this;
 }
 void Leaving::printTo(std::ostream& out) const {
@@ -774,26 +714,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Incarnation::Incarnation(const Incarnation& other16) {
-  proxyId = other16.proxyId;
-  incarnation = other16.incarnation;
-  __isset = other16.__isset;
-}
-Incarnation::Incarnation(Incarnation&& other17) noexcept {
-  proxyId = std::move(other17.proxyId);
-  incarnation = other17.incarnation;
-  __isset = other17.__isset;
-}
-Incarnation& Incarnation::operator=(const Incarnation& other18) {
-  proxyId = other18.proxyId;
-  incarnation = other18.incarnation;
-  __isset = other18.__isset;
-  return *this;
+Incarnation::Incarnation(const Incarnation& other8) {
+  proxyId = other8.proxyId;
+  incarnation = other8.incarnation;
+  __isset = other8.__isset;
 }
-Incarnation& Incarnation::operator=(Incarnation&& other19) noexcept {
-  proxyId = std::move(other19.proxyId);
-  incarnation = other19.incarnation;
-  __isset = other19.__isset;
+Incarnation& Incarnation::operator=(const Incarnation& other9) {
+  proxyId = other9.proxyId;
+  incarnation = other9.incarnation;
+  __isset = other9.__isset;
   return *this;
 }
 void Incarnation::printTo(std::ostream& out) const {
@@ -914,30 +843,17 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyHeir::KeyHeir(const KeyHeir& other20) {
-  issuer = other20.issuer;
-  heir = other20.heir;
-  generation = other20.generation;
-  __isset = other20.__isset;
-}
-KeyHeir::KeyHeir(KeyHeir&& other21) noexcept {
-  issuer = std::move(other21.issuer);
-  heir = std::move(other21.heir);
-  generation = other21.generation;
-  __isset = other21.__isset;
-}
-KeyHeir& KeyHeir::operator=(const KeyHeir& other22) {
-  issuer = other22.issuer;
-  heir = other22.heir;
-  generation = other22.generation;
-  __isset = other22.__isset;
-  return *this;
+KeyHeir::KeyHeir(const KeyHeir& other10) {
+  issuer = other10.issuer;
+  heir = other10.heir;
+  generation = other10.generation;
+  __isset = other10.__isset;
 }
-KeyHeir& KeyHeir::operator=(KeyHeir&& other23) noexcept {
-  issuer = std::move(other23.issuer);
-  heir = std::move(other23.heir);
-  generation = other23.generation;
-  __isset = other23.__isset;
+KeyHeir& KeyHeir::operator=(const KeyHeir& other11) {
+  issuer = other11.issuer;
+  heir = other11.heir;
+  generation = other11.generation;
+  __isset = other11.__isset;
   return *this;
 }
 void KeyHeir::printTo(std::ostream& out) const {
@@ -1042,26 +958,15 @@
   swap(a.__isset, b.__isset);
 }
 
-PathFault::PathFault(const PathFault& other24) {
-  proxyId = other24.proxyId;
-  server = other24.server;
-  __isset = other24.__isset;
-}
-PathFault::PathFault(PathFault&& other25) noexcept {
-  proxyId = std::move(other25.proxyId);
-  server = std::move(other25.server);
-  __isset = other25.__isset;
-}
-PathFault& PathFault::operator=(const PathFault& other26) {
-  proxyId = other26.proxyId;
-  server = other26.server;
-  __isset = other26.__isset;
-  return *this;
+PathFault::PathFault(const PathFault& other12) {
+  proxyId = other12.proxyId;
+  server = other12.server;
+  __isset = other12.__isset;
 }
-PathFault& PathFault::operator=(PathFault&& other27) noexcept {
-  proxyId = std::move(other27.proxyId);
-  server = std::move(other27.server);
-  __isset = other27.__isset;
+PathFault& PathFault::operator=(const PathFault& other13) {
+  proxyId = other13.proxyId;
+  server = other13.server;
+  __isset = other13.__isset;
   return *this;
 }
 void PathFault::printTo(std::ostream& out) const {
@@ -1269,50 +1174,27 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerWork::ServerWork(const ServerWork& other28) {
-  server = other28.server;
-  inUse = other28.inUse;
-  good = other28.good;
-  failed = other28.failed;
-  slow = other28.slow;
-  erred = other28.erred;
-  accepted = other28.accepted;
-  reachedMillisecondsAgo = other28.reachedMillisecondsAgo;
-  __isset = other28.__isset;
-}
-ServerWork::ServerWork(ServerWork&& other29) noexcept {
-  server = std::move(other29.server);
-  inUse = other29.inUse;
-  good = other29.good;
-  failed = other29.failed;
-  slow = other29.slow;
-  erred = other29.erred;
-  accepted = other29.accepted;
-  reachedMillisecondsAgo = other29.reachedMillisecondsAgo;
-  __isset = other29.__isset;
-}
-ServerWork& ServerWork::operator=(const ServerWork& other30) {
-  server = other30.server;
-  inUse = other30.inUse;
-  good = other30.good;
-  failed = other30.failed;
-  slow = other30.slow;
-  erred = other30.erred;
-  accepted = other30.accepted;
-  reachedMillisecondsAgo = other30.reachedMillisecondsAgo;
-  __isset = other30.__isset;
-  return *this;
+ServerWork::ServerWork(const ServerWork& other14) {
+  server = other14.server;
+  inUse = other14.inUse;
+  good = other14.good;
+  failed = other14.failed;
+  slow = other14.slow;
+  erred = other14.erred;
+  accepted = other14.accepted;
+  reachedMillisecondsAgo = other14.reachedMillisecondsAgo;
+  __isset = other14.__isset;
 }
-ServerWork& ServerWork::operator=(ServerWork&& other31) noexcept {
-  server = std::move(other31.server);
-  inUse = other31.inUse;
-  good = other31.good;
-  failed = other31.failed;
-  slow = other31.slow;
-  erred = other31.erred;
-  accepted = other31.accepted;
-  reachedMillisecondsAgo = other31.reachedMillisecondsAgo;
-  __isset = other31.__isset;
+ServerWork& ServerWork::operator=(const ServerWork& other15) {
+  server = other15.server;
+  inUse = other15.inUse;
+  good = other15.good;
+  failed = other15.failed;
+  slow = other15.slow;
+  erred = other15.erred;
+  accepted = other15.accepted;
+  reachedMillisecondsAgo = other15.reachedMillisecondsAgo;
+  __isset = other15.__isset;
   return *this;
 }
 void ServerWork::printTo(std::ostream& out) const {
@@ -1381,14 +1263,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size32;
-            ::apache::thrift::protocol::TType _etype35;
-            xfer += iprot->readListBegin(_etype35, _size32);
-            this->servers.resize(_size32);
-            uint32_t _i36;
-            for (_i36 = 0; _i36 < _size32; ++_i36)
+            uint32_t _size16;
+            ::apache::thrift::protocol::TType _etype19;
+            xfer += iprot->readListBegin(_etype19, _size16);
+            this->servers.resize(_size16);
+            uint32_t _i20;
+            for (_i20 = 0; _i20 < _size16; ++_i20)
             {
-              xfer += this->servers[_i36].read(iprot);
+              xfer += this->servers[_i20].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1421,10 +1303,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ServerWork> ::const_iterator _iter37;
-    for (_iter37 = this->servers.begin(); _iter37 != this->servers.end(); ++_iter37)
+    std::vector<ServerWork> ::const_iterator _iter21;
+    for (_iter21 = this->servers.begin(); _iter21 != this->servers.end(); ++_iter21)
     {
-      xfer += (*_iter37).write(oprot);
+      xfer += (*_iter21).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1442,26 +1324,15 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkReport::WorkReport(const WorkReport& other38) {
-  serviceName = other38.serviceName;
-  servers = other38.servers;
-  __isset = other38.__isset;
-}
-WorkReport::WorkReport(WorkReport&& other39) noexcept {
-  serviceName = std::move(other39.serviceName);
-  servers = std::move(other39.servers);
-  __isset = other39.__isset;
-}
-WorkReport& WorkReport::operator=(const WorkReport& other40) {
-  serviceName = other40.serviceName;
-  servers = other40.servers;
-  __isset = other40.__isset;
-  return *this;
+WorkReport::WorkReport(const WorkReport& other22) {
+  serviceName = other22.serviceName;
+  servers = other22.servers;
+  __isset = other22.__isset;
 }
-WorkReport& WorkReport::operator=(WorkReport&& other41) noexcept {
-  serviceName = std::move(other41.serviceName);
-  servers = std::move(other41.servers);
-  __isset = other41.__isset;
+WorkReport& WorkReport::operator=(const WorkReport& other23) {
+  serviceName = other23.serviceName;
+  servers = other23.servers;
+  __isset = other23.__isset;
   return *this;
 }
 void WorkReport::printTo(std::ostream& out) const {
@@ -1701,58 +1572,31 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerStatement::ServerStatement(const ServerStatement& other42) {
-  id = other42.id;
-  address = other42.address;
-  pool = other42.pool;
-  dataCentre = other42.dataCentre;
-  leaving = other42.leaving;
-  started = other42.started;
-  sequence = other42.sequence;
-  slots = other42.slots;
-  coldMilliseconds = other42.coldMilliseconds;
-  removed = other42.removed;
-  __isset = other42.__isset;
-}
-ServerStatement::ServerStatement(ServerStatement&& other43) noexcept {
-  id = std::move(other43.id);
-  address = std::move(other43.address);
-  pool = std::move(other43.pool);
-  dataCentre = std::move(other43.dataCentre);
-  leaving = other43.leaving;
-  started = other43.started;
-  sequence = other43.sequence;
-  slots = other43.slots;
-  coldMilliseconds = other43.coldMilliseconds;
-  removed = other43.removed;
-  __isset = other43.__isset;
-}
-ServerStatement& ServerStatement::operator=(const ServerStatement& other44) {
-  id = other44.id;
-  address = other44.address;
-  pool = other44.pool;
-  dataCentre = other44.dataCentre;
-  leaving = other44.leaving;
-  started = other44.started;
-  sequence = other44.sequence;
-  slots = other44.slots;
-  coldMilliseconds = other44.coldMilliseconds;
-  removed = other44.removed;
-  __isset = other44.__isset;
-  return *this;
+ServerStatement::ServerStatement(const ServerStatement& other24) {
+  id = other24.id;
+  address = other24.address;
+  pool = other24.pool;
+  dataCentre = other24.dataCentre;
+  leaving = other24.leaving;
+  started = other24.started;
+  sequence = other24.sequence;
+  slots = other24.slots;
+  coldMilliseconds = other24.coldMilliseconds;
+  removed = other24.removed;
+  __isset = other24.__isset;
 }
-ServerStatement& ServerStatement::operator=(ServerStatement&& other45) noexcept {
-  id = std::move(other45.id);
-  address = std::move(other45.address);
-  pool = std::move(other45.pool);
-  dataCentre = std::move(other45.dataCentre);
-  leaving = other45.leaving;
-  started = other45.started;
-  sequence = other45.sequence;
-  slots = other45.slots;
-  coldMilliseconds = other45.coldMilliseconds;
-  removed = other45.removed;
-  __isset = other45.__isset;
+ServerStatement& ServerStatement::operator=(const ServerStatement& other25) {
+  id = other25.id;
+  address = other25.address;
+  pool = other25.pool;
+  dataCentre = other25.dataCentre;
+  leaving = other25.leaving;
+  started = other25.started;
+  sequence = other25.sequence;
+  slots = other25.slots;
+  coldMilliseconds = other25.coldMilliseconds;
+  removed = other25.removed;
+  __isset = other25.__isset;
   return *this;
 }
 void ServerStatement::printTo(std::ostream& out) const {
@@ -1772,6 +1616,524 @@
 }
 
 
+QuotaUse::~QuotaUse() noexcept {
+}
+
+
+void QuotaUse::__set_organisation(const std::string& val) {
+  this->organisation = val;
+}
+
+void QuotaUse::__set_requested(const int64_t val) {
+  this->requested = val;
+}
+
+void QuotaUse::__set_admitted(const int64_t val) {
+  this->admitted = val;
+}
+
+void QuotaUse::__set_recentlyAdmitted(const int64_t val) {
+  this->recentlyAdmitted = val;
+}
+
+void QuotaUse::__set_knownRequestRate(const double val) {
+  this->knownRequestRate = val;
+}
+
+void QuotaUse::__set_knownRequestRateAgeMilliseconds(const int32_t val) {
+  this->knownRequestRateAgeMilliseconds = val;
+}
+
+void QuotaUse::__set_keepsReporting(const bool val) {
+  this->keepsReporting = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaUse& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaUse::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->organisation);
+          this->__isset.organisation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->requested);
+          this->__isset.requested = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->admitted);
+          this->__isset.admitted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->recentlyAdmitted);
+          this->__isset.recentlyAdmitted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->knownRequestRate);
+          this->__isset.knownRequestRate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->knownRequestRateAgeMilliseconds);
+          this->__isset.knownRequestRateAgeMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->keepsReporting);
+          this->__isset.keepsReporting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QuotaUse::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaUse");
+
+  xfer += oprot->writeFieldBegin("organisation", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->organisation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requested", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->requested);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("admitted", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->admitted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("recentlyAdmitted", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->recentlyAdmitted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("knownRequestRate", ::apache::thrift::protocol::T_DOUBLE, 5);
+  xfer += oprot->writeDouble(this->knownRequestRate);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("knownRequestRateAgeMilliseconds", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->knownRequestRateAgeMilliseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("keepsReporting", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->keepsReporting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaUse &a, QuotaUse &b) {
+  using ::std::swap;
+  swap(a.organisation, b.organisation);
+  swap(a.requested, b.requested);
+  swap(a.admitted, b.admitted);
+  swap(a.recentlyAdmitted, b.recentlyAdmitted);
+  swap(a.knownRequestRate, b.knownRequestRate);
+  swap(a.knownRequestRateAgeMilliseconds, b.knownRequestRateAgeMilliseconds);
+  swap(a.keepsReporting, b.keepsReporting);
+  swap(a.__isset, b.__isset);
+}
+
+QuotaUse::QuotaUse(const QuotaUse& other26) {
+  organisation = other26.organisation;
+  requested = other26.requested;
+  admitted = other26.admitted;
+  recentlyAdmitted = other26.recentlyAdmitted;
+  knownRequestRate = other26.knownRequestRate;
+  knownRequestRateAgeMilliseconds = other26.knownRequestRateAgeMilliseconds;
+  keepsReporting = other26.keepsReporting;
+  __isset = other26.__isset;
+}
+QuotaUse& QuotaUse::operator=(const QuotaUse& other27) {
+  organisation = other27.organisation;
+  requested = other27.requested;
+  admitted = other27.admitted;
+  recentlyAdmitted = other27.recentlyAdmitted;
+  knownRequestRate = other27.knownRequestRate;
+  knownRequestRateAgeMilliseconds = other27.knownRequestRateAgeMilliseconds;
+  keepsReporting = other27.keepsReporting;
+  __isset = other27.__isset;
+  return *this;
+}
+void QuotaUse::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaUse(";
+  out << "organisation=" << to_string(organisation);
+  out << ", " << "requested=" << to_string(requested);
+  out << ", " << "admitted=" << to_string(admitted);
+  out << ", " << "recentlyAdmitted=" << to_string(recentlyAdmitted);
+  out << ", " << "knownRequestRate=" << to_string(knownRequestRate);
+  out << ", " << "knownRequestRateAgeMilliseconds=" << to_string(knownRequestRateAgeMilliseconds);
+  out << ", " << "keepsReporting=" << to_string(keepsReporting);
+  out << ")";
+}
+
+
+QuotaReport::~QuotaReport() noexcept {
+}
+
+
+void QuotaReport::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void QuotaReport::__set_uptimeMilliseconds(const int64_t val) {
+  this->uptimeMilliseconds = val;
+}
+
+void QuotaReport::__set_uses(const std::vector<QuotaUse> & val) {
+  this->uses = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->uptimeMilliseconds);
+          this->__isset.uptimeMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->uses.clear();
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _etype31;
+            xfer += iprot->readListBegin(_etype31, _size28);
+            this->uses.resize(_size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
+            {
+              xfer += this->uses[_i32].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.uses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QuotaReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaReport");
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("uptimeMilliseconds", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->uptimeMilliseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("uses", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->uses.size()));
+    std::vector<QuotaUse> ::const_iterator _iter33;
+    for (_iter33 = this->uses.begin(); _iter33 != this->uses.end(); ++_iter33)
+    {
+      xfer += (*_iter33).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaReport &a, QuotaReport &b) {
+  using ::std::swap;
+  swap(a.incarnation, b.incarnation);
+  swap(a.uptimeMilliseconds, b.uptimeMilliseconds);
+  swap(a.uses, b.uses);
+  swap(a.__isset, b.__isset);
+}
+
+QuotaReport::QuotaReport(const QuotaReport& other34) {
+  incarnation = other34.incarnation;
+  uptimeMilliseconds = other34.uptimeMilliseconds;
+  uses = other34.uses;
+  __isset = other34.__isset;
+}
+QuotaReport& QuotaReport::operator=(const QuotaReport& other35) {
+  incarnation = other35.incarnation;
+  uptimeMilliseconds = other35.uptimeMilliseconds;
+  uses = other35.uses;
+  __isset = other35.__isset;
+  return *this;
+}
+void QuotaReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaReport(";
+  out << "incarnation=" << to_string(incarnation);
+  out << ", " << "uptimeMilliseconds=" << to_string(uptimeMilliseconds);
+  out << ", " << "uses=" << to_string(uses);
+  out << ")";
+}
+
+
+QuotaShare::~QuotaShare() noexcept {
+}
+
+
+void QuotaShare::__set_organisation(const std::string& val) {
+  this->organisation = val;
+}
+
+void QuotaShare::__set_share(const double val) {
+  this->share = val;
+}
+
+void QuotaShare::__set_requestRate(const double val) {
+  this->requestRate = val;
+}
+
+void QuotaShare::__set_ownPart(const double val) {
+  this->ownPart = val;
+__isset.ownPart = true;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaShare& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaShare::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->organisation);
+          this->__isset.organisation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->share);
+          this->__isset.share = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->requestRate);
+          this->__isset.requestRate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->ownPart);
+          this->__isset.ownPart = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QuotaShare::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaShare");
+
+  xfer += oprot->writeFieldBegin("organisation", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->organisation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("share", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->share);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requestRate", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->requestRate);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.ownPart) {
+    xfer += oprot->writeFieldBegin("ownPart", ::apache::thrift::protocol::T_DOUBLE, 4);
+    xfer += oprot->writeDouble(this->ownPart);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaShare &a, QuotaShare &b) {
+  using ::std::swap;
+  swap(a.organisation, b.organisation);
+  swap(a.share, b.share);
+  swap(a.requestRate, b.requestRate);
+  swap(a.ownPart, b.ownPart);
+  swap(a.__isset, b.__isset);
+}
+
+QuotaShare::QuotaShare(const QuotaShare& other36) {
+  organisation = other36.organisation;
+  share = other36.share;
+  requestRate = other36.requestRate;
+  ownPart = other36.ownPart;
+  __isset = other36.__isset;
+}
+QuotaShare& QuotaShare::operator=(const QuotaShare& other37) {
+  organisation = other37.organisation;
+  share = other37.share;
+  requestRate = other37.requestRate;
+  ownPart = other37.ownPart;
+  __isset = other37.__isset;
+  return *this;
+}
+void QuotaShare::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaShare(";
+  out << "organisation=" << to_string(organisation);
+  out << ", " << "share=" << to_string(share);
+  out << ", " << "requestRate=" << to_string(requestRate);
+  out << ", " << "ownPart="; (__isset.ownPart ? (out << to_string(ownPart)) : (out << "<null>"));
+  out << ")";
+}
+
+
 Datagram::~Datagram() noexcept {
 }
 
@@ -1874,6 +2236,15 @@
   this->answerToMilliseconds = val;
 __isset.answerToMilliseconds = true;
 }
+
+void Datagram::__set_quotaReport(const QuotaReport& val) {
+  this->quotaReport = val;
+__isset.quotaReport = true;
+}
+
+void Datagram::__set_quotaShares(const std::vector<QuotaShare> & val) {
+  this->quotaShares = val;
+}
 std::ostream& operator<<(std::ostream& out, const Datagram& obj)
 {
   obj.printTo(out);
@@ -1954,14 +2325,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->updates.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->updates.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->updates.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
             {
-              xfer += this->updates[_i50].read(iprot);
+              xfer += this->updates[_i42].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1990,14 +2361,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size51;
-            ::apache::thrift::protocol::TType _etype54;
-            xfer += iprot->readListBegin(_etype54, _size51);
-            this->changes.resize(_size51);
-            uint32_t _i55;
-            for (_i55 = 0; _i55 < _size51; ++_i55)
+            uint32_t _size43;
+            ::apache::thrift::protocol::TType _etype46;
+            xfer += iprot->readListBegin(_etype46, _size43);
+            this->changes.resize(_size43);
+            uint32_t _i47;
+            for (_i47 = 0; _i47 < _size43; ++_i47)
             {
-              xfer += this->changes[_i55].read(iprot);
+              xfer += this->changes[_i47].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2010,14 +2381,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->deaths.clear();
-            uint32_t _size56;
-            ::apache::thrift::protocol::TType _etype59;
-            xfer += iprot->readListBegin(_etype59, _size56);
-            this->deaths.resize(_size56);
-            uint32_t _i60;
-            for (_i60 = 0; _i60 < _size56; ++_i60)
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->deaths.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
             {
-              xfer += this->deaths[_i60].read(iprot);
+              xfer += this->deaths[_i52].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2030,14 +2401,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size61;
-            ::apache::thrift::protocol::TType _etype64;
-            xfer += iprot->readListBegin(_etype64, _size61);
-            this->leaving.resize(_size61);
-            uint32_t _i65;
-            for (_i65 = 0; _i65 < _size61; ++_i65)
+            uint32_t _size53;
+            ::apache::thrift::protocol::TType _etype56;
+            xfer += iprot->readListBegin(_etype56, _size53);
+            this->leaving.resize(_size53);
+            uint32_t _i57;
+            for (_i57 = 0; _i57 < _size53; ++_i57)
             {
-              xfer += this->leaving[_i65].read(iprot);
+              xfer += this->leaving[_i57].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2066,14 +2437,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heirs.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _etype69;
-            xfer += iprot->readListBegin(_etype69, _size66);
-            this->heirs.resize(_size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->heirs.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
             {
-              xfer += this->heirs[_i70].read(iprot);
+              xfer += this->heirs[_i62].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2086,14 +2457,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->pathFaults.clear();
-            uint32_t _size71;
-            ::apache::thrift::protocol::TType _etype74;
-            xfer += iprot->readListBegin(_etype74, _size71);
-            this->pathFaults.resize(_size71);
-            uint32_t _i75;
-            for (_i75 = 0; _i75 < _size71; ++_i75)
+            uint32_t _size63;
+            ::apache::thrift::protocol::TType _etype66;
+            xfer += iprot->readListBegin(_etype66, _size63);
+            this->pathFaults.resize(_size63);
+            uint32_t _i67;
+            for (_i67 = 0; _i67 < _size63; ++_i67)
             {
-              xfer += this->pathFaults[_i75].read(iprot);
+              xfer += this->pathFaults[_i67].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2106,14 +2477,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->work.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->work.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->work.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
             {
-              xfer += this->work[_i80].read(iprot);
+              xfer += this->work[_i72].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2126,14 +2497,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->statements.clear();
-            uint32_t _size81;
-            ::apache::thrift::protocol::TType _etype84;
-            xfer += iprot->readListBegin(_etype84, _size81);
-            this->statements.resize(_size81);
-            uint32_t _i85;
-            for (_i85 = 0; _i85 < _size81; ++_i85)
+            uint32_t _size73;
+            ::apache::thrift::protocol::TType _etype76;
+            xfer += iprot->readListBegin(_etype76, _size73);
+            this->statements.resize(_size73);
+            uint32_t _i77;
+            for (_i77 = 0; _i77 < _size73; ++_i77)
             {
-              xfer += this->statements[_i85].read(iprot);
+              xfer += this->statements[_i77].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2170,14 +2541,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->serversQuestion.clear();
-            uint32_t _size86;
-            ::apache::thrift::protocol::TType _etype89;
-            xfer += iprot->readListBegin(_etype89, _size86);
-            this->serversQuestion.resize(_size86);
-            uint32_t _i90;
-            for (_i90 = 0; _i90 < _size86; ++_i90)
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _etype81;
+            xfer += iprot->readListBegin(_etype81, _size78);
+            this->serversQuestion.resize(_size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
             {
-              xfer += iprot->readI64(this->serversQuestion[_i90]);
+              xfer += iprot->readI64(this->serversQuestion[_i82]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2202,6 +2573,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 25:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->quotaReport.read(iprot);
+          this->__isset.quotaReport = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 26:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->quotaShares.clear();
+            uint32_t _size83;
+            ::apache::thrift::protocol::TType _etype86;
+            xfer += iprot->readListBegin(_etype86, _size83);
+            this->quotaShares.resize(_size83);
+            uint32_t _i87;
+            for (_i87 = 0; _i87 < _size83; ++_i87)
+            {
+              xfer += this->quotaShares[_i87].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.quotaShares = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2246,10 +2645,10 @@
   xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
-    std::vector<Member> ::const_iterator _iter91;
-    for (_iter91 = this->updates.begin(); _iter91 != this->updates.end(); ++_iter91)
+    std::vector<Member> ::const_iterator _iter88;
+    for (_iter88 = this->updates.begin(); _iter88 != this->updates.end(); ++_iter88)
     {
-      xfer += (*_iter91).write(oprot);
+      xfer += (*_iter88).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2266,10 +2665,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<ServiceVersion> ::const_iterator _iter92;
-    for (_iter92 = this->changes.begin(); _iter92 != this->changes.end(); ++_iter92)
+    std::vector<ServiceVersion> ::const_iterator _iter89;
+    for (_iter89 = this->changes.begin(); _iter89 != this->changes.end(); ++_iter89)
     {
-      xfer += (*_iter92).write(oprot);
+      xfer += (*_iter89).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2278,10 +2677,10 @@
   xfer += oprot->writeFieldBegin("deaths", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deaths.size()));
-    std::vector<Death> ::const_iterator _iter93;
-    for (_iter93 = this->deaths.begin(); _iter93 != this->deaths.end(); ++_iter93)
+    std::vector<Death> ::const_iterator _iter90;
+    for (_iter90 = this->deaths.begin(); _iter90 != this->deaths.end(); ++_iter90)
     {
-      xfer += (*_iter93).write(oprot);
+      xfer += (*_iter90).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2290,10 +2689,10 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<Leaving> ::const_iterator _iter94;
-    for (_iter94 = this->leaving.begin(); _iter94 != this->leaving.end(); ++_iter94)
+    std::vector<Leaving> ::const_iterator _iter91;
+    for (_iter91 = this->leaving.begin(); _iter91 != this->leaving.end(); ++_iter91)
     {
-      xfer += (*_iter94).write(oprot);
+      xfer += (*_iter91).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2310,10 +2709,10 @@
   xfer += oprot->writeFieldBegin("heirs", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->heirs.size()));
-    std::vector<KeyHeir> ::const_iterator _iter95;
-    for (_iter95 = this->heirs.begin(); _iter95 != this->heirs.end(); ++_iter95)
+    std::vector<KeyHeir> ::const_iterator _iter92;
+    for (_iter92 = this->heirs.begin(); _iter92 != this->heirs.end(); ++_iter92)
     {
-      xfer += (*_iter95).write(oprot);
+      xfer += (*_iter92).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2322,10 +2721,10 @@
   xfer += oprot->writeFieldBegin("pathFaults", ::apache::thrift::protocol::T_LIST, 16);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->pathFaults.size()));
-    std::vector<PathFault> ::const_iterator _iter96;
-    for (_iter96 = this->pathFaults.begin(); _iter96 != this->pathFaults.end(); ++_iter96)
+    std::vector<PathFault> ::const_iterator _iter93;
+    for (_iter93 = this->pathFaults.begin(); _iter93 != this->pathFaults.end(); ++_iter93)
     {
-      xfer += (*_iter96).write(oprot);
+      xfer += (*_iter93).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2334,10 +2733,10 @@
   xfer += oprot->writeFieldBegin("work", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->work.size()));
-    std::vector<WorkReport> ::const_iterator _iter97;
-    for (_iter97 = this->work.begin(); _iter97 != this->work.end(); ++_iter97)
+    std::vector<WorkReport> ::const_iterator _iter94;
+    for (_iter94 = this->work.begin(); _iter94 != this->work.end(); ++_iter94)
     {
-      xfer += (*_iter97).write(oprot);
+      xfer += (*_iter94).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2346,10 +2745,10 @@
   xfer += oprot->writeFieldBegin("statements", ::apache::thrift::protocol::T_LIST, 18);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->statements.size()));
-    std::vector<ServerStatement> ::const_iterator _iter98;
-    for (_iter98 = this->statements.begin(); _iter98 != this->statements.end(); ++_iter98)
+    std::vector<ServerStatement> ::const_iterator _iter95;
+    for (_iter95 = this->statements.begin(); _iter95 != this->statements.end(); ++_iter95)
     {
-      xfer += (*_iter98).write(oprot);
+      xfer += (*_iter95).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2371,10 +2770,10 @@
   xfer += oprot->writeFieldBegin("serversQuestion", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->serversQuestion.size()));
-    std::vector<int64_t> ::const_iterator _iter99;
-    for (_iter99 = this->serversQuestion.begin(); _iter99 != this->serversQuestion.end(); ++_iter99)
+    std::vector<int64_t> ::const_iterator _iter96;
+    for (_iter96 = this->serversQuestion.begin(); _iter96 != this->serversQuestion.end(); ++_iter96)
     {
-      xfer += oprot->writeI64((*_iter99));
+      xfer += oprot->writeI64((*_iter96));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2390,6 +2789,23 @@
     xfer += oprot->writeI64(this->answerToMilliseconds);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.quotaReport) {
+    xfer += oprot->writeFieldBegin("quotaReport", ::apache::thrift::protocol::T_STRUCT, 25);
+    xfer += this->quotaReport.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("quotaShares", ::apache::thrift::protocol::T_LIST, 26);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quotaShares.size()));
+    std::vector<QuotaShare> ::const_iterator _iter97;
+    for (_iter97 = this->quotaShares.begin(); _iter97 != this->quotaShares.end(); ++_iter97)
+    {
+      xfer += (*_iter97).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2421,117 +2837,68 @@
   swap(a.serversQuestion, b.serversQuestion);
   swap(a.sentMilliseconds, b.sentMilliseconds);
   swap(a.answerToMilliseconds, b.answerToMilliseconds);
+  swap(a.quotaReport, b.quotaReport);
+  swap(a.quotaShares, b.quotaShares);
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other100) {
-  kind = other100.kind;
-  sequence = other100.sequence;
-  senderId = other100.senderId;
-  senderAddress = other100.senderAddress;
-  targetId = other100.targetId;
-  targetAddress = other100.targetAddress;
-  updates = other100.updates;
-  configurationDigest = other100.configurationDigest;
-  hostListRevision = other100.hostListRevision;
-  changes = other100.changes;
-  deaths = other100.deaths;
-  leaving = other100.leaving;
-  wallMilliseconds = other100.wallMilliseconds;
-  counter = other100.counter;
-  heirs = other100.heirs;
-  pathFaults = other100.pathFaults;
-  work = other100.work;
-  statements = other100.statements;
-  readsStore = other100.readsStore;
-  serversDigest = other100.serversDigest;
-  serversAgeMilliseconds = other100.serversAgeMilliseconds;
-  serversQuestion = other100.serversQuestion;
-  sentMilliseconds = other100.sentMilliseconds;
-  answerToMilliseconds = other100.answerToMilliseconds;
-  __isset = other100.__isset;
-}
-Datagram::Datagram(Datagram&& other101) noexcept {
-  kind = other101.kind;
-  sequence = other101.sequence;
-  senderId = std::move(other101.senderId);
-  senderAddress = std::move(other101.senderAddress);
-  targetId = std::move(other101.targetId);
-  targetAddress = std::move(other101.targetAddress);
-  updates = std::move(other101.updates);
-  configurationDigest = other101.configurationDigest;
-  hostListRevision = other101.hostListRevision;
-  changes = std::move(other101.changes);
-  deaths = std::move(other101.deaths);
-  leaving = std::move(other101.leaving);
-  wallMilliseconds = other101.wallMilliseconds;
-  counter = other101.counter;
-  heirs = std::move(other101.heirs);
-  pathFaults = std::move(other101.pathFaults);
-  work = std::move(other101.work);
-  statements = std::move(other101.statements);
-  readsStore = other101.readsStore;
-  serversDigest = other101.serversDigest;
-  serversAgeMilliseconds = other101.serversAgeMilliseconds;
-  serversQuestion = std::move(other101.serversQuestion);
-  sentMilliseconds = other101.sentMilliseconds;
-  answerToMilliseconds = other101.answerToMilliseconds;
-  __isset = other101.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other102) {
-  kind = other102.kind;
-  sequence = other102.sequence;
-  senderId = other102.senderId;
-  senderAddress = other102.senderAddress;
-  targetId = other102.targetId;
-  targetAddress = other102.targetAddress;
-  updates = other102.updates;
-  configurationDigest = other102.configurationDigest;
-  hostListRevision = other102.hostListRevision;
-  changes = other102.changes;
-  deaths = other102.deaths;
-  leaving = other102.leaving;
-  wallMilliseconds = other102.wallMilliseconds;
-  counter = other102.counter;
-  heirs = other102.heirs;
-  pathFaults = other102.pathFaults;
-  work = other102.work;
-  statements = other102.statements;
-  readsStore = other102.readsStore;
-  serversDigest = other102.serversDigest;
-  serversAgeMilliseconds = other102.serversAgeMilliseconds;
-  serversQuestion = other102.serversQuestion;
-  sentMilliseconds = other102.sentMilliseconds;
-  answerToMilliseconds = other102.answerToMilliseconds;
-  __isset = other102.__isset;
-  return *this;
-}
-Datagram& Datagram::operator=(Datagram&& other103) noexcept {
-  kind = other103.kind;
-  sequence = other103.sequence;
-  senderId = std::move(other103.senderId);
-  senderAddress = std::move(other103.senderAddress);
-  targetId = std::move(other103.targetId);
-  targetAddress = std::move(other103.targetAddress);
-  updates = std::move(other103.updates);
-  configurationDigest = other103.configurationDigest;
-  hostListRevision = other103.hostListRevision;
-  changes = std::move(other103.changes);
-  deaths = std::move(other103.deaths);
-  leaving = std::move(other103.leaving);
-  wallMilliseconds = other103.wallMilliseconds;
-  counter = other103.counter;
-  heirs = std::move(other103.heirs);
-  pathFaults = std::move(other103.pathFaults);
-  work = std::move(other103.work);
-  statements = std::move(other103.statements);
-  readsStore = other103.readsStore;
-  serversDigest = other103.serversDigest;
-  serversAgeMilliseconds = other103.serversAgeMilliseconds;
-  serversQuestion = std::move(other103.serversQuestion);
-  sentMilliseconds = other103.sentMilliseconds;
-  answerToMilliseconds = other103.answerToMilliseconds;
-  __isset = other103.__isset;
+Datagram::Datagram(const Datagram& other98) {
+  kind = other98.kind;
+  sequence = other98.sequence;
+  senderId = other98.senderId;
+  senderAddress = other98.senderAddress;
+  targetId = other98.targetId;
+  targetAddress = other98.targetAddress;
+  updates = other98.updates;
+  configurationDigest = other98.configurationDigest;
+  hostListRevision = other98.hostListRevision;
+  changes = other98.changes;
+  deaths = other98.deaths;
+  leaving = other98.leaving;
+  wallMilliseconds = other98.wallMilliseconds;
+  counter = other98.counter;
+  heirs = other98.heirs;
+  pathFaults = other98.pathFaults;
+  work = other98.work;
+  statements = other98.statements;
+  readsStore = other98.readsStore;
+  serversDigest = other98.serversDigest;
+  serversAgeMilliseconds = other98.serversAgeMilliseconds;
+  serversQuestion = other98.serversQuestion;
+  sentMilliseconds = other98.sentMilliseconds;
+  answerToMilliseconds = other98.answerToMilliseconds;
+  quotaReport = other98.quotaReport;
+  quotaShares = other98.quotaShares;
+  __isset = other98.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other99) {
+  kind = other99.kind;
+  sequence = other99.sequence;
+  senderId = other99.senderId;
+  senderAddress = other99.senderAddress;
+  targetId = other99.targetId;
+  targetAddress = other99.targetAddress;
+  updates = other99.updates;
+  configurationDigest = other99.configurationDigest;
+  hostListRevision = other99.hostListRevision;
+  changes = other99.changes;
+  deaths = other99.deaths;
+  leaving = other99.leaving;
+  wallMilliseconds = other99.wallMilliseconds;
+  counter = other99.counter;
+  heirs = other99.heirs;
+  pathFaults = other99.pathFaults;
+  work = other99.work;
+  statements = other99.statements;
+  readsStore = other99.readsStore;
+  serversDigest = other99.serversDigest;
+  serversAgeMilliseconds = other99.serversAgeMilliseconds;
+  serversQuestion = other99.serversQuestion;
+  sentMilliseconds = other99.sentMilliseconds;
+  answerToMilliseconds = other99.answerToMilliseconds;
+  quotaReport = other99.quotaReport;
+  quotaShares = other99.quotaShares;
+  __isset = other99.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
@@ -2561,6 +2928,8 @@
   out << ", " << "serversQuestion=" << to_string(serversQuestion);
   out << ", " << "sentMilliseconds="; (__isset.sentMilliseconds ? (out << to_string(sentMilliseconds)) : (out << "<null>"));
   out << ", " << "answerToMilliseconds="; (__isset.answerToMilliseconds ? (out << to_string(answerToMilliseconds)) : (out << "<null>"));
+  out << ", " << "quotaReport="; (__isset.quotaReport ? (out << to_string(quotaReport)) : (out << "<null>"));
+  out << ", " << "quotaShares=" << to_string(quotaShares);
   out << ")";
 }
 
@@ -2628,14 +2997,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _etype107;
-            xfer += iprot->readListBegin(_etype107, _size104);
-            this->servers.resize(_size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            this->servers.resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
             {
-              xfer += this->servers[_i108].read(iprot);
+              xfer += this->servers[_i104].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2672,10 +3041,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ServerStatement> ::const_iterator _iter109;
-    for (_iter109 = this->servers.begin(); _iter109 != this->servers.end(); ++_iter109)
+    std::vector<ServerStatement> ::const_iterator _iter105;
+    for (_iter105 = this->servers.begin(); _iter105 != this->servers.end(); ++_iter105)
     {
-      xfer += (*_iter109).write(oprot);
+      xfer += (*_iter105).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2694,30 +3063,17 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetCopy::FleetCopy(const FleetCopy& other110) {
-  version = other110.version;
-  configuration = other110.configuration;
-  servers = other110.servers;
-  __isset = other110.__isset;
+FleetCopy::FleetCopy(const FleetCopy& other106) {
+  version = other106.version;
+  configuration = other106.configuration;
+  servers = other106.servers;
+  __isset = other106.__isset;
 }
-FleetCopy::FleetCopy(FleetCopy&& other111) noexcept {
-  version = other111.version;
-  configuration = std::move(other111.configuration);
-  servers = std::move(other111.servers);
-  __isset = other111.__isset;
-}
-FleetCopy& FleetCopy::operator=(const FleetCopy& other112) {
-  version = other112.version;
-  configuration = other112.configuration;
-  servers = other112.servers;
-  __isset = other112.__isset;
-  return *this;
-}
-FleetCopy& FleetCopy::operator=(FleetCopy&& other113) noexcept {
-  version = other113.version;
-  configuration = std::move(other113.configuration);
-  servers = std::move(other113.servers);
-  __isset = other113.__isset;
+FleetCopy& FleetCopy::operator=(const FleetCopy& other107) {
+  version = other107.version;
+  configuration = other107.configuration;
+  servers = other107.servers;
+  __isset = other107.__isset;
   return *this;
 }
 void FleetCopy::printTo(std::ostream& out) const {
@@ -2781,14 +3137,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->have.clear();
-            uint32_t _size114;
-            ::apache::thrift::protocol::TType _etype117;
-            xfer += iprot->readListBegin(_etype117, _size114);
-            this->have.resize(_size114);
-            uint32_t _i118;
-            for (_i118 = 0; _i118 < _size114; ++_i118)
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->have.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
             {
-              xfer += this->have[_i118].read(iprot);
+              xfer += this->have[_i112].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2841,10 +3197,10 @@
   xfer += oprot->writeFieldBegin("have", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->have.size()));
-    std::vector<ServiceVersion> ::const_iterator _iter119;
-    for (_iter119 = this->have.begin(); _iter119 != this->have.end(); ++_iter119)
+    std::vector<ServiceVersion> ::const_iterator _iter113;
+    for (_iter113 = this->have.begin(); _iter113 != this->have.end(); ++_iter113)
     {
-      xfer += (*_iter119).write(oprot);
+      xfer += (*_iter113).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2876,34 +3232,19 @@
   swap(a.__isset, b.__isset);
 }
 
-PullRequest::PullRequest(const PullRequest& other120) {
-  have = other120.have;
-  only = other120.only;
-  hostListRevision = other120.hostListRevision;
-  wantMembers = other120.wantMembers;
-  __isset = other120.__isset;
-}
-PullRequest::PullRequest(PullRequest&& other121) noexcept {
-  have = std::move(other121.have);
-  only = other121.only;
-  hostListRevision = other121.hostListRevision;
-  wantMembers = other121.wantMembers;
-  __isset = other121.__isset;
+PullRequest::PullRequest(const PullRequest& other114) {
+  have = other114.have;
+  only = other114.only;
+  hostListRevision = other114.hostListRevision;
+  wantMembers = other114.wantMembers;
+  __isset = other114.__isset;
 }
-PullRequest& PullRequest::operator=(const PullRequest& other122) {
-  have = other122.have;
-  only = other122.only;
-  hostListRevision = other122.hostListRevision;
-  wantMembers = other122.wantMembers;
-  __isset = other122.__isset;
-  return *this;
-}
-PullRequest& PullRequest::operator=(PullRequest&& other123) noexcept {
-  have = std::move(other123.have);
-  only = other123.only;
-  hostListRevision = other123.hostListRevision;
-  wantMembers = other123.wantMembers;
-  __isset = other123.__isset;
+PullRequest& PullRequest::operator=(const PullRequest& other115) {
+  have = other115.have;
+  only = other115.only;
+  hostListRevision = other115.hostListRevision;
+  wantMembers = other115.wantMembers;
+  __isset = other115.__isset;
   return *this;
 }
 void PullRequest::printTo(std::ostream& out) const {
@@ -3077,42 +3418,23 @@
   swap(a.__isset, b.__isset);
 }
 
-Acceptance::Acceptance(const Acceptance& other124) {
-  content = other124.content;
-  parent = other124.parent;
-  version = other124.version;
-  signer = other124.signer;
-  signature = other124.signature;
-  firstOffset = other124.firstOffset;
-  __isset = other124.__isset;
-}
-Acceptance::Acceptance(Acceptance&& other125) noexcept {
-  content = std::move(other125.content);
-  parent = std::move(other125.parent);
-  version = other125.version;
-  signer = std::move(other125.signer);
-  signature = std::move(other125.signature);
-  firstOffset = other125.firstOffset;
-  __isset = other125.__isset;
-}
-Acceptance& Acceptance::operator=(const Acceptance& other126) {
-  content = other126.content;
-  parent = other126.parent;
-  version = other126.version;
-  signer = other126.signer;
-  signature = other126.signature;
-  firstOffset = other126.firstOffset;
-  __isset = other126.__isset;
-  return *this;
-}
-Acceptance& Acceptance::operator=(Acceptance&& other127) noexcept {
-  content = std::move(other127.content);
-  parent = std::move(other127.parent);
-  version = other127.version;
-  signer = std::move(other127.signer);
-  signature = std::move(other127.signature);
-  firstOffset = other127.firstOffset;
-  __isset = other127.__isset;
+Acceptance::Acceptance(const Acceptance& other116) {
+  content = other116.content;
+  parent = other116.parent;
+  version = other116.version;
+  signer = other116.signer;
+  signature = other116.signature;
+  firstOffset = other116.firstOffset;
+  __isset = other116.__isset;
+}
+Acceptance& Acceptance::operator=(const Acceptance& other117) {
+  content = other117.content;
+  parent = other117.parent;
+  version = other117.version;
+  signer = other117.signer;
+  signature = other117.signature;
+  firstOffset = other117.firstOffset;
+  __isset = other117.__isset;
   return *this;
 }
 void Acceptance::printTo(std::ostream& out) const {
@@ -3237,30 +3559,17 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryHost::EntryHost(const EntryHost& other128) {
-  id = other128.id;
-  dataCentre = other128.dataCentre;
-  address = other128.address;
-  __isset = other128.__isset;
-}
-EntryHost::EntryHost(EntryHost&& other129) noexcept {
-  id = std::move(other129.id);
-  dataCentre = std::move(other129.dataCentre);
-  address = std::move(other129.address);
-  __isset = other129.__isset;
-}
-EntryHost& EntryHost::operator=(const EntryHost& other130) {
-  id = other130.id;
-  dataCentre = other130.dataCentre;
-  address = other130.address;
-  __isset = other130.__isset;
-  return *this;
+EntryHost::EntryHost(const EntryHost& other118) {
+  id = other118.id;
+  dataCentre = other118.dataCentre;
+  address = other118.address;
+  __isset = other118.__isset;
 }
-EntryHost& EntryHost::operator=(EntryHost&& other131) noexcept {
-  id = std::move(other131.id);
-  dataCentre = std::move(other131.dataCentre);
-  address = std::move(other131.address);
-  __isset = other131.__isset;
+EntryHost& EntryHost::operator=(const EntryHost& other119) {
+  id = other119.id;
+  dataCentre = other119.dataCentre;
+  address = other119.address;
+  __isset = other119.__isset;
   return *this;
 }
 void EntryHost::printTo(std::ostream& out) const {
@@ -3399,34 +3708,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Server::Server(const Server& other132) {
-  address = other132.address;
-  pool = other132.pool;
-  dataCentre = other132.dataCentre;
-  leaving = other132.leaving;
-  __isset = other132.__isset;
-}
-Server::Server(Server&& other133) noexcept {
-  address = std::move(other133.address);
-  pool = std::move(other133.pool);
-  dataCentre = std::move(other133.dataCentre);
-  leaving = other133.leaving;
-  __isset = other133.__isset;
-}
-Server& Server::operator=(const Server& other134) {
-  address = other134.address;
-  pool = other134.pool;
-  dataCentre = other134.dataCentre;
-  leaving = other134.leaving;
-  __isset = other134.__isset;
-  return *this;
+Server::Server(const Server& other120) {
+  address = other120.address;
+  pool = other120.pool;
+  dataCentre = other120.dataCentre;
+  leaving = other120.leaving;
+  __isset = other120.__isset;
 }
-Server& Server::operator=(Server&& other135) noexcept {
-  address = std::move(other135.address);
-  pool = std::move(other135.pool);
-  dataCentre = std::move(other135.dataCentre);
-  leaving = other135.leaving;
-  __isset = other135.__isset;
+Server& Server::operator=(const Server& other121) {
+  address = other121.address;
+  pool = other121.pool;
+  dataCentre = other121.dataCentre;
+  leaving = other121.leaving;
+  __isset = other121.__isset;
   return *this;
 }
 void Server::printTo(std::ostream& out) const {
@@ -3515,14 +3809,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entryHosts.clear();
-            uint32_t _size136;
-            ::apache::thrift::protocol::TType _etype139;
-            xfer += iprot->readListBegin(_etype139, _size136);
-            this->entryHosts.resize(_size136);
-            uint32_t _i140;
-            for (_i140 = 0; _i140 < _size136; ++_i140)
+            uint32_t _size122;
+            ::apache::thrift::protocol::TType _etype125;
+            xfer += iprot->readListBegin(_etype125, _size122);
+            this->entryHosts.resize(_size122);
+            uint32_t _i126;
+            for (_i126 = 0; _i126 < _size122; ++_i126)
             {
-              xfer += this->entryHosts[_i140].read(iprot);
+              xfer += this->entryHosts[_i126].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3535,14 +3829,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size141;
-            ::apache::thrift::protocol::TType _etype144;
-            xfer += iprot->readListBegin(_etype144, _size141);
-            this->servers.resize(_size141);
-            uint32_t _i145;
-            for (_i145 = 0; _i145 < _size141; ++_i145)
+            uint32_t _size127;
+            ::apache::thrift::protocol::TType _etype130;
+            xfer += iprot->readListBegin(_etype130, _size127);
+            this->servers.resize(_size127);
+            uint32_t _i131;
+            for (_i131 = 0; _i131 < _size127; ++_i131)
             {
-              xfer += this->servers[_i145].read(iprot);
+              xfer += this->servers[_i131].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3555,14 +3849,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->goneEntryHosts.clear();
-            uint32_t _size146;
-            ::apache::thrift::protocol::TType _etype149;
-            xfer += iprot->readListBegin(_etype149, _size146);
-            this->goneEntryHosts.resize(_size146);
-            uint32_t _i150;
-            for (_i150 = 0; _i150 < _size146; ++_i150)
+            uint32_t _size132;
+            ::apache::thrift::protocol::TType _etype135;
+            xfer += iprot->readListBegin(_etype135, _size132);
+            this->goneEntryHosts.resize(_size132);
+            uint32_t _i136;
+            for (_i136 = 0; _i136 < _size132; ++_i136)
             {
-              xfer += iprot->readString(this->goneEntryHosts[_i150]);
+              xfer += iprot->readString(this->goneEntryHosts[_i136]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3575,14 +3869,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->goneServers.clear();
-            uint32_t _size151;
-            ::apache::thrift::protocol::TType _etype154;
-            xfer += iprot->readListBegin(_etype154, _size151);
-            this->goneServers.resize(_size151);
-            uint32_t _i155;
-            for (_i155 = 0; _i155 < _size151; ++_i155)
+            uint32_t _size137;
+            ::apache::thrift::protocol::TType _etype140;
+            xfer += iprot->readListBegin(_etype140, _size137);
+            this->goneServers.resize(_size137);
+            uint32_t _i141;
+            for (_i141 = 0; _i141 < _size137; ++_i141)
             {
-              xfer += iprot->readString(this->goneServers[_i155]);
+              xfer += iprot->readString(this->goneServers[_i141]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3619,10 +3913,10 @@
   xfer += oprot->writeFieldBegin("entryHosts", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entryHosts.size()));
-    std::vector<EntryHost> ::const_iterator _iter156;
-    for (_iter156 = this->entryHosts.begin(); _iter156 != this->entryHosts.end(); ++_iter156)
+    std::vector<EntryHost> ::const_iterator _iter142;
+    for (_iter142 = this->entryHosts.begin(); _iter142 != this->entryHosts.end(); ++_iter142)
     {
-      xfer += (*_iter156).write(oprot);
+      xfer += (*_iter142).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3631,10 +3925,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<Server> ::const_iterator _iter157;
-    for (_iter157 = this->servers.begin(); _iter157 != this->servers.end(); ++_iter157)
+    std::vector<Server> ::const_iterator _iter143;
+    for (_iter143 = this->servers.begin(); _iter143 != this->servers.end(); ++_iter143)
     {
-      xfer += (*_iter157).write(oprot);
+      xfer += (*_iter143).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3643,10 +3937,10 @@
   xfer += oprot->writeFieldBegin("goneEntryHosts", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->goneEntryHosts.size()));
-    std::vector<std::string> ::const_iterator _iter158;
-    for (_iter158 = this->goneEntryHosts.begin(); _iter158 != this->goneEntryHosts.end(); ++_iter158)
+    std::vector<std::string> ::const_iterator _iter144;
+    for (_iter144 = this->goneEntryHosts.begin(); _iter144 != this->goneEntryHosts.end(); ++_iter144)
     {
-      xfer += oprot->writeString((*_iter158));
+      xfer += oprot->writeString((*_iter144));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3655,10 +3949,10 @@
   xfer += oprot->writeFieldBegin("goneServers", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->goneServers.size()));
-    std::vector<std::string> ::const_iterator _iter159;
-    for (_iter159 = this->goneServers.begin(); _iter159 != this->goneServers.end(); ++_iter159)
+    std::vector<std::string> ::const_iterator _iter145;
+    for (_iter145 = this->goneServers.begin(); _iter145 != this->goneServers.end(); ++_iter145)
     {
-      xfer += oprot->writeString((*_iter159));
+      xfer += oprot->writeString((*_iter145));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3680,42 +3974,23 @@
   swap(a.__isset, b.__isset);
 }
 
-HostsChange::HostsChange(const HostsChange& other160) {
-  fromRevision = other160.fromRevision;
-  toRevision = other160.toRevision;
-  entryHosts = other160.entryHosts;
-  servers = other160.servers;
-  goneEntryHosts = other160.goneEntryHosts;
-  goneServers = other160.goneServers;
-  __isset = other160.__isset;
-}
-HostsChange::HostsChange(HostsChange&& other161) noexcept {
-  fromRevision = other161.fromRevision;
-  toRevision = other161.toRevision;
-  entryHosts = std::move(other161.entryHosts);
-  servers = std::move(other161.servers);
-  goneEntryHosts = std::move(other161.goneEntryHosts);
-  goneServers = std::move(other161.goneServers);
-  __isset = other161.__isset;
-}
-HostsChange& HostsChange::operator=(const HostsChange& other162) {
-  fromRevision = other162.fromRevision;
-  toRevision = other162.toRevision;
-  entryHosts = other162.entryHosts;
-  servers = other162.servers;
-  goneEntryHosts = other162.goneEntryHosts;
-  goneServers = other162.goneServers;
-  __isset = other162.__isset;
-  return *this;
-}
-HostsChange& HostsChange::operator=(HostsChange&& other163) noexcept {
-  fromRevision = other163.fromRevision;
-  toRevision = other163.toRevision;
-  entryHosts = std::move(other163.entryHosts);
-  servers = std::move(other163.servers);
-  goneEntryHosts = std::move(other163.goneEntryHosts);
-  goneServers = std::move(other163.goneServers);
-  __isset = other163.__isset;
+HostsChange::HostsChange(const HostsChange& other146) {
+  fromRevision = other146.fromRevision;
+  toRevision = other146.toRevision;
+  entryHosts = other146.entryHosts;
+  servers = other146.servers;
+  goneEntryHosts = other146.goneEntryHosts;
+  goneServers = other146.goneServers;
+  __isset = other146.__isset;
+}
+HostsChange& HostsChange::operator=(const HostsChange& other147) {
+  fromRevision = other147.fromRevision;
+  toRevision = other147.toRevision;
+  entryHosts = other147.entryHosts;
+  servers = other147.servers;
+  goneEntryHosts = other147.goneEntryHosts;
+  goneServers = other147.goneServers;
+  __isset = other147.__isset;
   return *this;
 }
 void HostsChange::printTo(std::ostream& out) const {
@@ -3803,14 +4078,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size164;
-            ::apache::thrift::protocol::TType _etype167;
-            xfer += iprot->readListBegin(_etype167, _size164);
-            this->records.resize(_size164);
-            uint32_t _i168;
-            for (_i168 = 0; _i168 < _size164; ++_i168)
+            uint32_t _size148;
+            ::apache::thrift::protocol::TType _etype151;
+            xfer += iprot->readListBegin(_etype151, _size148);
+            this->records.resize(_size148);
+            uint32_t _i152;
+            for (_i152 = 0; _i152 < _size148; ++_i152)
             {
-              xfer += this->records[_i168].read(iprot);
+              xfer += this->records[_i152].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3831,14 +4106,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entryHosts.clear();
-            uint32_t _size169;
-            ::apache::thrift::protocol::TType _etype172;
-            xfer += iprot->readListBegin(_etype172, _size169);
-            this->entryHosts.resize(_size169);
-            uint32_t _i173;
-            for (_i173 = 0; _i173 < _size169; ++_i173)
+            uint32_t _size153;
+            ::apache::thrift::protocol::TType _etype156;
+            xfer += iprot->readListBegin(_etype156, _size153);
+            this->entryHosts.resize(_size153);
+            uint32_t _i157;
+            for (_i157 = 0; _i157 < _size153; ++_i157)
             {
-              xfer += this->entryHosts[_i173].read(iprot);
+              xfer += this->entryHosts[_i157].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3851,14 +4126,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size174;
-            ::apache::thrift::protocol::TType _etype177;
-            xfer += iprot->readListBegin(_etype177, _size174);
-            this->servers.resize(_size174);
-            uint32_t _i178;
-            for (_i178 = 0; _i178 < _size174; ++_i178)
+            uint32_t _size158;
+            ::apache::thrift::protocol::TType _etype161;
+            xfer += iprot->readListBegin(_etype161, _size158);
+            this->servers.resize(_size158);
+            uint32_t _i162;
+            for (_i162 = 0; _i162 < _size158; ++_i162)
             {
-              xfer += this->servers[_i178].read(iprot);
+              xfer += this->servers[_i162].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3871,14 +4146,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size179;
-            ::apache::thrift::protocol::TType _etype182;
-            xfer += iprot->readListBegin(_etype182, _size179);
-            this->members.resize(_size179);
-            uint32_t _i183;
-            for (_i183 = 0; _i183 < _size179; ++_i183)
+            uint32_t _size163;
+            ::apache::thrift::protocol::TType _etype166;
+            xfer += iprot->readListBegin(_etype166, _size163);
+            this->members.resize(_size163);
+            uint32_t _i167;
+            for (_i167 = 0; _i167 < _size163; ++_i167)
             {
-              xfer += this->members[_i183].read(iprot);
+              xfer += this->members[_i167].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3891,14 +4166,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->deaths.clear();
-            uint32_t _size184;
-            ::apache::thrift::protocol::TType _etype187;
-            xfer += iprot->readListBegin(_etype187, _size184);
-            this->deaths.resize(_size184);
-            uint32_t _i188;
-            for (_i188 = 0; _i188 < _size184; ++_i188)
+            uint32_t _size168;
+            ::apache::thrift::protocol::TType _etype171;
+            xfer += iprot->readListBegin(_etype171, _size168);
+            this->deaths.resize(_size168);
+            uint32_t _i172;
+            for (_i172 = 0; _i172 < _size168; ++_i172)
             {
-              xfer += this->deaths[_i188].read(iprot);
+              xfer += this->deaths[_i172].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3911,14 +4186,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heirs.clear();
-            uint32_t _size189;
-            ::apache::thrift::protocol::TType _etype192;
-            xfer += iprot->readListBegin(_etype192, _size189);
-            this->heirs.resize(_size189);
-            uint32_t _i193;
-            for (_i193 = 0; _i193 < _size189; ++_i193)
+            uint32_t _size173;
+            ::apache::thrift::protocol::TType _etype176;
+            xfer += iprot->readListBegin(_etype176, _size173);
+            this->heirs.resize(_size173);
+            uint32_t _i177;
+            for (_i177 = 0; _i177 < _size173; ++_i177)
             {
-              xfer += this->heirs[_i193].read(iprot);
+              xfer += this->heirs[_i177].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3931,14 +4206,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->pathFaults.clear();
-            uint32_t _size194;
-            ::apache::thrift::protocol::TType _etype197;
-            xfer += iprot->readListBegin(_etype197, _size194);
-            this->pathFaults.resize(_size194);
-            uint32_t _i198;
-            for (_i198 = 0; _i198 < _size194; ++_i198)
+            uint32_t _size178;
+            ::apache::thrift::protocol::TType _etype181;
+            xfer += iprot->readListBegin(_etype181, _size178);
+            this->pathFaults.resize(_size178);
+            uint32_t _i182;
+            for (_i182 = 0; _i182 < _size178; ++_i182)
             {
-              xfer += this->pathFaults[_i198].read(iprot);
+              xfer += this->pathFaults[_i182].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3975,10 +4250,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<Acceptance> ::const_iterator _iter199;
-    for (_iter199 = this->records.begin(); _iter199 != this->records.end(); ++_iter199)
+    std::vector<Acceptance> ::const_iterator _iter183;
+    for (_iter183 = this->records.begin(); _iter183 != this->records.end(); ++_iter183)
     {
-      xfer += (*_iter199).write(oprot);
+      xfer += (*_iter183).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3991,10 +4266,10 @@
   xfer += oprot->writeFieldBegin("entryHosts", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entryHosts.size()));
-    std::vector<EntryHost> ::const_iterator _iter200;
-    for (_iter200 = this->entryHosts.begin(); _iter200 != this->entryHosts.end(); ++_iter200)
+    std::vector<EntryHost> ::const_iterator _iter184;
+    for (_iter184 = this->entryHosts.begin(); _iter184 != this->entryHosts.end(); ++_iter184)
     {
-      xfer += (*_iter200).write(oprot);
+      xfer += (*_iter184).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4003,10 +4278,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<Server> ::const_iterator _iter201;
-    for (_iter201 = this->servers.begin(); _iter201 != this->servers.end(); ++_iter201)
+    std::vector<Server> ::const_iterator _iter185;
+    for (_iter185 = this->servers.begin(); _iter185 != this->servers.end(); ++_iter185)
     {
-      xfer += (*_iter201).write(oprot);
+      xfer += (*_iter185).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4015,10 +4290,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter202;
-    for (_iter202 = this->members.begin(); _iter202 != this->members.end(); ++_iter202)
+    std::vector<Member> ::const_iterator _iter186;
+    for (_iter186 = this->members.begin(); _iter186 != this->members.end(); ++_iter186)
     {
-      xfer += (*_iter202).write(oprot);
+      xfer += (*_iter186).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4027,10 +4302,10 @@
   xfer += oprot->writeFieldBegin("deaths", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deaths.size()));
-    std::vector<Death> ::const_iterator _iter203;
-    for (_iter203 = this->deaths.begin(); _iter203 != this->deaths.end(); ++_iter203)
+    std::vector<Death> ::const_iterator _iter187;
+    for (_iter187 = this->deaths.begin(); _iter187 != this->deaths.end(); ++_iter187)
     {
-      xfer += (*_iter203).write(oprot);
+      xfer += (*_iter187).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4039,10 +4314,10 @@
   xfer += oprot->writeFieldBegin("heirs", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->heirs.size()));
-    std::vector<KeyHeir> ::const_iterator _iter204;
-    for (_iter204 = this->heirs.begin(); _iter204 != this->heirs.end(); ++_iter204)
+    std::vector<KeyHeir> ::const_iterator _iter188;
+    for (_iter188 = this->heirs.begin(); _iter188 != this->heirs.end(); ++_iter188)
     {
-      xfer += (*_iter204).write(oprot);
+      xfer += (*_iter188).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4051,10 +4326,10 @@
   xfer += oprot->writeFieldBegin("pathFaults", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->pathFaults.size()));
-    std::vector<PathFault> ::const_iterator _iter205;
-    for (_iter205 = this->pathFaults.begin(); _iter205 != this->pathFaults.end(); ++_iter205)
+    std::vector<PathFault> ::const_iterator _iter189;
+    for (_iter189 = this->pathFaults.begin(); _iter189 != this->pathFaults.end(); ++_iter189)
     {
-      xfer += (*_iter205).write(oprot);
+      xfer += (*_iter189).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4084,54 +4359,29 @@
   swap(a.__isset, b.__isset);
 }
 
-PullReply::PullReply(const PullReply& other206) {
-  records = other206.records;
-  hostListRevision = other206.hostListRevision;
-  entryHosts = other206.entryHosts;
-  servers = other206.servers;
-  members = other206.members;
-  deaths = other206.deaths;
-  heirs = other206.heirs;
-  pathFaults = other206.pathFaults;
-  hostsChange = other206.hostsChange;
-  __isset = other206.__isset;
-}
-PullReply::PullReply(PullReply&& other207) noexcept {
-  records = std::move(other207.records);
-  hostListRevision = other207.hostListRevision;
-  entryHosts = std::move(other207.entryHosts);
-  servers = std::move(other207.servers);
-  members = std::move(other207.members);
-  deaths = std::move(other207.deaths);
-  heirs = std::move(other207.heirs);
-  pathFaults = std::move(other207.pathFaults);
-  hostsChange = std::move(other207.hostsChange);
-  __isset = other207.__isset;
-}
-PullReply& PullReply::operator=(const PullReply& other208) {
-  records = other208.records;
-  hostListRevision = other208.hostListRevision;
-  entryHosts = other208.entryHosts;
-  servers = other208.servers;
-  members = other208.members;
-  deaths = other208.deaths;
-  heirs = other208.heirs;
-  pathFaults = other208.pathFaults;
-  hostsChange = other208.hostsChange;
-  __isset = other208.__isset;
-  return *this;
-}
-PullReply& PullReply::operator=(PullReply&& other209) noexcept {
-  records = std::move(other209.records);
-  hostListRevision = other209.hostListRevision;
-  entryHosts = std::move(other209.entryHosts);
-  servers = std::move(other209.servers);
-  members = std::move(other209.members);
-  deaths = std::move(other209.deaths);
-  heirs = std::move(other209.heirs);
-  pathFaults = std::move(other209.pathFaults);
-  hostsChange = std::move(other209.hostsChange);
-  __isset = other209.__isset;
+PullReply::PullReply(const PullReply& other190) {
+  records = other190.records;
+  hostListRevision = other190.hostListRevision;
+  entryHosts = other190.entryHosts;
+  servers = other190.servers;
+  members = other190.members;
+  deaths = other190.deaths;
+  heirs = other190.heirs;
+  pathFaults = other190.pathFaults;
+  hostsChange = other190.hostsChange;
+  __isset = other190.__isset;
+}
+PullReply& PullReply::operator=(const PullReply& other191) {
+  records = other191.records;
+  hostListRevision = other191.hostListRevision;
+  entryHosts = other191.entryHosts;
+  servers = other191.servers;
+  members = other191.members;
+  deaths = other191.deaths;
+  heirs = other191.heirs;
+  pathFaults = other191.pathFaults;
+  hostsChange = other191.hostsChange;
+  __isset = other191.__isset;
   return *this;
 }
 void PullReply::printTo(std::ostream& out) const {
@@ -4242,26 +4492,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Header::Header(const Header& other210) {
-  name = other210.name;
-  value = other210.value;
-  __isset = other210.__isset;
-}
-Header::Header(Header&& other211) noexcept {
-  name = std::move(other211.name);
-  value = std::move(other211.value);
-  __isset = other211.__isset;
-}
-Header& Header::operator=(const Header& other212) {
-  name = other212.name;
-  value = other212.value;
-  __isset = other212.__isset;
-  return *this;
+Header::Header(const Header& other192) {
+  name = other192.name;
+  value = other192.value;
+  __isset = other192.__isset;
 }
-Header& Header::operator=(Header&& other213) noexcept {
-  name = std::move(other213.name);
-  value = std::move(other213.value);
-  __isset = other213.__isset;
+Header& Header::operator=(const Header& other193) {
+  name = other193.name;
+  value = other193.value;
+  __isset = other193.__isset;
   return *this;
 }
 void Header::printTo(std::ostream& out) const {
@@ -4364,14 +4603,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size214;
-            ::apache::thrift::protocol::TType _etype217;
-            xfer += iprot->readListBegin(_etype217, _size214);
-            this->headers.resize(_size214);
-            uint32_t _i218;
-            for (_i218 = 0; _i218 < _size214; ++_i218)
+            uint32_t _size194;
+            ::apache::thrift::protocol::TType _etype197;
+            xfer += iprot->readListBegin(_etype197, _size194);
+            this->headers.resize(_size194);
+            uint32_t _i198;
+            for (_i198 = 0; _i198 < _size194; ++_i198)
             {
-              xfer += this->headers[_i218].read(iprot);
+              xfer += this->headers[_i198].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4424,10 +4663,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter219;
-    for (_iter219 = this->headers.begin(); _iter219 != this->headers.end(); ++_iter219)
+    std::vector<Header> ::const_iterator _iter199;
+    for (_iter199 = this->headers.begin(); _iter199 != this->headers.end(); ++_iter199)
     {
-      xfer += (*_iter219).write(oprot);
+      xfer += (*_iter199).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4453,42 +4692,23 @@
   swap(a.__isset, b.__isset);
 }
 
-RememberedKey::RememberedKey(const RememberedKey& other220) {
-  name = other220.name;
-  issuer = other220.issuer;
-  status = other220.status;
-  outcome = other220.outcome;
-  headers = other220.headers;
-  body = other220.body;
-  __isset = other220.__isset;
-}
-RememberedKey::RememberedKey(RememberedKey&& other221) noexcept {
-  name = std::move(other221.name);
-  issuer = std::move(other221.issuer);
-  status = other221.status;
-  outcome = other221.outcome;
-  headers = std::move(other221.headers);
-  body = std::move(other221.body);
-  __isset = other221.__isset;
-}
-RememberedKey& RememberedKey::operator=(const RememberedKey& other222) {
-  name = other222.name;
-  issuer = other222.issuer;
-  status = other222.status;
-  outcome = other222.outcome;
-  headers = other222.headers;
-  body = other222.body;
-  __isset = other222.__isset;
-  return *this;
-}
-RememberedKey& RememberedKey::operator=(RememberedKey&& other223) noexcept {
-  name = std::move(other223.name);
-  issuer = std::move(other223.issuer);
-  status = other223.status;
-  outcome = other223.outcome;
-  headers = std::move(other223.headers);
-  body = std::move(other223.body);
-  __isset = other223.__isset;
+RememberedKey::RememberedKey(const RememberedKey& other200) {
+  name = other200.name;
+  issuer = other200.issuer;
+  status = other200.status;
+  outcome = other200.outcome;
+  headers = other200.headers;
+  body = other200.body;
+  __isset = other200.__isset;
+}
+RememberedKey& RememberedKey::operator=(const RememberedKey& other201) {
+  name = other201.name;
+  issuer = other201.issuer;
+  status = other201.status;
+  outcome = other201.outcome;
+  headers = other201.headers;
+  body = other201.body;
+  __isset = other201.__isset;
   return *this;
 }
 void RememberedKey::printTo(std::ostream& out) const {
@@ -4579,14 +4799,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rights.clear();
-            uint32_t _size224;
-            ::apache::thrift::protocol::TType _etype227;
-            xfer += iprot->readListBegin(_etype227, _size224);
-            this->rights.resize(_size224);
-            uint32_t _i228;
-            for (_i228 = 0; _i228 < _size224; ++_i228)
+            uint32_t _size202;
+            ::apache::thrift::protocol::TType _etype205;
+            xfer += iprot->readListBegin(_etype205, _size202);
+            this->rights.resize(_size202);
+            uint32_t _i206;
+            for (_i206 = 0; _i206 < _size202; ++_i206)
             {
-              xfer += this->rights[_i228].read(iprot);
+              xfer += this->rights[_i206].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4615,14 +4835,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keys.clear();
-            uint32_t _size229;
-            ::apache::thrift::protocol::TType _etype232;
-            xfer += iprot->readListBegin(_etype232, _size229);
-            this->keys.resize(_size229);
-            uint32_t _i233;
-            for (_i233 = 0; _i233 < _size229; ++_i233)
+            uint32_t _size207;
+            ::apache::thrift::protocol::TType _etype210;
+            xfer += iprot->readListBegin(_etype210, _size207);
+            this->keys.resize(_size207);
+            uint32_t _i211;
+            for (_i211 = 0; _i211 < _size207; ++_i211)
             {
-              xfer += this->keys[_i233].read(iprot);
+              xfer += this->keys[_i211].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4659,10 +4879,10 @@
   xfer += oprot->writeFieldBegin("rights", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rights.size()));
-    std::vector<KeyHeir> ::const_iterator _iter234;
-    for (_iter234 = this->rights.begin(); _iter234 != this->rights.end(); ++_iter234)
+    std::vector<KeyHeir> ::const_iterator _iter212;
+    for (_iter212 = this->rights.begin(); _iter212 != this->rights.end(); ++_iter212)
     {
-      xfer += (*_iter234).write(oprot);
+      xfer += (*_iter212).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4679,10 +4899,10 @@
   xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keys.size()));
-    std::vector<RememberedKey> ::const_iterator _iter235;
-    for (_iter235 = this->keys.begin(); _iter235 != this->keys.end(); ++_iter235)
+    std::vector<RememberedKey> ::const_iterator _iter213;
+    for (_iter213 = this->keys.begin(); _iter213 != this->keys.end(); ++_iter213)
     {
-      xfer += (*_iter235).write(oprot);
+      xfer += (*_iter213).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4704,42 +4924,23 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyHandOver::KeyHandOver(const KeyHandOver& other236) {
-  giver = other236.giver;
-  heir = other236.heir;
-  rights = other236.rights;
-  part = other236.part;
-  parts = other236.parts;
-  keys = other236.keys;
-  __isset = other236.__isset;
-}
-KeyHandOver::KeyHandOver(KeyHandOver&& other237) noexcept {
-  giver = std::move(other237.giver);
-  heir = std::move(other237.heir);
-  rights = std::move(other237.rights);
-  part = other237.part;
-  parts = other237.parts;
-  keys = std::move(other237.keys);
-  __isset = other237.__isset;
-}
-KeyHandOver& KeyHandOver::operator=(const KeyHandOver& other238) {
-  giver = other238.giver;
-  heir = other238.heir;
-  rights = other238.rights;
-  part = other238.part;
-  parts = other238.parts;
-  keys = other238.keys;
-  __isset = other238.__isset;
-  return *this;
-}
-KeyHandOver& KeyHandOver::operator=(KeyHandOver&& other239) noexcept {
-  giver = std::move(other239.giver);
-  heir = std::move(other239.heir);
-  rights = std::move(other239.rights);
-  part = other239.part;
-  parts = other239.parts;
-  keys = std::move(other239.keys);
-  __isset = other239.__isset;
+KeyHandOver::KeyHandOver(const KeyHandOver& other214) {
+  giver = other214.giver;
+  heir = other214.heir;
+  rights = other214.rights;
+  part = other214.part;
+  parts = other214.parts;
+  keys = other214.keys;
+  __isset = other214.__isset;
+}
+KeyHandOver& KeyHandOver::operator=(const KeyHandOver& other215) {
+  giver = other215.giver;
+  heir = other215.heir;
+  rights = other215.rights;
+  part = other215.part;
+  parts = other215.parts;
+  keys = other215.keys;
+  __isset = other215.__isset;
   return *this;
 }
 void KeyHandOver::printTo(std::ostream& out) const {
--- a/src/libs/peer/gen/peer_types.h
+++ b/src/libs/peer/gen/peer_types.h
@@ -41,6 +41,12 @@
 
 class ServerStatement;
 
+class QuotaUse;
+
+class QuotaReport;
+
+class QuotaShare;
+
 class Datagram;
 
 class FleetCopy;
@@ -80,9 +86,7 @@
  public:
 
   Member(const Member&);
-  Member(Member&&) noexcept;
   Member& operator=(const Member&);
-  Member& operator=(Member&&) noexcept;
   Member() noexcept
          : id(),
            dataCentre(),
@@ -174,9 +178,7 @@
  public:
 
   ServiceVersion(const ServiceVersion&);
-  ServiceVersion(ServiceVersion&&) noexcept;
   ServiceVersion& operator=(const ServiceVersion&);
-  ServiceVersion& operator=(ServiceVersion&&) noexcept;
   ServiceVersion() noexcept
                  : serviceName(),
                    version(0) {
@@ -227,9 +229,7 @@
  public:
 
   Death(const Death&);
-  Death(Death&&) noexcept;
   Death& operator=(const Death&);
-  Death& operator=(Death&&) noexcept;
   Death() noexcept
         : serviceName(),
           fingerprint(0),
@@ -285,9 +285,7 @@
  public:
 
   Leaving(const Leaving&);
-  Leaving(Leaving&&) noexcept;
   Leaving& operator=(const Leaving&);
-  Leaving& operator=(Leaving&&) noexcept;
   Leaving() noexcept
           : serviceName(),
             server() {
@@ -337,9 +335,7 @@
  public:
 
   Incarnation(const Incarnation&);
-  Incarnation(Incarnation&&) noexcept;
   Incarnation& operator=(const Incarnation&);
-  Incarnation& operator=(Incarnation&&) noexcept;
   Incarnation() noexcept
               : proxyId(),
                 incarnation(0) {
@@ -390,9 +386,7 @@
  public:
 
   KeyHeir(const KeyHeir&);
-  KeyHeir(KeyHeir&&) noexcept;
   KeyHeir& operator=(const KeyHeir&);
-  KeyHeir& operator=(KeyHeir&&) noexcept;
   KeyHeir() noexcept
           : generation(0) {
   }
@@ -446,9 +440,7 @@
  public:
 
   PathFault(const PathFault&);
-  PathFault(PathFault&&) noexcept;
   PathFault& operator=(const PathFault&);
-  PathFault& operator=(PathFault&&) noexcept;
   PathFault() noexcept
             : proxyId(),
               server() {
@@ -504,9 +496,7 @@
  public:
 
   ServerWork(const ServerWork&);
-  ServerWork(ServerWork&&) noexcept;
   ServerWork& operator=(const ServerWork&);
-  ServerWork& operator=(ServerWork&&) noexcept;
   ServerWork() noexcept
              : server(),
                inUse(0),
@@ -594,9 +584,7 @@
  public:
 
   WorkReport(const WorkReport&);
-  WorkReport(WorkReport&&) noexcept;
   WorkReport& operator=(const WorkReport&);
-  WorkReport& operator=(WorkReport&&) noexcept;
   WorkReport() noexcept
              : serviceName() {
   }
@@ -653,9 +641,7 @@
  public:
 
   ServerStatement(const ServerStatement&);
-  ServerStatement(ServerStatement&&) noexcept;
   ServerStatement& operator=(const ServerStatement&);
-  ServerStatement& operator=(ServerStatement&&) noexcept;
   ServerStatement() noexcept
                   : id(),
                     address(),
@@ -743,8 +729,215 @@
 
 std::ostream& operator<<(std::ostream& out, const ServerStatement& obj);
 
+typedef struct _QuotaUse__isset {
+  _QuotaUse__isset() : organisation(false), requested(false), admitted(false), recentlyAdmitted(false), knownRequestRate(false), knownRequestRateAgeMilliseconds(false), keepsReporting(false) {}
+  bool organisation :1;
+  bool requested :1;
+  bool admitted :1;
+  bool recentlyAdmitted :1;
+  bool knownRequestRate :1;
+  bool knownRequestRateAgeMilliseconds :1;
+  bool keepsReporting :1;
+} _QuotaUse__isset;
+
+class QuotaUse : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaUse(const QuotaUse&);
+  QuotaUse& operator=(const QuotaUse&);
+  QuotaUse() noexcept
+           : organisation(),
+             requested(0),
+             admitted(0),
+             recentlyAdmitted(0),
+             knownRequestRate(0),
+             knownRequestRateAgeMilliseconds(0),
+             keepsReporting(0) {
+  }
+
+  virtual ~QuotaUse() noexcept;
+  std::string organisation;
+  int64_t requested;
+  int64_t admitted;
+  int64_t recentlyAdmitted;
+  double knownRequestRate;
+  int32_t knownRequestRateAgeMilliseconds;
+  bool keepsReporting;
+
+  _QuotaUse__isset __isset;
+
+  void __set_organisation(const std::string& val);
+
+  void __set_requested(const int64_t val);
+
+  void __set_admitted(const int64_t val);
+
+  void __set_recentlyAdmitted(const int64_t val);
+
+  void __set_knownRequestRate(const double val);
+
+  void __set_knownRequestRateAgeMilliseconds(const int32_t val);
+
+  void __set_keepsReporting(const bool val);
+
+  bool operator == (const QuotaUse & rhs) const
+  {
+    if (!(organisation == rhs.organisation))
+      return false;
+    if (!(requested == rhs.requested))
+      return false;
+    if (!(admitted == rhs.admitted))
+      return false;
+    if (!(recentlyAdmitted == rhs.recentlyAdmitted))
+      return false;
+    if (!(knownRequestRate == rhs.knownRequestRate))
+      return false;
+    if (!(knownRequestRateAgeMilliseconds == rhs.knownRequestRateAgeMilliseconds))
+      return false;
+    if (!(keepsReporting == rhs.keepsReporting))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaUse &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaUse & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaUse &a, QuotaUse &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaUse& obj);
+
+typedef struct _QuotaReport__isset {
+  _QuotaReport__isset() : incarnation(false), uptimeMilliseconds(false), uses(false) {}
+  bool incarnation :1;
+  bool uptimeMilliseconds :1;
+  bool uses :1;
+} _QuotaReport__isset;
+
+class QuotaReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaReport(const QuotaReport&);
+  QuotaReport& operator=(const QuotaReport&);
+  QuotaReport() noexcept
+              : incarnation(0),
+                uptimeMilliseconds(0) {
+  }
+
+  virtual ~QuotaReport() noexcept;
+  int64_t incarnation;
+  int64_t uptimeMilliseconds;
+  std::vector<QuotaUse>  uses;
+
+  _QuotaReport__isset __isset;
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_uptimeMilliseconds(const int64_t val);
+
+  void __set_uses(const std::vector<QuotaUse> & val);
+
+  bool operator == (const QuotaReport & rhs) const
+  {
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(uptimeMilliseconds == rhs.uptimeMilliseconds))
+      return false;
+    if (!(uses == rhs.uses))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaReport &a, QuotaReport &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaReport& obj);
+
+typedef struct _QuotaShare__isset {
+  _QuotaShare__isset() : organisation(false), share(false), requestRate(false), ownPart(false) {}
+  bool organisation :1;
+  bool share :1;
+  bool requestRate :1;
+  bool ownPart :1;
+} _QuotaShare__isset;
+
+class QuotaShare : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaShare(const QuotaShare&);
+  QuotaShare& operator=(const QuotaShare&);
+  QuotaShare() noexcept
+             : organisation(),
+               share(0),
+               requestRate(0),
+               ownPart(0) {
+  }
+
+  virtual ~QuotaShare() noexcept;
+  std::string organisation;
+  double share;
+  double requestRate;
+  double ownPart;
+
+  _QuotaShare__isset __isset;
+
+  void __set_organisation(const std::string& val);
+
+  void __set_share(const double val);
+
+  void __set_requestRate(const double val);
+
+  void __set_ownPart(const double val);
+
+  bool operator == (const QuotaShare & rhs) const
+  {
+    if (!(organisation == rhs.organisation))
+      return false;
+    if (!(share == rhs.share))
+      return false;
+    if (!(requestRate == rhs.requestRate))
+      return false;
+    if (__isset.ownPart != rhs.__isset.ownPart)
+      return false;
+    else if (__isset.ownPart && !(ownPart == rhs.ownPart))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaShare &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaShare & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaShare &a, QuotaShare &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaShare& obj);
+
 typedef struct _Datagram__isset {
-  _Datagram__isset() : kind(false), sequence(false), senderId(false), senderAddress(false), targetId(false), targetAddress(false), updates(false), configurationDigest(false), hostListRevision(false), changes(false), deaths(false), leaving(false), wallMilliseconds(false), counter(false), heirs(false), pathFaults(false), work(false), statements(false), readsStore(false), serversDigest(false), serversAgeMilliseconds(false), serversQuestion(false), sentMilliseconds(false), answerToMilliseconds(false) {}
+  _Datagram__isset() : kind(false), sequence(false), senderId(false), senderAddress(false), targetId(false), targetAddress(false), updates(false), configurationDigest(false), hostListRevision(false), changes(false), deaths(false), leaving(false), wallMilliseconds(false), counter(false), heirs(false), pathFaults(false), work(false), statements(false), readsStore(false), serversDigest(false), serversAgeMilliseconds(false), serversQuestion(false), sentMilliseconds(false), answerToMilliseconds(false), quotaReport(false), quotaShares(false) {}
   bool kind :1;
   bool sequence :1;
   bool senderId :1;
@@ -769,15 +962,15 @@
   bool serversQuestion :1;
   bool sentMilliseconds :1;
   bool answerToMilliseconds :1;
+  bool quotaReport :1;
+  bool quotaShares :1;
 } _Datagram__isset;
 
 class Datagram : public virtual ::apache::thrift::TBase {
  public:
 
   Datagram(const Datagram&);
-  Datagram(Datagram&&) noexcept;
   Datagram& operator=(const Datagram&);
-  Datagram& operator=(Datagram&&) noexcept;
   Datagram() noexcept
            : kind(0),
              sequence(0),
@@ -821,6 +1014,8 @@
   std::vector<int64_t>  serversQuestion;
   int64_t sentMilliseconds;
   int64_t answerToMilliseconds;
+  QuotaReport quotaReport;
+  std::vector<QuotaShare>  quotaShares;
 
   _Datagram__isset __isset;
 
@@ -872,6 +1067,10 @@
 
   void __set_answerToMilliseconds(const int64_t val);
 
+  void __set_quotaReport(const QuotaReport& val);
+
+  void __set_quotaShares(const std::vector<QuotaShare> & val);
+
   bool operator == (const Datagram & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -928,6 +1127,12 @@
       return false;
     else if (__isset.answerToMilliseconds && !(answerToMilliseconds == rhs.answerToMilliseconds))
       return false;
+    if (__isset.quotaReport != rhs.__isset.quotaReport)
+      return false;
+    else if (__isset.quotaReport && !(quotaReport == rhs.quotaReport))
+      return false;
+    if (!(quotaShares == rhs.quotaShares))
+      return false;
     return true;
   }
   bool operator != (const Datagram &rhs) const {
@@ -957,9 +1162,7 @@
  public:
 
   FleetCopy(const FleetCopy&);
-  FleetCopy(FleetCopy&&) noexcept;
   FleetCopy& operator=(const FleetCopy&);
-  FleetCopy& operator=(FleetCopy&&) noexcept;
   FleetCopy() noexcept
             : version(0),
               configuration() {
@@ -1016,9 +1219,7 @@
  public:
 
   PullRequest(const PullRequest&);
-  PullRequest(PullRequest&&) noexcept;
   PullRequest& operator=(const PullRequest&);
-  PullRequest& operator=(PullRequest&&) noexcept;
   PullRequest() noexcept
               : only(0),
                 hostListRevision(0),
@@ -1083,9 +1284,7 @@
  public:
 
   Acceptance(const Acceptance&);
-  Acceptance(Acceptance&&) noexcept;
   Acceptance& operator=(const Acceptance&);
-  Acceptance& operator=(Acceptance&&) noexcept;
   Acceptance() noexcept
              : content(),
                parent(),
@@ -1160,9 +1359,7 @@
  public:
 
   EntryHost(const EntryHost&);
-  EntryHost(EntryHost&&) noexcept;
   EntryHost& operator=(const EntryHost&);
-  EntryHost& operator=(EntryHost&&) noexcept;
   EntryHost() noexcept
             : id(),
               dataCentre(),
@@ -1220,9 +1417,7 @@
  public:
 
   Server(const Server&);
-  Server(Server&&) noexcept;
   Server& operator=(const Server&);
-  Server& operator=(Server&&) noexcept;
   Server() noexcept
          : address(),
            pool(),
@@ -1288,9 +1483,7 @@
  public:
 
   HostsChange(const HostsChange&);
-  HostsChange(HostsChange&&) noexcept;
   HostsChange& operator=(const HostsChange&);
-  HostsChange& operator=(HostsChange&&) noexcept;
   HostsChange() noexcept
               : fromRevision(0),
                 toRevision(0) {
@@ -1367,9 +1560,7 @@
  public:
 
   PullReply(const PullReply&);
-  PullReply(PullReply&&) noexcept;
   PullReply& operator=(const PullReply&);
-  PullReply& operator=(PullReply&&) noexcept;
   PullReply() noexcept
             : hostListRevision(0) {
   }
@@ -1455,9 +1646,7 @@
  public:
 
   Header(const Header&);
-  Header(Header&&) noexcept;
   Header& operator=(const Header&);
-  Header& operator=(Header&&) noexcept;
   Header() noexcept
          : name(),
            value() {
@@ -1511,9 +1700,7 @@
  public:
 
   RememberedKey(const RememberedKey&);
-  RememberedKey(RememberedKey&&) noexcept;
   RememberedKey& operator=(const RememberedKey&);
-  RememberedKey& operator=(RememberedKey&&) noexcept;
   RememberedKey() noexcept
                 : name(),
                   status(0),
@@ -1589,9 +1776,7 @@
  public:
 
   KeyHandOver(const KeyHandOver&);
-  KeyHandOver(KeyHandOver&&) noexcept;
   KeyHandOver& operator=(const KeyHandOver&);
-  KeyHandOver& operator=(KeyHandOver&&) noexcept;
   KeyHandOver() noexcept
               : part(0),
                 parts(0) {
--- a/src/libs/peer/peer.thrift
+++ b/src/libs/peer/peer.thrift
@@ -75,6 +75,29 @@
   10: bool removed
 }
 
+struct QuotaUse {
+  1: string organisation
+  2: i64 requested
+  3: i64 admitted
+  4: i64 recentlyAdmitted
+  5: double knownRequestRate
+  6: i32 knownRequestRateAgeMilliseconds
+  7: bool keepsReporting
+}
+
+struct QuotaReport {
+  1: i64 incarnation
+  2: i64 uptimeMilliseconds
+  3: list<QuotaUse> uses
+}
+
+struct QuotaShare {
+  1: string organisation
+  2: double share
+  3: double requestRate
+  4: optional double ownPart
+}
+
 struct Datagram {
   1: i32 kind
   2: i64 sequence
@@ -100,6 +123,8 @@
   22: list<i64> serversQuestion
   23: optional i64 sentMilliseconds
   24: optional i64 answerToMilliseconds
+  25: optional QuotaReport quotaReport
+  26: list<QuotaShare> quotaShares
 }
 
 struct FleetCopy {
--- a/src/libs/peer/peer_codec.cpp
+++ b/src/libs/peer/peer_codec.cpp
@@ -94,6 +94,9 @@
     Wire.__set_sentMilliseconds(*Message.Sent);
   if (Message.AnswerTo)
     Wire.__set_answerToMilliseconds(*Message.AnswerTo);
+  if (Message.QuotaReport)
+    Wire.__set_quotaReport(toWire(*Message.QuotaReport));
+  Wire.quotaShares = converted<wire::QuotaShare>(Message.QuotaShares, ToWire);
   Wire.wallMilliseconds = Message.Time.WallMilliseconds;
   Wire.counter = static_cast<std::int32_t>(Message.Time.Counter);
   return pack(FleetSecret, "datagram", Wire);
@@ -130,6 +133,9 @@
     Message.Sent = Wire.sentMilliseconds;
   if (Wire.__isset.answerToMilliseconds)
     Message.AnswerTo = Wire.answerToMilliseconds;
+  if (Wire.__isset.quotaReport)
+    Message.QuotaReport = fromWire(Wire.quotaReport);
+  Message.QuotaShares = converted<quota_share>(Wire.quotaShares, FromWire);
   Message.Time = {Wire.wallMilliseconds,
                   static_cast<std::uint32_t>(Wire.counter)};
   return Message;
--- a/src/libs/peer/wire_conversion.cpp
+++ b/src/libs/peer/wire_conversion.cpp
@@ -2,6 +2,7 @@
 
 #include "files/service_file.h"
 
+#include <cmath>
 #include <utility>
 
 namespace endiverail {
@@ -14,6 +15,10 @@
   return static_cast<std::uint32_t>(std::clamp(Value, 0, MostWorkCount));
 }
 
+double finiteOr(double Value, double Otherwise) {
+  return std::isfinite(Value) ? Value : Otherwise;
+}
+
 } // namespace
 
 std::int64_t toWire(std::uint64_t Value) {
@@ -267,6 +272,61 @@
   return Result;
 }
 
+wire::QuotaUse toWire(const quota_use &Use) {
+  wire::QuotaUse Wire;
+  Wire.organisation = Use.Organisation;
+  Wire.requested = Use.Requested;
+  Wire.admitted = Use.Admitted;
+  Wire.recentlyAdmitted = Use.RecentlyAdmitted;
+  Wire.knownRequestRate = Use.KnownRequestRate;
+  Wire.knownRequestRateAgeMilliseconds =
+      static_cast<std::int32_t>(Use.KnownRequestRateAge.count());
+  Wire.keepsReporting = Use.KeepsReporting;
+  return Wire;
+}
+
+quota_use fromWire(const wire::QuotaUse &Use) {
+  return {Use.organisation,
+          Use.requested,
+          Use.admitted,
+          Use.recentlyAdmitted,
+          finiteOr(Use.knownRequestRate, 0),
+          milliseconds(std::max(0, Use.knownRequestRateAgeMilliseconds)),
+          Use.keepsReporting};
+}
+
+wire::QuotaReport toWire(const quota_report &Report) {
+  wire::QuotaReport Wire;
+  Wire.incarnation = toWire(Report.Incarnation);
+  Wire.uptimeMilliseconds = Report.Uptime.count();
+  Wire.uses = converted<wire::QuotaUse>(Report.Uses, ToWire);
+  return Wire;
+}
+
+quota_report fromWire(const wire::QuotaReport &Report) {
+  return {fromWire(Report.incarnation),
+          milliseconds(std::max<std::int64_t>(0, Report.uptimeMilliseconds)),
+          converted<quota_use>(Report.uses, FromWire)};
+}
+
+wire::QuotaShare toWire(const quota_share &Share) {
+  wire::QuotaShare Wire;
+  Wire.organisation = Share.Organisation;
+  Wire.share = Share.Share;
+  Wire.requestRate = Share.RequestRate;
+  if (Share.OwnPart)
+    Wire.__set_ownPart(*Share.OwnPart);
+  return Wire;
+}
+
+quota_share fromWire(const wire::QuotaShare &Share) {
+  quota_share Result{Share.organisation, finiteOr(Share.share, 0),
+                     finiteOr(Share.requestRate, 0)};
+  if (Share.__isset.ownPart)
+    Result.OwnPart = finiteOr(Share.ownPart, 0);
+  return Result;
+}
+
 wire::Header toWire(const header_field &Header) {
   wire::Header Result;
   Result.name = Header.Name;
--- a/src/libs/process/active_request.h
+++ b/src/libs/process/active_request.h
@@ -92,6 +92,10 @@
   bool HoldsKey = false;
   std::size_t HolderRetries = 0;
   bool CallerGone = false;
+  /// The request is counted against its organisation's quota.
+  bool CountsForQuota = false;
+  /// When the caller may come back, if that is known for this request.
+  std::optional<milliseconds> RetryAfter{};
   std::optional<running_attempt> Attempt;
 
   /// Part of the response that has not been forwarded yet.
--- a/src/libs/process/control_message.h
+++ b/src/libs/process/control_message.h
@@ -65,6 +65,10 @@
   std::optional<steady_timestamp> Sent;
   /// The timestamp of the datagram that this one answers.
   std::optional<steady_timestamp> AnswerTo;
+  /// Requests of organisations that the receiver coordinates.
+  std::optional<quota_report> QuotaReport;
+  /// Shares of organisations that the sender coordinates.
+  std::vector<quota_share> QuotaShares;
   hybrid_time Time;
 };
 
--- a/src/libs/process/metrics.cpp
+++ b/src/libs/process/metrics.cpp
@@ -68,6 +68,11 @@
   ++OverloadRefusals[std::string(Service)];
 }
 
+void process_metrics::onQuotaRefusal(std::string_view Basis) {
+  std::lock_guard Lock(Mutex);
+  ++QuotaRefusals[std::string(Basis)];
+}
+
 void process_metrics::onUnknownAccessKey() {
   std::lock_guard Lock(Mutex);
   ++UnknownAccessKeys;
@@ -157,6 +162,10 @@
     fmt::format_to(Out,
                    "endiverail_overload_refusals_total{{service=\"{}\"}} {}\n",
                    Service, Count);
+  Text += "# TYPE endiverail_quota_refusals_total counter\n";
+  for (const auto &[Basis, Count] : QuotaRefusals)
+    fmt::format_to(Out, "endiverail_quota_refusals_total{{basis=\"{}\"}} {}\n",
+                   Basis, Count);
   fmt::format_to(Out,
                  "# TYPE endiverail_unknown_access_keys_total counter\n"
                  "endiverail_unknown_access_keys_total {}\n",
--- a/src/libs/process/metrics.h
+++ b/src/libs/process/metrics.h
@@ -64,6 +64,9 @@
   void onPauseRequest(std::string_view Service, bool Readable);
   /// Counts a request that was refused as this host can't keep up.
   void onOverloadRefusal(std::string_view Service);
+  /// Counts a request that was refused because its organisation has used up its
+  /// quota; \p Basis is what the decision was made by.
+  void onQuotaRefusal(std::string_view Basis);
   /// Counts a request that was refused for lack of a known access key.
   void onUnknownAccessKey();
   void setGauge(std::string_view Name, double Value);
@@ -105,6 +108,7 @@
   std::map<std::string, std::uint64_t, std::less<>> Pauses;
   std::map<std::string, std::uint64_t, std::less<>> UnreadablePauses;
   std::map<std::string, std::uint64_t, std::less<>> OverloadRefusals;
+  std::map<std::string, std::uint64_t, std::less<>> QuotaRefusals;
   std::uint64_t UnknownAccessKeys = 0;
   std::map<std::string, std::uint64_t, std::less<>> ServerChanges;
   struct service_reason {
--- a/src/libs/process/peer_traffic.cpp
+++ b/src/libs/process/peer_traffic.cpp
@@ -22,9 +22,11 @@
   case datagram_purpose::Configuration:
     return "configuration";
   case datagram_purpose::Death:
+    return "death";
+  case datagram_purpose::Quota:
     break;
   }
-  return "death";
+  return "quota";
 }
 
 datagram_purpose purposeOf(const peer_message &Message) {
@@ -34,6 +36,8 @@
     return datagram_purpose::Work;
   if (!Message.Deaths.empty())
     return datagram_purpose::Death;
+  if (Message.QuotaReport || !Message.QuotaShares.empty())
+    return datagram_purpose::Quota;
   if (!Message.ServersDigestParts.empty())
     return datagram_purpose::ServersQuery;
   if (Message.AnswerTo)
--- a/src/libs/process/peer_traffic.h
+++ b/src/libs/process/peer_traffic.h
@@ -27,13 +27,15 @@
   Configuration,
   /// The death of a backend server while it ran a request.
   Death,
+  /// Requests of organisations, and the shares of them that may pass.
+  Quota,
 };
 
 inline constexpr std::array DatagramPurposes{
     datagram_purpose::Membership,    datagram_purpose::Work,
     datagram_purpose::Servers,       datagram_purpose::ServersQuery,
     datagram_purpose::ServersAnswer, datagram_purpose::Configuration,
-    datagram_purpose::Death};
+    datagram_purpose::Death,         datagram_purpose::Quota};
 
 /// Name in metrics and logs.
 std::string_view datagramPurposeName(datagram_purpose Purpose);
--- a/src/libs/process/store_control_peers.cpp
+++ b/src/libs/process/store_control_peers.cpp
@@ -38,6 +38,7 @@
   }
   mergeServers(Message, Now, Out);
   answerQuery(Message, Now, Out);
+  onQuotaMessage(Message, Now, Out);
   for (const work_report &Report : Message.Work)
     Out.emplace_back(
         notify_traffic_threads{peer_work{Message.Gossip.SenderId, Report}});
@@ -235,6 +236,8 @@
     // Only the daemons that callers are directed to need the load of the pools.
     sendNews(std::move(News), addressesOf(Entries), Now, Out);
   }
+  if (const auto *Report = std::get_if<quota_report>(&Notice))
+    reportQuotaUse(*Report, Now, Out);
   if (const auto *Death = std::get_if<server_death>(&Notice)) {
     event_line("server_died", event_level::Warning)
         .with("service", Death->Service)
--- a/src/libs/process/store_control_state.cpp
+++ b/src/libs/process/store_control_state.cpp
@@ -40,7 +40,7 @@
                       Settings.Seed + 2),
       MembersConsumer(store_topic::Members, MembersPolling, Settings.Seed + 3),
       CopyRequester(Settings.Self.DataCentre, Settings.Seed + 5),
-      Random(Settings.Seed + 4) {
+      Quota(Settings.Quotas, Settings.Self.Id), Random(Settings.Seed + 4) {
   Members.addCandidates(Settings.Seeds);
 }
 
@@ -149,6 +149,7 @@
   if (Expired)
     broadcastServers(Now, Out);
   sendDeaths(Now, Out);
+  announceQuotaShares(Now, Out);
   publishIfChanged(Now, Out);
 }
 
@@ -175,6 +176,8 @@
     Consider(PutDue);
   Consider(Directory.nextWake());
   Consider(Deaths.nextWake());
+  if (Configuration && Configuration->Organisations)
+    Consider(Quota.nextWake());
   if (ServersKnown)
     Consider(Freshness.nextWake());
   if (!Settled)
@@ -482,6 +485,8 @@
     Version->Routes = Configuration->Routes;
     Version->Limits = Configuration->Limits;
     Version->Organisations = Configuration->Organisations;
+    if (Version->Organisations)
+      updateQuotaMembers(Now);
   }
   Version->View.Proxies = PublishedMembers;
   Version->View.Servers = Directory.servers();
--- a/src/libs/process/store_control_state.h
+++ b/src/libs/process/store_control_state.h
@@ -11,6 +11,7 @@
 #include "process/swim.h"
 #include "process/topic_consumer.h"
 #include "process/traffic_message.h"
+#include "quota/fleet_quota.h"
 #include "version/fleet_roles.h"
 
 #include <cstdint>
@@ -71,6 +72,7 @@
   /// expires when two renewals are missed and the third is late, so none
   /// expires during an outage that is shorter than this.
   milliseconds RegistrationInterval{1'500};
+  quota_settings Quotas{};
 };
 
 /// The control state of a daemon that gets its configuration and its backend
@@ -153,6 +155,7 @@
   steady_time serversUsableUntil() const { return Freshness.usableUntil(); }
   /// Number of changes of backend servers by their source: the store, a peer, a
   /// peer's copy, or the end of a grace period.
+  const quota_ledger &quotaLedger() const { return Quota.ledger(); }
   const std::map<std::string, std::uint64_t, std::less<>> &
   serverChangeCounts() const {
     return ChangeCounts;
@@ -244,6 +247,17 @@
   void broadcastServers(steady_time Now, store_control_actions &Out);
   /// Sends the deaths of backend servers that are due.
   void sendDeaths(steady_time Now, store_control_actions &Out);
+  void updateQuotaMembers(steady_time Now);
+  /// Sends a report of this process to the coordinators of its organisations.
+  void reportQuotaUse(const quota_report &Report, steady_time Now,
+                      store_control_actions &Out);
+  /// Counts a report for the organisations that this process coordinates.
+  std::vector<quota_share> countQuotaUse(std::string_view Process,
+                                         const quota_report &Report,
+                                         steady_time Now);
+  void onQuotaMessage(const peer_message &Message, steady_time Now,
+                      store_control_actions &Out);
+  void announceQuotaShares(steady_time Now, store_control_actions &Out);
   void probeLostMember(steady_time Now);
   void pingListedMembers(steady_time Now, store_control_actions &Out);
   /// \p Received is the datagram that triggered the gossip, if any.
@@ -279,6 +293,7 @@
   milliseconds ConfigurationDelay{0};
   copy_requester CopyRequester;
   death_notices Deaths;
+  fleet_quota Quota;
   /// Whether the configuration has to be announced to the other members.
   bool AnnouncePending = false;
   /// All peer addresses that were ever known, by host.
--- a/src/libs/process/traffic_message.h
+++ b/src/libs/process/traffic_message.h
@@ -5,6 +5,7 @@
 #include "process/retry_budget.h"
 #include "process/service_scheduler.h"
 #include "process/work_report.h"
+#include "quota/quota_messages.h"
 #include "request/caller_request.h"
 #include "version/fleet_version.h"
 
@@ -62,6 +63,10 @@
   std::string ProxyId;
   work_report Report;
 };
+/// How much of the requests of some organisations may pass.
+struct quota_shares {
+  std::vector<quota_share> Shares;
+};
 /// The operator has changed the retry limits of the fleet.
 struct retries_changed {
   retry_allowance Retries;
@@ -77,8 +82,8 @@
 using traffic_message =
     std::variant<run_request, response_written, caller_gone, version_changed,
                  servers_confirmed, ejection_changed, server_death,
-                 inherited_keys, peer_work, retries_changed, terminate_requests,
-                 finish_traffic>;
+                 inherited_keys, peer_work, quota_shares, retries_changed,
+                 terminate_requests, finish_traffic>;
 
 /// The owner of a backend server asks to eject or to readmit it.
 struct ejection_request {
@@ -108,7 +113,8 @@
 /// Notice from a traffic thread to the control thread.
 using control_notice =
     std::variant<ejection_request, server_leaving, server_death,
-                 path_fault_notice, service_status_report, work_reports>;
+                 path_fault_notice, service_status_report, work_reports,
+                 quota_report>;
 
 /// Receives the notices of traffic threads.
 template <typename T>
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -23,6 +23,7 @@
 #include "process/service_state.h"
 #include "process/thread_lag.h"
 #include "process/traffic_message.h"
+#include "quota/quota_meter.h"
 #include "version/peer_choice.h"
 
 #include <algorithm>
@@ -51,6 +52,7 @@
   std::string DataCentre{};
   /// Retries that the operator allows for the whole fleet, if limited.
   retry_allowance Retries{};
+  quota_settings Quotas{};
   /// Responses up to this size are buffered until they are complete, so that
   /// the request can be retried if the connection is lost in the middle of one.
   std::size_t MaxBufferedBytes = std::size_t{64} * 1024;
@@ -93,7 +95,9 @@
         MessageDialect(std::move(MessageDialect)),
         Responses(Output, Metrics, this->MessageDialect), Control(Control),
         Metrics(Metrics), Clock(std::move(Clock)),
-        Transport(this->Poller, *this), Keys(this->Settings.Keys) {
+        Transport(this->Poller, *this), Keys(this->Settings.Keys),
+        Quotas(this->Settings.Quotas, this->Settings.Seed),
+        Started(this->Clock.now()) {
     this->Poller.watch(Inbox.descriptor(), true, false);
   }
 
@@ -141,6 +145,7 @@
       startNextOfAll(Now);
     if (Now >= NextReport)
       reportStatus(Now);
+    reportQuotaUse(Now);
     if (auto Ended = Lag.report(Now))
       applyLag(*Ended);
   }
@@ -154,6 +159,7 @@
     Consider(Timers.nextDue());
     Consider(ScheduledWake);
     Consider(Deaths.nextWake());
+    Consider(Quotas.nextReport());
     if (!Requests.empty())
       Consider(NextReport);
     if (!Messages.empty() || !PeerReports.empty())
@@ -406,7 +412,50 @@
       Settings.Overload->recordTakenUp(Now);
     ByConnection[Active.Request.ResponseHandle.Connection] = Id;
     Timers.add(Active.Request.Deadline, {Id, 0, timer_kind::Deadline});
-    runStep(Active, Now, [&] { return admit(Active, Now); });
+    runStep(Active, Now, [&]() -> result<void> {
+      BOOST_LEAF_CHECK(checkQuota(Active, Now));
+      return admit(Active, Now);
+    });
+  }
+
+  /// Fails with QuotaExceeded if the request's organisation has used its quota
+  /// up.
+  result<void> checkQuota(active_request &Active, steady_time Now) {
+    const std::string &Name = Active.Request.Organisation;
+    const organisation *Organisation = Version && Version->Organisations
+                                           ? Version->Organisations->find(Name)
+                                           : nullptr;
+    if (!Organisation)
+      return {};
+    quota_decision Decision = Quotas.admit(Name, Organisation->Quota, Now);
+    Active.CountsForQuota = Decision.Admitted;
+    if (Decision.Admitted)
+      return {};
+    std::string_view Basis = quotaBasisName(Decision.Basis);
+    Metrics.onQuotaRefusal(Basis);
+    Active.RetryAfter = Decision.RetryAfter;
+    return endiverail::fail(error_kind::QuotaExceeded,
+                            request_log::quotaDetail(Basis, Decision.Value));
+  }
+
+  /// A request that did not run does not count against the quota.
+  void takeBackQuota(active_request &Active, steady_time Now) {
+    if (std::exchange(Active.CountsForQuota, false) && !Active.MayHaveRun)
+      Quotas.takeBack(Active.Request.Organisation, Now);
+  }
+
+  void reportQuotaUse(steady_time Now) {
+    if (auto Due = Quotas.nextReport(); !Due || Now < *Due || !Version)
+      return;
+    quota_report Report{Version->SelfIncarnation,
+                        std::chrono::duration_cast<milliseconds>(Now - Started),
+                        Quotas.takeReport(Now)};
+    if (!Report.Uses.empty())
+      Control.notify(std::move(Report));
+  }
+
+  void handle(quota_shares &Answer, steady_time Now) {
+    Quotas.onShares(Answer.Shares, Now);
   }
 
   /// Runs a step of a request and responds with the error if the step fails.
@@ -440,6 +489,7 @@
       stateOf(*Active).Scheduler.cancel(Active->Request.Id);
       if (Active->HoldsKey)
         Keys.forget(keyOf(Active->Request));
+      takeBackQuota(*Active, Now);
       removeRequest(*Active);
       return;
     }
@@ -463,6 +513,7 @@
       if (Now > *Changed.Published + LateVersionThreshold)
         request_log::versionLate(Version->Number, *Changed.Published, Now);
     }
+    Quotas.setMemberCount(Version->View.Proxies.size());
     if (Version->Organisations)
       rejectRevoked(*Version->Organisations, Now);
     for (auto &[Name, State] : Services) {
@@ -1290,6 +1341,8 @@
     // started, so the outcome must not be "not run".
     if (Active.MayHaveRun && errorAnswer(Kind).Outcome == outcome::NotRun)
       Kind = error_kind::BackendCut;
+    if (errorAnswer(Kind).Outcome == outcome::NotRun)
+      takeBackQuota(Active, Now);
     response_head Head = MessageDialect.errorResponseHead(
         Kind, reserveRetryDelay(Active, Kind, Now));
     if (isKeyHeldElsewhere(Active))
@@ -1312,6 +1365,8 @@
   milliseconds reserveRetryDelay([[maybe_unused]] const active_request &Active,
                                  [[maybe_unused]] error_kind Kind,
                                  [[maybe_unused]] steady_time Now) {
+    if (Active.RetryAfter)
+      return *Active.RetryAfter;
     if constexpr (sharing_scheduler<Policy>)
       if (errorAnswer(Kind).RetryAfterSeconds > 0)
         return stateOf(Active).Scheduler.reserveRetryDelay(Now);
@@ -1465,6 +1520,7 @@
     NextReport = Now + ReportPeriod;
     Quarantine.expire(Now);
     Keys.expire(Now);
+    Quotas.expire(Now);
     for (const auto &[Name, State] : Services) {
       Control.notify(service_status_report{Name, State.Scheduler.waiting(),
                                            State.Scheduler.status(Now)});
@@ -1536,6 +1592,8 @@
   /// The timer for it.
   steady_time ReportTimer;
   key_registry Keys;
+  quota_meter Quotas;
+  steady_time Started;
   quarantine Quarantine;
   death_detector Deaths;
   attempt_id NextAttempt = 1;
--- a/tests/auto/peer/peer_samples.h
+++ b/tests/auto/peer/peer_samples.h
@@ -23,6 +23,9 @@
   Message.Work = {{"s",
                    {{"x", 1, 2, 3, 4, 5, 6, milliseconds(70)},
                     {"y", 7, 0, 0, 0, 0, 0, std::nullopt}}}};
+  Message.QuotaReport = quota_report{
+      12, milliseconds(13), {{"o", 14, -15, 16, 17.5, milliseconds(18), true}}};
+  Message.QuotaShares = {{"o", 0.25, 19.5, 0.125}, {"p", 10, 0, std::nullopt}};
   Message.Sent = 10;
   Message.AnswerTo = -11;
   Message.Time = {8, 9};
--- a/tests/auto/peer/tst_peer_codec.cpp
+++ b/tests/auto/peer/tst_peer_codec.cpp
@@ -27,6 +27,8 @@
   CHECK(Back.Leaving[0].Server == "y");
   CHECK(Back.Time == Sent.Time);
   CHECK(Back.Work == Sent.Work);
+  CHECK(Back.QuotaReport == Sent.QuotaReport);
+  CHECK(Back.QuotaShares == Sent.QuotaShares);
 }
 
 TEST_CASE("pulls and replies come back as they were") {
