Move the quota's hooks out of the traffic thread

traffic_thread.h had grown by the decision, its counters and its report; they are one class now, quota_admission, that the thread asks.

--- a/src/libs/process/request_log.h
+++ b/src/libs/process/request_log.h
@@ -6,13 +6,10 @@
 #include "process/pool_use.h"
 #include "process/service_scheduler.h"
 
-#include <spdlog/fmt/fmt.h>
-
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <ranges>
-#include <string>
 #include <string_view>
 
 namespace endiverail {
@@ -32,13 +29,6 @@
       .with("late_ms", millisecondsBetween(Published, Now));
 }
 
-/// Detail of a rejection for an organisation's quota: what the decision was
-/// made by.
-inline std::string quotaDetail(std::string_view Basis, double Value) {
-  return fmt::format("the organisation's quota is used up ({} {:.3f})", Basis,
-                     Value);
-}
-
 /// Adds which caller's request a line is about.
 inline void addCaller(event_line &Line, const caller_request &Request) {
   Line.with("caller_connection", Request.ResponseHandle.Connection)
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -17,13 +17,13 @@
 #include "process/overload_controller.h"
 #include "process/pool_use.h"
 #include "process/published.h"
+#include "process/quota_admission.h"
 #include "process/request_log.h"
 #include "process/request_timers.h"
 #include "process/response_writer.h"
 #include "process/service_state.h"
 #include "process/thread_lag.h"
 #include "process/traffic_message.h"
-#include "quota/quota_meter.h"
 #include "version/peer_choice.h"
 
 #include <algorithm>
@@ -96,8 +96,8 @@
         Responses(Output, Metrics, this->MessageDialect), Control(Control),
         Metrics(Metrics), Clock(std::move(Clock)),
         Transport(this->Poller, *this), Keys(this->Settings.Keys),
-        Quotas(this->Settings.Quotas, this->Settings.Seed),
-        Started(this->Clock.now()) {
+        Quotas(this->Settings.Quotas, this->Settings.Seed, Metrics,
+               this->Clock.now()) {
     this->Poller.watch(Inbox.descriptor(), true, false);
   }
 
@@ -145,7 +145,8 @@
       startNextOfAll(Now);
     if (Now >= NextReport)
       reportStatus(Now);
-    reportQuotaUse(Now);
+    if (auto Report = Quotas.takeReport(Now))
+      Control.notify(std::move(*Report));
     if (auto Ended = Lag.report(Now))
       applyLag(*Ended);
   }
@@ -413,47 +414,12 @@
     ByConnection[Active.Request.ResponseHandle.Connection] = Id;
     Timers.add(Active.Request.Deadline, {Id, 0, timer_kind::Deadline});
     runStep(Active, Now, [&]() -> result<void> {
-      BOOST_LEAF_CHECK(checkQuota(Active, Now));
+      if (Version)
+        BOOST_LEAF_CHECK(Quotas.admit(Active, *Version, Now));
       return admit(Active, Now);
     });
   }
 
-  /// Fails with QuotaExceeded if the request's organisation has used its quota
-  /// up.
-  result<void> checkQuota(active_request &Active, steady_time Now) {
-    const std::string &Name = Active.Request.Organisation;
-    const organisation *Organisation = Version && Version->Organisations
-                                           ? Version->Organisations->find(Name)
-                                           : nullptr;
-    if (!Organisation)
-      return {};
-    quota_decision Decision = Quotas.admit(Name, Organisation->Quota, Now);
-    Active.CountsForQuota = Decision.Admitted;
-    if (Decision.Admitted)
-      return {};
-    std::string_view Basis = quotaBasisName(Decision.Basis);
-    Metrics.onQuotaRefusal(Basis);
-    Active.RetryAfter = Decision.RetryAfter;
-    return endiverail::fail(error_kind::QuotaExceeded,
-                            request_log::quotaDetail(Basis, Decision.Value));
-  }
-
-  /// A request that did not run does not count against the quota.
-  void takeBackQuota(active_request &Active, steady_time Now) {
-    if (std::exchange(Active.CountsForQuota, false) && !Active.MayHaveRun)
-      Quotas.takeBack(Active.Request.Organisation, Now);
-  }
-
-  void reportQuotaUse(steady_time Now) {
-    if (auto Due = Quotas.nextReport(); !Due || Now < *Due || !Version)
-      return;
-    quota_report Report{Version->SelfIncarnation,
-                        std::chrono::duration_cast<milliseconds>(Now - Started),
-                        Quotas.takeReport(Now)};
-    if (!Report.Uses.empty())
-      Control.notify(std::move(Report));
-  }
-
   void handle(quota_shares &Answer, steady_time Now) {
     Quotas.onShares(Answer.Shares, Now);
   }
@@ -489,7 +455,7 @@
       stateOf(*Active).Scheduler.cancel(Active->Request.Id);
       if (Active->HoldsKey)
         Keys.forget(keyOf(Active->Request));
-      takeBackQuota(*Active, Now);
+      Quotas.takeBack(*Active, Now);
       removeRequest(*Active);
       return;
     }
@@ -513,7 +479,7 @@
       if (Now > *Changed.Published + LateVersionThreshold)
         request_log::versionLate(Version->Number, *Changed.Published, Now);
     }
-    Quotas.setMemberCount(Version->View.Proxies.size());
+    Quotas.onVersion(*Version);
     if (Version->Organisations)
       rejectRevoked(*Version->Organisations, Now);
     for (auto &[Name, State] : Services) {
@@ -1342,7 +1308,7 @@
     if (Active.MayHaveRun && errorAnswer(Kind).Outcome == outcome::NotRun)
       Kind = error_kind::BackendCut;
     if (errorAnswer(Kind).Outcome == outcome::NotRun)
-      takeBackQuota(Active, Now);
+      Quotas.takeBack(Active, Now);
     response_head Head = MessageDialect.errorResponseHead(
         Kind, reserveRetryDelay(Active, Kind, Now));
     if (isKeyHeldElsewhere(Active))
@@ -1592,8 +1558,7 @@
   /// The timer for it.
   steady_time ReportTimer;
   key_registry Keys;
-  quota_meter Quotas;
-  steady_time Started;
+  quota_admission Quotas;
   quarantine Quarantine;
   death_detector Deaths;
   attempt_id NextAttempt = 1;
