Count quota use anew after a process or a coordinator was away

A meter forgets an organisation after 12 s without requests and begins its counters at zero, but the coordinator kept the old ones for 30 s: as many requests as before counted as none (share 10 after 31 requests beyond a burst of 20). And a member that coordinated an organisation again after 8 s at another member charged these 8 s at once: an organisation at 8 of its 10 requests a second got a share of 0.

Counters older than 11 s are now taken as unknown, and a process that another member has answered since its last report makes the account begin as in any takeover, from what was used of the window.

--- a/src/libs/quota/quota_ledger.cpp
+++ b/src/libs/quota/quota_ledger.cpp
@@ -63,19 +63,37 @@
   return Rate * std::exp(-inSeconds(Now - ReportedAt) / inSeconds(RateTime));
 }
 
+bool quota_ledger::wasCountedElsewhere(const account &Account,
+                                       const process_count &Before,
+                                       const quota_use &Use, steady_time Now) {
+  steady_time AnsweredAt = Now - Use.KnownRequestRateAge;
+  return Use.KnownRequestRate > 0 &&
+         AnsweredAt >
+             std::max(Before.ReportedAt, Account.AnnouncedAt) + AbsenceTime;
+}
+
 double quota_ledger::count(account &Account, std::string_view Process,
                            const quota_report &Report, const quota_use &Use,
                            const request_quota &Quota, const quota_fleet &Fleet,
                            steady_time Now) const {
   auto [Found, Added] = Account.Processes.try_emplace(std::string(Process));
   process_count &Before = Found->second;
+  if (!Added && wasCountedElsewhere(Account, Before, Use, Now)) {
+    Account.Tokens = burstOf(Quota);
+    Account.OpenedAt = Now;
+    Account.TakenOver = false;
+    Account.InheritedRate = 0;
+  }
+  bool CountersKnown = !Added && Before.Incarnation == Report.Incarnation &&
+                       Before.ReportedAt >= Account.OpenedAt &&
+                       Now < Before.ReportedAt + QuotaCounterLifetime;
   std::int64_t Requested = Use.Requested - Before.Requested;
   std::int64_t Admitted = Use.Admitted - Before.Admitted;
-  if (Added || Before.Incarnation != Report.Incarnation) {
+  if (!CountersKnown) {
     Requested = 1;
     Admitted = Use.RecentlyAdmitted;
     bool ByOther = Use.KnownRequestRate > 0 &&
-                   Now - Use.KnownRequestRateAge < Account.OpenedAt;
+                   Now - Use.KnownRequestRateAge <= Account.OpenedAt;
     if (ByOther)
       Account.InheritedRate =
           std::max(Account.InheritedRate, Use.KnownRequestRate);
--- a/src/libs/quota/quota_ledger.h
+++ b/src/libs/quota/quota_ledger.h
@@ -65,6 +65,9 @@
   /// A coordinator that takes an organisation over learns from the reports of
   /// this time what has been used before.
   static constexpr milliseconds TakeOverTime{1'000};
+  /// A process that another member has answered for this long after its last
+  /// report here has been counted there.
+  static constexpr milliseconds AbsenceTime{1'000};
   /// While an organisation is restricted, its processes report often. One that
   /// has not for SilenceTime counts as one that uses its part of the quota on
   /// its own until SilenceLifetime.
@@ -100,8 +103,9 @@
   struct account {
     double Tokens = 0;
     steady_time TokensAt;
-    /// When the first request was reported, and whether others have counted the
-    /// organisation before.
+    /// When the first request was reported, or the first since another member
+    /// has coordinated the organisation, and whether others have counted it
+    /// before.
     steady_time OpenedAt;
     bool TakenOver = false;
     steady_time ReportedAt;
@@ -123,6 +127,11 @@
                      const request_quota &Quota, steady_time Now);
   void refill(account &Account, const request_quota &Quota,
               const quota_fleet &Fleet, steady_time Now) const;
+  /// Whether another member has coordinated the organisation since the last
+  /// report of a process.
+  static bool wasCountedElsewhere(const account &Account,
+                                  const process_count &Before,
+                                  const quota_use &Use, steady_time Now);
   /// Returns the process's part of the organisation's requests before those
   /// that it reports now.
   double count(account &Account, std::string_view Process,
--- a/src/libs/quota/quota_messages.h
+++ b/src/libs/quota/quota_messages.h
@@ -21,6 +21,10 @@
   bool operator==(const quota_settings &) const = default;
 };
 
+/// A process keeps its counters of an organisation for at least this long after
+/// it has reported them.
+inline constexpr milliseconds QuotaCounterLifetime{11'000};
+
 /// What one process has seen of an organisation's requests.
 struct quota_use {
   std::string Organisation;
--- a/src/libs/quota/quota_meter.h
+++ b/src/libs/quota/quota_meter.h
@@ -100,6 +100,7 @@
   static constexpr milliseconds OwnPartLifetime{10'000};
   /// An organisation without requests for this long is forgotten.
   static constexpr milliseconds IdleLifetime{12'000};
+  static_assert(IdleLifetime > QuotaCounterLifetime);
 
 private:
   /// Part of the own part of a quota that is used without a coordinator. The
