Don't renew an organisation's burst on a restart or a takeover

A process that had started less than a window ago gave the account a window's credit at any time, so that one restart let a restricted organisation send its whole burst again. And a coordinator that took over took for a surplus what was left of the window, though the burst had passed in it already: one joining process that became the coordinator of an organisation sending six times its quota let up to 106 requests pass beyond the terms.

The credit is now given only while an account opens, and a surplus of that time is dropped.

--- a/src/libs/quota/quota_ledger.cpp
+++ b/src/libs/quota/quota_ledger.cpp
@@ -51,6 +51,10 @@
   double Most = burstOf(Quota) * Heard;
   if (isTakingOver(Account, Now))
     Most += windowOf(Quota);
+  else if (std::exchange(Account.TakenOver, false))
+    // How the requests lie in the window is not known, so that a surplus might
+    // be a burst that has passed already.
+    Account.Tokens = std::min(Account.Tokens, 0.0);
   double Refilled =
       Quota.RatePerSecond * Heard * inSeconds(Now - Account.TokensAt);
   // A debt from before the quota was lowered is forgiven but for one window.
@@ -101,7 +105,8 @@
     auto Unknown = std::max(milliseconds(0), Settings.Window - Report.Uptime);
     bool WasCounted = ByOther || Unknown.count() > 0;
     // The first reports tell what has been used of the window.
-    if (WasCounted && !std::exchange(Account.TakenOver, true))
+    if (isOpening(Account, Now) && WasCounted &&
+        !std::exchange(Account.TakenOver, true))
       Account.Tokens += windowOf(Quota);
     if (isTakingOver(Account, Now))
       Account.Tokens -=
--- a/src/libs/quota/quota_ledger.h
+++ b/src/libs/quota/quota_ledger.h
@@ -138,11 +138,14 @@
                const quota_report &Report, const quota_use &Use,
                const request_quota &Quota, const quota_fleet &Fleet,
                steady_time Now) const;
-  /// Part of the requests that came through processes which report no longer.
-  /// They may serve callers and use their own part of the quota.
+  static bool isOpening(const account &Account, steady_time Now) {
+    return Now < Account.OpenedAt + TakeOverTime;
+  }
   static bool isTakingOver(const account &Account, steady_time Now) {
-    return Account.TakenOver && Now < Account.OpenedAt + TakeOverTime;
+    return Account.TakenOver && isOpening(Account, Now);
   }
+  /// Part of the requests that came through processes which report no longer.
+  /// They may serve callers and use their own part of the quota.
   double silentPart(const account &Account, steady_time Now) const;
   /// Part of the quota that the processes heard may use.
   double heardPart(const account &Account, const quota_fleet &Fleet,
--- a/tests/auto/quota/tst_quota_ledger.cpp
+++ b/tests/auto/quota/tst_quota_ledger.cpp
@@ -259,3 +259,24 @@
   SendAll(2);
   CHECK(Last.Share >= 1);
 }
+
+TEST_CASE_METHOD(ledger_fixture, "a process that restarts does not renew the "
+                                 "burst of its organisation") {
+  process Process;
+  send("p", Process, 100, 10s);
+  REQUIRE(Last.Share < 0.2);
+  process Restarted{2, {"acme", 1, 1, 1}, 1s};
+  CHECK(report("q", Restarted).Share < 0.2);
+}
+
+TEST_CASE_METHOD(ledger_fixture, "a coordinator that takes over does not grant "
+                                 "the burst again") {
+  // Another member has let the burst and then the quota pass for 2 s.
+  process Process;
+  Process.Use = {"acme", 250, 40, 40, 100, 50ms};
+  report("p", Process);
+  send("p", Process, 100, 1s);
+  std::int64_t Before = Process.Use.Admitted;
+  send("p", Process, 100, 2s);
+  CHECK(Process.Use.Admitted - Before <= 10 * 2 + 5);
+}
