--- a/tests/auto/quota/tst_quota_bound.cpp
+++ b/tests/auto/quota/tst_quota_bound.cpp
@@ -178,3 +178,27 @@
         (20 * 10 + 20) * (1 + Terms.Overage) + Terms.Slack);
   CHECK(static_cast<double>(After.Admitted) > 0.8 * 20 * 10);
 }
+
+TEST_CASE("what an organisation sends within its quota is not rejected when "
+          "its coordinator is one again") {
+  auto [Processes, Seed] = anySize();
+  bool Hot = GENERATE(false, true);
+  INFO(Processes << " processes, seed " << Seed);
+  simulated_quota_fleet Fleet(Processes, Terms, calmOrganisations(), Seed);
+  simulated_organisation &Sender = Fleet.Organisations[0];
+  if (Hot)
+    Sender.Rate = 6 * Sender.Quota.RatePerSecond;
+  Fleet.run(10s);
+  std::size_t Coordinator = Fleet.coordinatorOf(Sender.Name);
+  Fleet.setSide(Coordinator, 1);
+  Fleet.run(2s);
+  Fleet.tellMembers();
+  Fleet.run(8s);
+  Fleet.takeCounts(Sender.Name);
+  Fleet.setSide(Coordinator, 0);
+  Fleet.tellMembers();
+  Fleet.run(10s);
+  checkKept(Fleet);
+  if (!Hot)
+    CHECK(Fleet.takeCounts(Sender.Name).rejectedShare() < 0.02);
+}
