--- a/src/libs/quota/quota_ledger.cpp
+++ b/src/libs/quota/quota_ledger.cpp
@@ -51,6 +51,10 @@
   double Most = burstOf(Quota) * Heard;
   if (isTakingOver(Account, Now))
     Most += windowOf(Quota);
+  else if (std::exchange(Account.TakenOver, false))
+    // How the requests lie in the window is not known, so that a surplus might
+    // be a burst that has passed already.
+    Account.Tokens = std::min(Account.Tokens, 0.0);
   double Refilled =
       Quota.RatePerSecond * Heard * inSeconds(Now - Account.TokensAt);
   // A debt from before the quota was lowered is forgiven but for one window.
@@ -63,19 +67,37 @@
   return Rate * std::exp(-inSeconds(Now - ReportedAt) / inSeconds(RateTime));
 }
 
+bool quota_ledger::wasCountedElsewhere(const account &Account,
+                                       const process_count &Before,
+                                       const quota_use &Use, steady_time Now) {
+  steady_time AnsweredAt = Now - Use.KnownRequestRateAge;
+  return Use.KnownRequestRate > 0 &&
+         AnsweredAt >
+             std::max(Before.ReportedAt, Account.AnnouncedAt) + AbsenceTime;
+}
+
 double quota_ledger::count(account &Account, std::string_view Process,
                            const quota_report &Report, const quota_use &Use,
                            const request_quota &Quota, const quota_fleet &Fleet,
                            steady_time Now) const {
   auto [Found, Added] = Account.Processes.try_emplace(std::string(Process));
   process_count &Before = Found->second;
+  if (!Added && wasCountedElsewhere(Account, Before, Use, Now)) {
+    Account.Tokens = burstOf(Quota);
+    Account.OpenedAt = Now;
+    Account.TakenOver = false;
+    Account.InheritedRate = 0;
+  }
+  bool CountersKnown = !Added && Before.Incarnation == Report.Incarnation &&
+                       Before.ReportedAt >= Account.OpenedAt &&
+                       Now < Before.ReportedAt + QuotaCounterLifetime;
   std::int64_t Requested = Use.Requested - Before.Requested;
   std::int64_t Admitted = Use.Admitted - Before.Admitted;
-  if (Added || Before.Incarnation != Report.Incarnation) {
+  if (!CountersKnown) {
     Requested = 1;
     Admitted = Use.RecentlyAdmitted;
     bool ByOther = Use.KnownRequestRate > 0 &&
-                   Now - Use.KnownRequestRateAge < Account.OpenedAt;
+                   Now - Use.KnownRequestRateAge <= Account.OpenedAt;
     if (ByOther)
       Account.InheritedRate =
           std::max(Account.InheritedRate, Use.KnownRequestRate);
@@ -83,7 +105,8 @@
     auto Unknown = std::max(milliseconds(0), Settings.Window - Report.Uptime);
     bool WasCounted = ByOther || Unknown.count() > 0;
     // The first reports tell what has been used of the window.
-    if (WasCounted && !std::exchange(Account.TakenOver, true))
+    if (isOpening(Account, Now) && WasCounted &&
+        !std::exchange(Account.TakenOver, true))
       Account.Tokens += windowOf(Quota);
     if (isTakingOver(Account, Now))
       Account.Tokens -=
