Assume no more than the quota of processes that start together

After a common start a coordinator knows few members for a moment. The parts add up to the quota of one window at most now; the new test failed before.

--- a/src/libs/quota/quota_ledger.cpp
+++ b/src/libs/quota/quota_ledger.cpp
@@ -106,12 +106,19 @@
     bool WasCounted = ByOther || Unknown.count() > 0;
     // The first reports tell what has been used of the window.
     if (isOpening(Account, Now) && WasCounted &&
-        !std::exchange(Account.TakenOver, true))
+        !std::exchange(Account.TakenOver, true)) {
       Account.Tokens += windowOf(Quota);
-    if (isTakingOver(Account, Now))
-      Account.Tokens -=
+      Account.UnknownLeft = windowOf(Quota);
+    }
+    if (isTakingOver(Account, Now)) {
+      // A coordinator that has just started itself knows few members.
+      double Assumed = std::min(
+          Account.UnknownLeft,
           Quota.RatePerSecond * inSeconds(Unknown) /
-          static_cast<double>(std::max<std::size_t>(1, Fleet.Members));
+              static_cast<double>(std::max<std::size_t>(1, Fleet.Members)));
+      Account.UnknownLeft -= Assumed;
+      Account.Tokens -= Assumed;
+    }
   }
   double All = std::transform_reduce(
       Account.Processes.begin(), Account.Processes.end(), 0.0, std::plus{},
--- a/src/libs/quota/quota_ledger.h
+++ b/src/libs/quota/quota_ledger.h
@@ -108,6 +108,9 @@
     /// before.
     steady_time OpenedAt;
     bool TakenOver = false;
+    /// Requests of the window that processes may still be assumed to have
+    /// admitted before they started.
+    double UnknownLeft = 0;
     steady_time ReportedAt;
     /// Request rate that an earlier coordinator has told.
     double InheritedRate = 0;
--- a/tests/auto/quota/tst_quota_ledger.cpp
+++ b/tests/auto/quota/tst_quota_ledger.cpp
@@ -280,3 +280,20 @@
   send("p", Process, 100, 2s);
   CHECK(Process.Use.Admitted - Before <= 10 * 2 + 5);
 }
+
+TEST_CASE_METHOD(ledger_fixture,
+                 "a fleet that starts again pays for no more than its quota "
+                 "while its coordinator knows few members") {
+  Fleet = {1, 1};
+  for (int Index = 0; Index < 8; ++Index) {
+    Now += 100ms;
+    process Started;
+    Started.Uptime = 500ms;
+    Started.request(1, 1);
+    report("p" + std::to_string(Index), Started);
+  }
+  Now += 1s;
+  process Another;
+  Another.request(1, 1);
+  CHECK(report("another", Another).Share >= 1);
+}
