Tell the fleet of the store's return from an older copy

After such a return the daemons' registrations are gone.

Datagrams and copies now carry the latest history of the store that the sender knows of. Who hears of a later one keeps what it knows, begins the directory's grace period as after an own answer, and gives up pending reads, whose offsets are of the earlier history. It registers again within 5 ms a member, but at least a second, and lists the members as long after its registration; reads that it makes itself begin anew within 300 ms, the readers' at once. A daemon whose first copy is from an earlier history than the store's keeps the servers that the store lacks for the same time. Only the first listing of the members is followed by pings to all of them: with a listing on each daemon, they would be a burst of 256 datagrams a daemon.

The simulated store answers writes and waiting reads with its history, too, as the real one does.

onPage() left the servers unknown if another change was pending when the first listing ended; no order of calls in the daemon led there, the new test's did.

--- a/src/libs/peer/gen/peer_types.cpp
+++ b/src/libs/peer/gen/peer_types.cpp
@@ -2245,6 +2245,11 @@
 void Datagram::__set_quotaShares(const std::vector<QuotaShare> & val) {
   this->quotaShares = val;
 }
+
+void Datagram::__set_storeHistory(const int64_t val) {
+  this->storeHistory = val;
+__isset.storeHistory = true;
+}
 std::ostream& operator<<(std::ostream& out, const Datagram& obj)
 {
   obj.printTo(out);
@@ -2601,6 +2606,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 30:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->storeHistory);
+          this->__isset.storeHistory = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2806,6 +2819,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.storeHistory) {
+    xfer += oprot->writeFieldBegin("storeHistory", ::apache::thrift::protocol::T_I64, 30);
+    xfer += oprot->writeI64(this->storeHistory);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2839,6 +2857,7 @@
   swap(a.answerToMilliseconds, b.answerToMilliseconds);
   swap(a.quotaReport, b.quotaReport);
   swap(a.quotaShares, b.quotaShares);
+  swap(a.storeHistory, b.storeHistory);
   swap(a.__isset, b.__isset);
 }
 
@@ -2869,6 +2888,7 @@
   answerToMilliseconds = other98.answerToMilliseconds;
   quotaReport = other98.quotaReport;
   quotaShares = other98.quotaShares;
+  storeHistory = other98.storeHistory;
   __isset = other98.__isset;
 }
 Datagram& Datagram::operator=(const Datagram& other99) {
@@ -2898,6 +2918,7 @@
   answerToMilliseconds = other99.answerToMilliseconds;
   quotaReport = other99.quotaReport;
   quotaShares = other99.quotaShares;
+  storeHistory = other99.storeHistory;
   __isset = other99.__isset;
   return *this;
 }
@@ -2930,6 +2951,7 @@
   out << ", " << "answerToMilliseconds="; (__isset.answerToMilliseconds ? (out << to_string(answerToMilliseconds)) : (out << "<null>"));
   out << ", " << "quotaReport="; (__isset.quotaReport ? (out << to_string(quotaReport)) : (out << "<null>"));
   out << ", " << "quotaShares=" << to_string(quotaShares);
+  out << ", " << "storeHistory="; (__isset.storeHistory ? (out << to_string(storeHistory)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2949,6 +2971,11 @@
 void FleetCopy::__set_servers(const std::vector<ServerStatement> & val) {
   this->servers = val;
 }
+
+void FleetCopy::__set_storeHistory(const int64_t val) {
+  this->storeHistory = val;
+__isset.storeHistory = true;
+}
 std::ostream& operator<<(std::ostream& out, const FleetCopy& obj)
 {
   obj.printTo(out);
@@ -3013,6 +3040,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->storeHistory);
+          this->__isset.storeHistory = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3050,6 +3085,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.storeHistory) {
+    xfer += oprot->writeFieldBegin("storeHistory", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->storeHistory);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3060,6 +3100,7 @@
   swap(a.version, b.version);
   swap(a.configuration, b.configuration);
   swap(a.servers, b.servers);
+  swap(a.storeHistory, b.storeHistory);
   swap(a.__isset, b.__isset);
 }
 
@@ -3067,12 +3108,14 @@
   version = other106.version;
   configuration = other106.configuration;
   servers = other106.servers;
+  storeHistory = other106.storeHistory;
   __isset = other106.__isset;
 }
 FleetCopy& FleetCopy::operator=(const FleetCopy& other107) {
   version = other107.version;
   configuration = other107.configuration;
   servers = other107.servers;
+  storeHistory = other107.storeHistory;
   __isset = other107.__isset;
   return *this;
 }
@@ -3082,6 +3125,7 @@
   out << "version=" << to_string(version);
   out << ", " << "configuration=" << to_string(configuration);
   out << ", " << "servers=" << to_string(servers);
+  out << ", " << "storeHistory="; (__isset.storeHistory ? (out << to_string(storeHistory)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libs/peer/gen/peer_types.h
+++ b/src/libs/peer/gen/peer_types.h
@@ -937,7 +937,7 @@
 std::ostream& operator<<(std::ostream& out, const QuotaShare& obj);
 
 typedef struct _Datagram__isset {
-  _Datagram__isset() : kind(false), sequence(false), senderId(false), senderAddress(false), targetId(false), targetAddress(false), updates(false), configurationDigest(false), hostListRevision(false), changes(false), deaths(false), leaving(false), wallMilliseconds(false), counter(false), heirs(false), pathFaults(false), work(false), statements(false), readsStore(false), serversDigest(false), serversAgeMilliseconds(false), serversQuestion(false), sentMilliseconds(false), answerToMilliseconds(false), quotaReport(false), quotaShares(false) {}
+  _Datagram__isset() : kind(false), sequence(false), senderId(false), senderAddress(false), targetId(false), targetAddress(false), updates(false), configurationDigest(false), hostListRevision(false), changes(false), deaths(false), leaving(false), wallMilliseconds(false), counter(false), heirs(false), pathFaults(false), work(false), statements(false), readsStore(false), serversDigest(false), serversAgeMilliseconds(false), serversQuestion(false), sentMilliseconds(false), answerToMilliseconds(false), quotaReport(false), quotaShares(false), storeHistory(false) {}
   bool kind :1;
   bool sequence :1;
   bool senderId :1;
@@ -964,6 +964,7 @@
   bool answerToMilliseconds :1;
   bool quotaReport :1;
   bool quotaShares :1;
+  bool storeHistory :1;
 } _Datagram__isset;
 
 class Datagram : public virtual ::apache::thrift::TBase {
@@ -986,7 +987,8 @@
              serversDigest(0),
              serversAgeMilliseconds(0),
              sentMilliseconds(0),
-             answerToMilliseconds(0) {
+             answerToMilliseconds(0),
+             storeHistory(0) {
   }
 
   virtual ~Datagram() noexcept;
@@ -1016,6 +1018,7 @@
   int64_t answerToMilliseconds;
   QuotaReport quotaReport;
   std::vector<QuotaShare>  quotaShares;
+  int64_t storeHistory;
 
   _Datagram__isset __isset;
 
@@ -1071,6 +1074,8 @@
 
   void __set_quotaShares(const std::vector<QuotaShare> & val);
 
+  void __set_storeHistory(const int64_t val);
+
   bool operator == (const Datagram & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -1133,6 +1138,10 @@
       return false;
     if (!(quotaShares == rhs.quotaShares))
       return false;
+    if (__isset.storeHistory != rhs.__isset.storeHistory)
+      return false;
+    else if (__isset.storeHistory && !(storeHistory == rhs.storeHistory))
+      return false;
     return true;
   }
   bool operator != (const Datagram &rhs) const {
@@ -1152,10 +1161,11 @@
 std::ostream& operator<<(std::ostream& out, const Datagram& obj);
 
 typedef struct _FleetCopy__isset {
-  _FleetCopy__isset() : version(false), configuration(false), servers(false) {}
+  _FleetCopy__isset() : version(false), configuration(false), servers(false), storeHistory(false) {}
   bool version :1;
   bool configuration :1;
   bool servers :1;
+  bool storeHistory :1;
 } _FleetCopy__isset;
 
 class FleetCopy : public virtual ::apache::thrift::TBase {
@@ -1165,13 +1175,15 @@
   FleetCopy& operator=(const FleetCopy&);
   FleetCopy() noexcept
             : version(0),
-              configuration() {
+              configuration(),
+              storeHistory(0) {
   }
 
   virtual ~FleetCopy() noexcept;
   int64_t version;
   std::string configuration;
   std::vector<ServerStatement>  servers;
+  int64_t storeHistory;
 
   _FleetCopy__isset __isset;
 
@@ -1181,6 +1193,8 @@
 
   void __set_servers(const std::vector<ServerStatement> & val);
 
+  void __set_storeHistory(const int64_t val);
+
   bool operator == (const FleetCopy & rhs) const
   {
     if (!(version == rhs.version))
@@ -1189,6 +1203,10 @@
       return false;
     if (!(servers == rhs.servers))
       return false;
+    if (__isset.storeHistory != rhs.__isset.storeHistory)
+      return false;
+    else if (__isset.storeHistory && !(storeHistory == rhs.storeHistory))
+      return false;
     return true;
   }
   bool operator != (const FleetCopy &rhs) const {
--- a/src/libs/peer/peer.thrift
+++ b/src/libs/peer/peer.thrift
@@ -125,12 +125,14 @@
   24: optional i64 answerToMilliseconds
   25: optional QuotaReport quotaReport
   26: list<QuotaShare> quotaShares
+  30: optional i64 storeHistory
 }
 
 struct FleetCopy {
   1: i64 version
   2: binary configuration
   3: list<ServerStatement> servers
+  4: optional i64 storeHistory
 }
 
 struct PullRequest {
--- a/src/libs/peer/peer_codec.cpp
+++ b/src/libs/peer/peer_codec.cpp
@@ -97,6 +97,8 @@
   if (Message.QuotaReport)
     Wire.__set_quotaReport(toWire(*Message.QuotaReport));
   Wire.quotaShares = converted<wire::QuotaShare>(Message.QuotaShares, ToWire);
+  if (Message.StoreHistory)
+    Wire.__set_storeHistory(toWire(*Message.StoreHistory));
   Wire.wallMilliseconds = Message.Time.WallMilliseconds;
   Wire.counter = static_cast<std::int32_t>(Message.Time.Counter);
   return pack(FleetSecret, "datagram", Wire);
@@ -136,6 +138,8 @@
   if (Wire.__isset.quotaReport)
     Message.QuotaReport = fromWire(Wire.quotaReport);
   Message.QuotaShares = converted<quota_share>(Wire.quotaShares, FromWire);
+  if (Wire.__isset.storeHistory)
+    Message.StoreHistory = fromWire(Wire.storeHistory);
   Message.Time = {Wire.wallMilliseconds,
                   static_cast<std::uint32_t>(Wire.counter)};
   return Message;
@@ -222,14 +226,20 @@
   Wire.version = toWire(Copy.Version);
   Wire.configuration = Copy.Configuration;
   Wire.servers = converted<wire::ServerStatement>(Copy.Servers, ToWire);
+  if (Copy.StoreHistory)
+    Wire.__set_storeHistory(toWire(*Copy.StoreHistory));
   return pack(FleetSecret, "fleet-copy", Wire);
 }
 
 result<fleet_copy> peer_codec::decodeCopy(std::string_view Bytes) const {
   BOOST_LEAF_AUTO(Wire,
                   unpack<wire::FleetCopy>(FleetSecret, "fleet-copy", Bytes));
-  return fleet_copy{fromWire(Wire.version), std::move(Wire.configuration),
-                    converted<server_statement>(Wire.servers, FromWire)};
+  fleet_copy Copy{fromWire(Wire.version), std::move(Wire.configuration),
+                  converted<server_statement>(Wire.servers, FromWire),
+                  std::nullopt};
+  if (Wire.__isset.storeHistory)
+    Copy.StoreHistory = fromWire(Wire.storeHistory);
+  return Copy;
 }
 
 } // namespace endiverail
--- a/src/libs/process/control_message.h
+++ b/src/libs/process/control_message.h
@@ -69,6 +69,8 @@
   std::optional<quota_report> QuotaReport;
   /// Shares of organisations that the sender coordinates.
   std::vector<quota_share> QuotaShares;
+  /// The latest history of the store that the sender knows of.
+  std::optional<std::uint64_t> StoreHistory;
   hybrid_time Time;
 };
 
--- a/src/libs/process/copy_requester.h
+++ b/src/libs/process/copy_requester.h
@@ -20,6 +20,8 @@
   /// The record's value. The receiver decodes it.
   std::string Configuration;
   std::vector<server_statement> Servers;
+  /// The latest history of the store that the sender knows of.
+  std::optional<std::uint64_t> StoreHistory;
 };
 
 /// Decides when to request a copy from a peer, and from which one. The first
--- a/src/libs/process/store_control_peers.cpp
+++ b/src/libs/process/store_control_peers.cpp
@@ -25,6 +25,7 @@
                                      steady_time Now,
                                      store_control_actions &Out) {
   LastPeerMessage = Now;
+  hearHistory(Message.StoreHistory, Message.Gossip.SenderId, Now, Out);
   std::vector<outgoing_gossip> Gossip;
   Members.receive(Message.Gossip, Now, Gossip);
   sendGossip(Gossip, Now, Out, &Message);
@@ -283,6 +284,7 @@
   Message.ServersDigest = Directory.digest();
   Message.ServersAge = serversAge(Now);
   Message.Sent = timestampOf(Now);
+  Message.StoreHistory = StoreHistory;
 }
 
 void store_control_state::sendGossip(std::vector<outgoing_gossip> &Gossip,
--- a/src/libs/process/store_control_state.cpp
+++ b/src/libs/process/store_control_state.cpp
@@ -235,8 +235,8 @@
 store_control_state::copyForPeer(steady_time Now) const {
   if (!ready())
     return std::nullopt;
-  return fleet_copy{version(), ConfigurationValue,
-                    Directory.allStatements(Now)};
+  return fleet_copy{version(), ConfigurationValue, Directory.allStatements(Now),
+                    StoreHistory};
 }
 
 void store_control_state::onCopyAnswering(std::string_view Peer) {
@@ -246,6 +246,7 @@
 void store_control_state::onCopy(std::string_view Peer, const fleet_copy &Copy,
                                  published_configuration Decoded,
                                  steady_time Now, store_control_actions &Out) {
+  hearHistory(Copy.StoreHistory, Peer, Now, Out);
   if (Decoded.Version > completeVersion())
     CopyRequester.onCopy(Peer);
   else
@@ -261,6 +262,9 @@
       Directory.mergeStatement(Statement, Now);
     Directory.takeStatements();
     logServerChanges("copy");
+    // The store may lack some of these servers.
+    if (Copy.StoreHistory < StoreHistory)
+      Directory.onStoreReturned(Now);
     ServersKnown = true;
     Changed = true;
   }
@@ -328,7 +332,7 @@
   if (Topic == store_topic::BackendServers) {
     if (Consumer.completedListing()) {
       Directory.endListing(Now);
-      Changed = Changed || !std::exchange(ServersKnown, true);
+      Changed |= !std::exchange(ServersKnown, true);
     }
     updateStoreAvailability(true, Now, Out);
     if (auto AsOf = Consumer.upToDateAsOf())
@@ -338,8 +342,9 @@
     broadcastServers(Now, Out);
   }
   if (Topic == store_topic::Members && Consumer.completedListing()) {
-    MembersListed = MembersListed.value_or(Now);
-    pingListedMembers(Now, Out);
+    // Later listings find few members that are not known yet.
+    if (!std::exchange(MembersListed, MembersListed.value_or(Now)))
+      pingListedMembers(Now, Out);
   }
   tick(Now, Out);
 }
@@ -406,6 +411,40 @@
   return false;
 }
 
+void store_control_state::hearHistory(std::optional<std::uint64_t> History,
+                                      std::string_view Peer, steady_time Now,
+                                      store_control_actions &Out) {
+  if (!History || History <= StoreHistory)
+    return;
+  auto Before = std::exchange(StoreHistory, History);
+  if (!Before && !ServersKnown)
+    return;
+  event_line("store_returned", event_level::Warning)
+      .with("history", *History)
+      .with("before", Before.value_or(0))
+      .with("peer", Peer)
+      .with("version", version());
+  Directory.onStoreReturned(Now);
+  auto Within = [&](milliseconds Spread) {
+    return milliseconds(
+        std::uniform_int_distribution<std::int64_t>(0, Spread.count())(Random));
+  };
+  milliseconds Spread = std::max(
+      MinRegistrationSpread, RegistrationPace * std::ssize(PublishedMembers));
+  steady_time NextPut = Now + Within(Spread);
+  PutDue = Registered || PutPending ? NextPut : std::min(PutDue, NextPut);
+  Registered = false;
+  auto Restart = [&](store_topic Topic, steady_time Earliest) {
+    if (consumer(Topic).restartWhenDue(Earliest))
+      Out.emplace_back(abandon_store_calls{Topic});
+  };
+  steady_time Reread = isReader() ? Now : Now + Within(RereadSpread);
+  Restart(store_topic::Configuration, Reread);
+  Restart(store_topic::BackendServers, Reread);
+  // All others that have heard of it are registered by then.
+  Restart(store_topic::Members, MembersListed ? PutDue + Spread : Now);
+}
+
 void store_control_state::onCallSent(store_topic Topic, steady_time Now) {
   consumer(Topic).onSent(Now);
 }
--- a/src/libs/process/store_control_state.h
+++ b/src/libs/process/store_control_state.h
@@ -182,6 +182,13 @@
   static constexpr std::size_t MaxResponses = 256;
   static constexpr milliseconds ResponsePeriod{100};
   static constexpr milliseconds PutRetryDelay{500};
+  /// When the members hear that the store has returned from an older copy, they
+  /// register again within this time for each of them, but not within less than
+  /// MinRegistrationSpread: 200 writes a second at most.
+  static constexpr milliseconds RegistrationPace{5};
+  static constexpr milliseconds MinRegistrationSpread{1'000};
+  /// The reads that such a member was making are made again within this time.
+  static constexpr milliseconds RereadSpread{300};
   /// Members of a listing that are pinged at once; covers the users' largest
   /// fleet of today. In a larger fleet gossip spreads the others. Sending the
   /// burst takes less than a quarter of a second on a tenth of a core.
@@ -195,6 +202,11 @@
   static constexpr milliseconds LostMemberPingInterval{1'000};
 
   topic_consumer &consumer(store_topic Topic);
+  /// A peer knows of \p History of the store. If it is later than the known
+  /// one, this daemon registers again, and everything that it reads itself is
+  /// read again.
+  void hearHistory(std::optional<std::uint64_t> History, std::string_view Peer,
+                   steady_time Now, store_control_actions &Out);
   void updateStoreAvailability(bool Available, steady_time Now,
                                store_control_actions &Out);
   bool isReader() const;
--- a/src/libs/process/topic_consumer.cpp
+++ b/src/libs/process/topic_consumer.cpp
@@ -82,6 +82,11 @@
   Due = Now;
 }
 
+bool topic_consumer::restartWhenDue(steady_time Earliest) {
+  restart(std::max(Due, Earliest));
+  return std::exchange(CallPending, false);
+}
+
 bool topic_consumer::onFailure(steady_time Now,
                                const backoff_settings &Backoff) {
   CallPending = false;
--- a/src/libs/process/topic_consumer.h
+++ b/src/libs/process/topic_consumer.h
@@ -101,6 +101,9 @@
 
   /// Starts over with a listing.
   void restart(steady_time Now);
+  /// Starts over with a listing when the next call is due, but not before
+  /// \p Earliest. Returns whether a pending call has to be aborted.
+  bool restartWhenDue(steady_time Earliest);
 
   /// Whether a listing was completed since records were last lost.
   bool hasListing() const { return NextOffset.has_value(); }
--- a/tests/auto/peer/peer_samples.h
+++ b/tests/auto/peer/peer_samples.h
@@ -26,6 +26,7 @@
   Message.QuotaReport = quota_report{
       12, milliseconds(13), {{"o", 14, -15, 16, 17.5, milliseconds(18), true}}};
   Message.QuotaShares = {{"o", 0.25, 19.5, 0.125}, {"p", 10, 0, std::nullopt}};
+  Message.StoreHistory = 0x8000000000000002ULL;
   Message.Sent = 10;
   Message.AnswerTo = -11;
   Message.Time = {8, 9};
--- a/tests/auto/peer/tst_peer_codec.cpp
+++ b/tests/auto/peer/tst_peer_codec.cpp
@@ -29,6 +29,9 @@
   CHECK(Back.Work == Sent.Work);
   CHECK(Back.QuotaReport == Sent.QuotaReport);
   CHECK(Back.QuotaShares == Sent.QuotaShares);
+  CHECK(Back.StoreHistory == Sent.StoreHistory);
+  CHECK_FALSE(
+      valueOf(Codec.decodeMessage(Codec.encode(peer_message{}))).StoreHistory);
 }
 
 TEST_CASE("pulls and replies come back as they were") {
@@ -57,8 +60,9 @@
   Statement.RemainingColdTime = milliseconds(700);
   std::string Value = std::string("text and") + '\0' + "bytes";
   fleet_copy Back = valueOf(
-      Codec.decodeCopy(Codec.encode(fleet_copy{12, Value, {Statement}})));
+      Codec.decodeCopy(Codec.encode(fleet_copy{12, Value, {Statement}, 3})));
   CHECK(Back.Version == 12);
+  CHECK(Back.StoreHistory == 3);
   CHECK(Back.Configuration == Value);
   REQUIRE(Back.Servers.size() == 1);
   CHECK(Back.Servers[0].Entry.Server == Statement.Entry.Server);
--- a/tests/auto/process/store_fleet.h
+++ b/tests/auto/process/store_fleet.h
@@ -84,7 +84,7 @@
     store_control_actions Actions;
     if (std::exchange(Daemon.Hangs, false) || !Daemon.StoreReachable) {
       Daemon.State.onCallFailed(Topic, Now, Actions);
-    } else {
+    } else if (acceptsAnswer(Index, Topic)) {
       reportAnswering(Index, Topic);
       Daemon.State.onPage(Topic, {{}, false, ConfigurationEnd}, Now, Actions);
     }
@@ -126,6 +126,9 @@
     MemberLog.clear();
   }
 
+  /// Number of registrations since the store's start or last return.
+  std::size_t registrations() const { return MemberLog.size(); }
+
   /// Number of daemons whose registrations the store holds.
   std::size_t registeredDaemons() const {
     std::set<std::string> Ids;
@@ -364,8 +367,8 @@
       Daemons[Index].State.onCallSent(*Topic, Now);
   }
 
-  /// Whether a daemon uses the answer to a read of \p Topic.
-  bool acceptsAnswer(std::size_t Index, store_topic Topic) {
+  /// Whether a daemon uses the answer to a read of \p Topic, or to a write.
+  bool acceptsAnswer(std::size_t Index, std::optional<store_topic> Topic) {
     store_control_actions Actions;
     bool Accepted =
         Daemons[Index].State.acceptHistory(Topic, StoreHistory, Now, Actions);
@@ -449,7 +452,9 @@
     if (const auto *Put = std::get_if<put_record>(&Call)) {
       if (Daemon.StoreReachable)
         MemberLog.emplace_back(Put->Key, *Put->Value);
-      Daemon.State.onPut(Daemon.StoreReachable, Now);
+      bool Accepted =
+          Daemon.StoreReachable && acceptsAnswer(Index, std::nullopt);
+      Daemon.State.onPut(Accepted, Now);
     }
     if (const auto *List = std::get_if<list_newest>(&Call))
       list(Index, List->Topic, Actions);
--- a/tests/auto/process/tst_store_control_state.cpp
+++ b/tests/auto/process/tst_store_control_state.cpp
@@ -139,7 +139,8 @@
       if (std::holds_alternative<fetch_copy>(Actions[Position])) {
         ++Requests;
         auto Fetch = std::get<fetch_copy>(Actions[Position]);
-        State.onCopy(Fetch.From, {1, "old", {}}, published(1), Now, Actions);
+        State.onCopy(Fetch.From, {1, "old", {}, {}}, published(1), Now,
+                     Actions);
       }
     Now += 10ms;
   }
