Give scarce room by the organisation's rank and share

Cause: queues knew only the rank of the route; a backlog was refused whatever its rank, with the requests behind it counted like those ahead; and requests of a flood filled the queues of the servers, which know no order.

Change: queues are kept by precedence (organisation's rank, then route's). Only requests that are served before another one count against it; one that can't be served any more because of a more urgent one, or of one of a smaller organisation, gives its place up at once. A less urgent request, and one of an organisation beyond its share (by quota, of what started here lately), uses free slots only and no server's queue. Without organisations, one rank behaves as before.

--- a/src/libs/daemon/route_placement.cpp
+++ b/src/libs/daemon/route_placement.cpp
@@ -21,6 +21,8 @@
   }
   Request.Organisation = Found->Name;
   Request.OrganisationRank = Found->Rank;
+  if (Found->Quota.isLimited())
+    Request.OrganisationWeight = Found->Quota.RatePerSecond;
   Request.AccessKeyHash = hashAccessKey(AccessKey);
   return {};
 }
--- a/src/libs/process/pool_scheduler.cpp
+++ b/src/libs/process/pool_scheduler.cpp
@@ -127,16 +127,16 @@
 pool_scheduler::pool_scheduler(const service_definition &Definition,
                                std::uint64_t Seed)
     : Definition(Definition), Random(Seed) {
-  for (rank Rank : AllRanks)
-    Queues.emplace_back(Definition.QueueLimit[rankIndex(Rank)]);
+  for (std::size_t Index = 0; Index < PrecedenceCount; ++Index)
+    Queues.emplace_back(Definition.QueueLimit[Index % RankCount]);
 }
 
 void pool_scheduler::configure(const service_definition &NewDefinition,
                                std::span<const backend_server> Listed,
                                steady_time Now) {
   Definition = NewDefinition;
-  for (rank Rank : AllRanks)
-    Queues[rankIndex(Rank)].setLimit(Definition.QueueLimit[rankIndex(Rank)]);
+  for (std::size_t Index = 0; Index < PrecedenceCount; ++Index)
+    Queues[Index].setLimit(Definition.QueueLimit[Index % RankCount]);
   for (pooled_server &Server : Servers)
     if (std::exchange(Server.Delisted, true))
       Server.Leaving = false;
@@ -189,20 +189,69 @@
   return std::max(Request.Target / MinQueueTimeDivisor, MaxTime);
 }
 
-/// Returns whether more requests are queued than can start in time, so that
-/// another one would only be rejected later.
+/// Returns whether more requests are ahead than can start in time, so that the
+/// request would only be rejected later.
 bool pool_scheduler::isBacklogged(const waiting_request &Request,
-                                  steady_time Now) const {
+                                  std::size_t Ahead, steady_time Now) const {
   double Rate = std::max(MinStartRate, StartRate.perSecond(Now));
   double QueueTime =
       std::chrono::duration<double>(maxQueueTime(Request)).count();
-  return static_cast<double>(waiting()) > Rate * QueueTime * MaxBacklogShare;
+  return static_cast<double>(Ahead) > Rate * QueueTime * MaxBacklogShare;
+}
+
+/// Returns whether the request's organisation has exceeded its share and has
+/// more requests queued than start at its own pace before a refusal is late.
+bool pool_scheduler::isFlooding(const waiting_request &Request,
+                                steady_time Now) const {
+  if (!Shares.exceedsShare(Request.Organisation, Request.OrganisationWeight,
+                           Now))
+    return false;
+  double Rate = Shares.startsPerSecond(Request.Organisation, Now);
+  double QueueTime =
+      std::chrono::duration<double>(Request.Target / MinQueueTimeDivisor)
+          .count();
+  const rank_queue &Queue = Queues[Request.precedenceOf().index()];
+  return static_cast<double>(Queue.count(Request.Organisation)) >
+         Rate * QueueTime * MaxBacklogShare;
+}
+
+/// Number of queued requests that are served before the given one, if it is
+/// queued now.
+std::size_t
+pool_scheduler::requestsAhead(const waiting_request &Request) const {
+  std::size_t Own = Request.precedenceOf().index();
+  auto Urgent = Queues | std::views::take(Own) | std::views::common;
+  return std::transform_reduce(Urgent.begin(), Urgent.end(),
+                               Queues[Own].ahead(Request.Organisation),
+                               std::plus{}, std::mem_fn(&rank_queue::size));
+}
+
+/// Removes the request that would be served last, if it can't start in time any
+/// more because of one that has been added: one that is less urgent, or of an
+/// organisation with more queued requests.
+std::optional<request_id>
+pool_scheduler::takeDisplaced(const waiting_request &Added, steady_time Now) {
+  auto Own = static_cast<std::ptrdiff_t>(Added.precedenceOf().index());
+  auto LeastUrgentFirst =
+      std::ranges::subrange(Queues.begin() + Own, Queues.end()) |
+      std::views::reverse;
+  auto Last = std::ranges::find_if_not(LeastUrgentFirst, &rank_queue::empty);
+  const waiting_request *Displaced = Last->last(Now);
+  if (Displaced->precedenceOf() == Added.precedenceOf() &&
+      Displaced->Organisation == Added.Organisation)
+    return std::nullopt;
+  if (!isBacklogged(*Displaced, requestsAhead(*Displaced) - 1, Now))
+    return std::nullopt;
+  request_id Id = Displaced->Id;
+  Last->remove(Id);
+  return Id;
 }
 
 std::optional<request_id> pool_scheduler::submit(waiting_request Request,
                                                  steady_time Now) {
   Retries.onRequest(Request.Rank);
-  if (isBacklogged(Request, Now))
+  if (isBacklogged(Request, requestsAhead(Request), Now) ||
+      isFlooding(Request, Now))
     return Request.Id;
   // The queue expires a request when its usual time no longer fits before the
   // deadline.
@@ -210,15 +259,16 @@
                               Now + maxQueueTime(Request) + Request.UsualTime);
   if (!canStartInTime(Request, Now))
     return Request.Id;
-  rank_queue &Queue = Queues[rankIndex(Request.Rank)];
-  auto Dropped = Queue.push(std::move(Request), Now);
-  return Dropped ? std::optional(Dropped->Id) : std::nullopt;
+  rank_queue &Queue = Queues[Request.precedenceOf().index()];
+  if (auto Dropped = Queue.push(Request, Now))
+    return Dropped->Id;
+  return takeDisplaced(Request, Now);
 }
 
 void pool_scheduler::resubmit(waiting_request Request, steady_time Now) {
   Request.Deadline = std::min(Request.Deadline,
                               Now + maxQueueTime(Request) + Request.UsualTime);
-  rank_queue &Queue = Queues[rankIndex(Request.Rank)];
+  rank_queue &Queue = Queues[Request.precedenceOf().index()];
   Queue.pushFront(std::move(Request));
 }
 
@@ -325,6 +375,11 @@
   if (!isReachable(Server, Now))
     return idle_reason::Unreachable;
   std::size_t Capacity = capacityFor(Request, Server, Now);
+  // Requests are queued at a server in the order of their arrival: those of a
+  // flood would delay the others, and less urgent ones those that wait here.
+  if (MoreUrgentWaiting || Shares.exceedsShare(Request.Organisation,
+                                               Request.OrganisationWeight, Now))
+    Capacity = std::min(Capacity, Server.Slots);
   if (Server.used() >= Capacity)
     return Server.InUse >= Capacity ? idle_reason::FullLocally
                                     : idle_reason::FullRemotely;
@@ -538,12 +593,15 @@
 }
 
 std::optional<slot_assignment> pool_scheduler::next(steady_time Now) {
+  MoreUrgentWaiting = false;
   for (rank_queue &Queue : Queues) {
     if (Queue.empty())
       continue;
     pooled_server *Server = chooseServer(*Queue.front(Now), Now);
-    if (!Server)
+    if (!Server) {
+      MoreUrgentWaiting = true;
       continue;
+    }
     waiting_request Request = Queue.pop(Now);
     ++Server->InUse;
     if (Now >= Server->RecentStartsSince + FastFailureWindow) {
@@ -557,6 +615,7 @@
           std::chrono::duration_cast<milliseconds>(Now - Server->LastUsed);
     Server->PendingUntil = Now + ArrivalTimeout;
     StartRate.record(Now);
+    Shares.recordStart(Request.Organisation, Request.OrganisationWeight, Now);
     return slot_assignment{
         Request.Id,       Server->Address,
         Server->Instance, Server->Health.unhealthyProbability(Now),
--- a/src/libs/process/pool_scheduler.h
+++ b/src/libs/process/pool_scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/organisation_shares.h"
 #include "base/text.h"
 #include "process/health_estimator.h"
 #include "process/outlier_detector.h"
@@ -197,7 +198,12 @@
   /// last of them still answered within its target time.
   std::size_t capacityFor(const waiting_request &Request,
                           const pooled_server &Server, steady_time Now) const;
-  bool isBacklogged(const waiting_request &Request, steady_time Now) const;
+  bool isBacklogged(const waiting_request &Request, std::size_t Ahead,
+                    steady_time Now) const;
+  bool isFlooding(const waiting_request &Request, steady_time Now) const;
+  std::size_t requestsAhead(const waiting_request &Request) const;
+  std::optional<request_id> takeDisplaced(const waiting_request &Added,
+                                          steady_time Now);
   double costOf(const waiting_request &Request, const pooled_server &Server,
                 steady_time Now) const;
   std::size_t maxUnconfirmedStarts(const pooled_server &Server) const;
@@ -244,7 +250,11 @@
   /// The last incarnation at an address that has announced that it is leaving.
   /// Kept while the address is not listed: a registration may return.
   std::map<endpoint_text, server_incarnation, std::less<>> AnnouncedLeaving;
+  /// Queued requests by precedence.
   std::vector<rank_queue> Queues;
+  /// Whether a request that goes before the one that is placed now is queued.
+  bool MoreUrgentWaiting = false;
+  organisation_shares Shares;
   retry_budget Retries;
   pool_failure_rate PoolFailures;
   /// Rate at which requests start in this process.
--- a/src/libs/process/rank_queue.cpp
+++ b/src/libs/process/rank_queue.cpp
@@ -1,6 +1,8 @@
 #include "process/rank_queue.h"
 
 #include <algorithm>
+#include <functional>
+#include <numeric>
 
 namespace endiverail {
 
@@ -24,24 +26,48 @@
   return Now - Oldest.Arrived > Oldest.Target / 2;
 }
 
+const waiting_request &
+rank_queue::organisation_queue::last(steady_time Now) const {
+  return servesNewestFirst(Now) ? Requests.front() : Requests.back();
+}
+
+const rank_queue::organisation_queue *rank_queue::longest() const {
+  auto Longest = std::ranges::max_element(
+      RoundRobin, {},
+      [](const organisation_queue &Queue) { return Queue.Requests.size(); });
+  return Longest == RoundRobin.end() ? nullptr : &*Longest;
+}
+
+const waiting_request *rank_queue::last(steady_time Now) const {
+  const organisation_queue *Longest = longest();
+  return Longest ? &Longest->last(Now) : nullptr;
+}
+
+std::size_t rank_queue::count(std::string_view Organisation) const {
+  auto Found = std::ranges::find(RoundRobin, Organisation,
+                                 &organisation_queue::Organisation);
+  return Found == RoundRobin.end() ? 0 : Found->Requests.size();
+}
+
+std::size_t rank_queue::ahead(std::string_view Organisation) const {
+  std::size_t OwnCount = count(Organisation);
+  // Each round serves one request of every organisation.
+  auto Served = [&](const organisation_queue &Queue) {
+    return Queue.Organisation == Organisation
+               ? OwnCount
+               : std::min(Queue.Requests.size(), OwnCount + 1);
+  };
+  return std::transform_reduce(RoundRobin.begin(), RoundRobin.end(),
+                               std::size_t{0}, std::plus{}, Served);
+}
+
 std::optional<waiting_request> rank_queue::push(waiting_request Request,
                                                 steady_time Now) {
   queueOf(Request.Organisation).Requests.push_back(std::move(Request));
   if (++Count <= Limit)
     return std::nullopt;
-  auto Longest = std::ranges::max_element(
-      RoundRobin, {},
-      [](const organisation_queue &Queue) { return Queue.Requests.size(); });
-  bool DropOldest = Longest->servesNewestFirst(Now);
-  std::deque<waiting_request> &Requests = Longest->Requests;
-  waiting_request Dropped =
-      std::move(DropOldest ? Requests.front() : Requests.back());
-  if (DropOldest)
-    Requests.pop_front();
-  else
-    Requests.pop_back();
-  --Count;
-  dropEmpty();
+  waiting_request Dropped = *last(Now);
+  remove(Dropped.Id);
   return Dropped;
 }
 
--- a/src/libs/process/rank_queue.h
+++ b/src/libs/process/rank_queue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/precedence.h"
 #include "request/caller_request.h"
 
 #include <algorithm>
@@ -10,6 +11,7 @@
 #include <iterator>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace endiverail {
@@ -29,6 +31,14 @@
   milliseconds UsualTime{0};
   /// Backend servers that have failed the request already.
   std::vector<std::string> Avoid;
+  /// Rank of the organisation, if it has one.
+  std::optional<rank> OrganisationRank{};
+  /// Weight of the organisation's share of the room; its quota, if it has one.
+  double OrganisationWeight = 1;
+
+  precedence precedenceOf() const {
+    return precedence::of(OrganisationRank, Rank);
+  }
 };
 
 /// Queue for the requests of one rank, served round-robin by organisation, so
@@ -54,6 +64,17 @@
   /// Removes and returns the next request; the queue must not be empty.
   waiting_request pop(steady_time Now);
 
+  /// Number of queued requests that are served before another one of the
+  /// organisation.
+  std::size_t ahead(std::string_view Organisation) const;
+
+  /// Number of queued requests of the organisation.
+  std::size_t count(std::string_view Organisation) const;
+
+  /// The request that would be served last, which is one of the organisation
+  /// with the most queued requests; nullptr if the queue is empty.
+  const waiting_request *last(steady_time Now) const;
+
   /// Removes the request; returns false if it is not queued.
   bool remove(request_id Id);
 
@@ -85,8 +106,10 @@
     std::deque<waiting_request> Requests;
 
     bool servesNewestFirst(steady_time Now) const;
+    const waiting_request &last(steady_time Now) const;
   };
 
+  const organisation_queue *longest() const;
   organisation_queue &queueOf(const std::string &Organisation);
   void dropEmpty();
 
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -761,7 +761,9 @@
             Request.Kind->LatencyTarget,
             Request.Deadline,
             State.answerTimes(*Request.Kind).usual(),
-            Active.FailedServers};
+            Active.FailedServers,
+            Request.OrganisationRank,
+            Request.OrganisationWeight};
   }
 
   state &stateOf(const active_request &Active) {
--- a/src/libs/request/caller_request.h
+++ b/src/libs/request/caller_request.h
@@ -66,6 +66,8 @@
   std::string Organisation;
   /// Rank of that organisation, which goes before that of the kind of work.
   std::optional<rank> OrganisationRank{};
+  /// Weight of that organisation's share when there is too little room.
+  double OrganisationWeight = 1;
   /// Hash of the access key by which the organisation was recognised.
   std::optional<access_key_hash> AccessKeyHash{};
   std::string Key;
