Allot the retries of a service by rank

Cause: each rank could use only the retries that its own requests brought.

Change: retry_allotment keeps one pool for all ranks. A claim leaves a reserve for each more urgent rank (the organisation's before the route's), and for all of them if its answer would come late. A rank but the most urgent one keeps a quarter of what its own requests bring. The maximum of all together is that of before, so that the sum over daemons which don't hear each other holds.

--- a/src/libs/process/pool_scheduler.cpp
+++ b/src/libs/process/pool_scheduler.cpp
@@ -249,7 +249,7 @@
 
 std::optional<request_id> pool_scheduler::submit(waiting_request Request,
                                                  steady_time Now) {
-  Retries.onRequest(Request.Rank);
+  Retries.onRequest(Request.precedenceOf());
   if (isBacklogged(Request, requestsAhead(Request), Now) ||
       isFlooding(Request, Now))
     return Request.Id;
@@ -363,7 +363,7 @@
 /// attempt.
 bool pool_scheduler::mayRetry(const waiting_request &Request) const {
   return Request.Idempotent && Request.Avoid.empty() &&
-         Retries.available(Request.Rank);
+         Retries.available(retry_claim{Request.precedenceOf()});
 }
 
 /// Returns why the request can't be sent to the server now, if so.
--- a/src/libs/process/rank_queue.h
+++ b/src/libs/process/rank_queue.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "admission/precedence.h"
+#include "admission/retry_allotment.h"
 #include "request/caller_request.h"
 
 #include <algorithm>
@@ -39,6 +39,10 @@
   precedence precedenceOf() const {
     return precedence::of(OrganisationRank, Rank);
   }
+  /// The claim to be sent again now.
+  retry_claim claimAt(steady_time Now) const {
+    return {precedenceOf(), Now + UsualTime <= Arrived + Target};
+  }
 };
 
 /// Queue for the requests of one rank, served round-robin by organisation, so
--- a/src/libs/process/retry_budget.cpp
+++ b/src/libs/process/retry_budget.cpp
@@ -24,45 +24,53 @@
 
 void retry_budget::setLimits(retry_limits NewLimits) {
   Limits = NewLimits;
+  Shared.setLimits(Limits.InitialTokens, Limits.MaxTokens);
   if (std::ranges::none_of(HasRequests, std::identity{})) {
     std::ranges::fill(Tokens, Limits.InitialTokens);
     return;
   }
   std::ranges::for_each(Tokens, [this](double &RankTokens) {
-    RankTokens = std::min(RankTokens, maxTokens());
+    RankTokens = std::min(RankTokens, Limits.MaxTokens);
   });
 }
 
 void retry_budget::onRequest(rank Rank) {
-  HasRequests[rankIndex(Rank)] = true;
-  add(Rank, Limits.TokensPerRequest);
+  onRequest(precedence::of(std::nullopt, Rank));
+}
+
+bool retry_budget::take(rank Rank) {
+  return take(retry_claim{precedence::of(std::nullopt, Rank)});
+}
+
+bool retry_budget::available(rank Rank) const {
+  return available(retry_claim{precedence::of(std::nullopt, Rank)});
+}
+
+void retry_budget::onRequest(precedence Precedence) {
+  HasRequests[rankIndex(Precedence.Work)] = true;
+  add(Precedence.Work, Limits.TokensPerRequest);
+  Shared.add(Precedence, Limits.TokensPerRequest);
 }
 
 void retry_budget::onSuccess(rank Rank) { add(Rank, Limits.TokensPerSuccess); }
 
-bool retry_budget::take(rank Rank) {
-  if (!available(Rank))
+bool retry_budget::take(const retry_claim &Claim) {
+  if (Limits.SharedByRanks)
+    return Shared.take(Claim);
+  if (!available(Claim))
     return false;
-  Tokens[rankIndex(Rank)] -= 1;
+  Tokens[rankIndex(Claim.Precedence.Work)] -= 1;
   return true;
 }
 
-bool retry_budget::available(rank Rank) const {
-  return Tokens[rankIndex(Rank)] >= 1;
+bool retry_budget::available(const retry_claim &Claim) const {
+  return Limits.SharedByRanks ? Shared.available(Claim)
+                              : Tokens[rankIndex(Claim.Precedence.Work)] >= 1;
 }
 
 void retry_budget::add(rank Rank, double Amount) {
   double &RankTokens = Tokens[rankIndex(Rank)];
-  RankTokens = std::min(maxTokens(), RankTokens + Amount);
-}
-
-double retry_budget::maxTokens() const {
-  if (!Limits.SharedByRanks)
-    return Limits.MaxTokens;
-  auto Ranks =
-      std::max<std::ptrdiff_t>(1, std::ranges::count(HasRequests, true));
-  // With a maximum below one token, no retry would ever be possible.
-  return std::max(1.0, Limits.MaxTokens / static_cast<double>(Ranks));
+  RankTokens = std::min(Limits.MaxTokens, RankTokens + Amount);
 }
 
 } // namespace endiverail
--- a/src/libs/process/retry_budget.h
+++ b/src/libs/process/retry_budget.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/retry_allotment.h"
 #include "version/rank.h"
 
 #include <algorithm>
@@ -14,8 +15,8 @@
   double MaxTokens = 20;
   double TokensPerSuccess = 0.1;
   double TokensPerRequest = 0;
-  /// Whether MaxTokens is the limit of all ranks together. Each rank that has
-  /// requests may then accumulate an equal part of it.
+  /// Whether MaxTokens is the limit of all ranks together, and tokens go by
+  /// rank (retry_allotment).
   bool SharedByRanks = false;
 };
 
@@ -33,12 +34,10 @@
 
 /// Token bucket that limits retries to a share of recent requests. Each rank
 /// has its own tokens, so that the retries of one rank can't use up those of
-/// another.
+/// another, unless the ranks share a maximum.
 class retry_budget {
 public:
-  explicit retry_budget(retry_limits Limits = {}) : Limits(Limits) {
-    std::ranges::fill(Tokens, Limits.InitialTokens);
-  }
+  explicit retry_budget(retry_limits Limits = {}) { setLimits(Limits); }
 
   /// Before the first request, resets the tokens to the new initial value;
   /// afterwards, only reduces them to the new maximum.
@@ -52,12 +51,17 @@
 
   bool available(rank Rank) const;
 
+  /// The same with the precedence of the request. Without a shared maximum only
+  /// the rank of the work matters.
+  void onRequest(precedence Precedence);
+  bool take(const retry_claim &Claim);
+  bool available(const retry_claim &Claim) const;
+
 private:
   void add(rank Rank, double Amount);
-  /// Maximum number of tokens of one rank.
-  double maxTokens() const;
 
   retry_limits Limits;
+  retry_allotment Shared;
   per_rank<double> Tokens{};
   /// Which ranks have had requests.
   per_rank<bool> HasRequests{};
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -1098,7 +1098,8 @@
             Active.MayHaveRun,
             std::chrono::duration_cast<milliseconds>(Request.Deadline - Now),
             State.answerTimes(*Request.Kind).usual(),
-            State.Scheduler.retries().available(Request.Kind->Rank),
+            State.Scheduler.retries().available(
+                makeWaitingRequest(Active, State).claimAt(Now)),
             Request.Kind->MaxAttempts};
   }
 
@@ -1275,7 +1276,8 @@
     Active.Buffered.clear();
     state &State = stateOf(Active);
     if (usesRetryBudget(Failure))
-      State.Scheduler.retries().take(Active.Request.Kind->Rank);
+      State.Scheduler.retries().take(
+          makeWaitingRequest(Active, State).claimAt(Now));
     Metrics.onRetry(Name);
     if (Attempt.goesToPeer()) {
       runStep(Active, Now, [&] { return forwardOrQueue(Active, Now); });
--- a/tests/auto/admission/simulated_room.h
+++ b/tests/auto/admission/simulated_room.h
@@ -289,10 +289,10 @@
   }
 
   bool mayRetry(pool_scheduler &Entry, const waiting_request &Request) {
-    return Entry.retries().available(Request.Rank);
+    return Entry.retries().available(Request.claimAt(Now));
   }
   void takeRetry(pool_scheduler &Entry, const waiting_request &Request) {
-    Entry.retries().take(Request.Rank);
+    Entry.retries().take(Request.claimAt(Now));
   }
 
   void endAttempt(const job &Job, attempt_signal Signal) {
