--- a/tests/auto/platform/daemon_process.h
+++ b/tests/auto/platform/daemon_process.h
@@ -67,6 +67,8 @@
     return false;
   }
 
+  pid_t id() const { return Process; }
+
   void send(int Signal) const { kill(Process, Signal); }
 
   /// How the process has ended, as waitpid() tells it.
--- a/tests/auto/platform/platform_fixture.h
+++ b/tests/auto/platform/platform_fixture.h
@@ -85,12 +85,12 @@
       Caller.send(wholeAnswer(Request.Id));
   }
 
-  std::string entry() const {
+  std::string entry(int Slots = 6) const {
     return nlohmann::json{{"service", "orders"},
                           {"address", Server.endpoint()},
                           {"zone", "z"},
                           {"version", "v1"},
-                          {"slots", 6},
+                          {"slots", Slots},
                           {"state", "ready"},
                           {"cold-remaining-s", 0},
                           {"sequence", 1},
