Decode chunked bodies once, and read callers in bounded turns

Cause: a chunked body was decoded anew from its start for each piece that was read, and Pistache reads a socket until it is empty, so one fast sender of small chunks held the thread of all callers.

Change: chunked_decoder keeps its state between pieces and looks at each byte once; caller_connection parses a head once and holds the decoded body instead of the encoded bytes. The connection threads read by themselves, 64 KiB from a connection before the others have their turn, and stop reading a connection while a request is in progress and 64 KiB of the next ones have come. Pistache only sees the end of a connection.

--- a/src/libs/connection/caller_connection.h
+++ b/src/libs/connection/caller_connection.h
@@ -33,10 +33,12 @@
   result<void> receive(std::string_view Bytes, request_arrival Arrived = {});
 
   /// Returns the frame of the next request once its head has been received, or
-  /// nullopt while another request is in progress. Fails like frameRequest.
-  result<std::optional<request_frame>> pendingFrame() const;
+  /// null while another request is in progress. The head is parsed once. Fails
+  /// like frameRequest.
+  result<const request_frame *> pendingFrame();
 
-  /// Extracts the next request if it is complete and none is in progress.
+  /// Extracts the next request if it is complete and none is in progress. Fails
+  /// like pendingFrame and chunked_decoder.
   result<std::optional<received_request>> takeRequest();
 
   /// Returns whether a response to \p Sequence may be written now.
@@ -50,15 +52,38 @@
 
   bool inProgress() const { return InProgress; }
   std::uint64_t lastSequence() const { return LastSequence; }
-  bool hasBytes() const { return !Buffer.empty(); }
+  /// Whether anything of the next request has been received.
+  bool hasBytes() const { return unreadBytes() != 0 || Frame; }
+  /// Bytes that are held and not decoded.
+  std::size_t unreadBytes() const { return Buffer.size() - Decoded; }
+  /// Bytes that are held of requests that are not complete.
+  std::size_t heldBytes() const {
+    return Buffer.size() + Body.size() + (Frame ? Frame->HeadBytes : 0);
+  }
+
+  /// Drops all that is held; the connection is only read to its end then.
+  void discardBytes();
 
 private:
-  result<std::optional<received_request>>
-  takeChunkedRequest(request_frame Frame);
+  std::string_view unread() const {
+    return std::string_view(Buffer).substr(Decoded);
+  }
+  void markDecoded(std::size_t Bytes);
+  /// Moves what has come of the body from the buffer; returns whether the body
+  /// is complete.
+  result<bool> decodeBody();
 
   framing_limits Limits;
   std::string Buffer;
-  /// Arrival of the first and of the last bytes in the buffer.
+  /// Bytes at the start of the buffer that belong to the frame and the body.
+  std::size_t Decoded = 0;
+  /// Unread bytes that are known not to contain the end of a head.
+  std::size_t Searched = 0;
+  /// The request that is being received, once its head is there.
+  std::optional<request_frame> Frame;
+  std::optional<chunked_decoder> Decoder;
+  std::string Body;
+  /// Arrival of the first bytes of the next request and of the last bytes.
   request_arrival FirstArrival;
   request_arrival LastArrival;
   std::uint64_t LastSequence = 0;
--- a/src/libs/connection/request_framing.cpp
+++ b/src/libs/connection/request_framing.cpp
@@ -97,18 +97,6 @@
   return {};
 }
 
-/// Returns the line at the start of \p Bytes without its line break, or nullopt
-/// while it is incomplete.
-result<std::optional<std::string_view>> readLine(std::string_view Bytes,
-                                                 std::size_t MaxBytes) {
-  std::size_t End = Bytes.find(LineEnd);
-  if (std::min(End, Bytes.size()) > MaxBytes)
-    return fail(error_kind::BadRequest, "line too long in a chunked body");
-  if (End == std::string_view::npos)
-    return std::optional<std::string_view>{};
-  return std::optional(Bytes.substr(0, End));
-}
-
 result<std::size_t> parseChunkSize(std::string_view Line) {
   std::string_view Digits = trimmed(Line.substr(0, Line.find(';')));
   std::size_t Size = 0;
@@ -120,53 +108,110 @@
   return Size;
 }
 
-/// Skips the trailer, as its fields are not used. Returns its size including
-/// the empty line at the end, or nullopt while it is incomplete.
-result<std::optional<std::size_t>> skipTrailer(std::string_view Bytes,
-                                               std::size_t MaxBytes) {
+} // namespace
+
+result<std::size_t> chunked_decoder::decode(std::string_view Bytes,
+                                            std::string &Body) {
   std::size_t Used = 0;
-  while (true) {
-    BOOST_LEAF_AUTO(Line, readLine(Bytes.substr(Used), MaxBytes));
-    if (!Line)
-      return std::optional<std::size_t>{};
-    Used += Line->size() + LineEnd.size();
-    if (Used > MaxBytes)
-      return fail(error_kind::BodyTooLarge, "trailer too large");
-    if (Line->empty())
-      return std::optional(Used);
+  while (!complete() && Used < Bytes.size()) {
+    BOOST_LEAF_AUTO(PartBytes, decodePart(Bytes.substr(Used), Body));
+    Used += PartBytes;
   }
+  return Used;
 }
 
-} // namespace
+result<std::size_t> chunked_decoder::decodePart(std::string_view Bytes,
+                                                std::string &Body) {
+  switch (Next) {
+  case part::Size:
+    return decodeSize(Bytes, Body.size());
+  case part::Data:
+    return decodeData(Bytes, Body);
+  case part::DataEnd:
+    return decodeDataEnd(Bytes.front());
+  case part::Trailer:
+    return decodeTrailer(Bytes);
+  case part::Nothing:
+    break;
+  }
+  return std::size_t{0};
+}
+
+result<std::size_t> chunked_decoder::decodeSize(std::string_view Bytes,
+                                                std::size_t BodyBytes) {
+  BOOST_LEAF_AUTO(Used, readLine(Bytes, MaxChunkLineBytes));
+  if (!lineComplete())
+    return Used;
+  std::string_view Text(Line);
+  Text.remove_suffix(LineEnd.size());
+  BOOST_LEAF_ASSIGN(BytesLeft, parseChunkSize(Text));
+  if (BytesLeft > Limits.BodyBytes - BodyBytes)
+    return fail(error_kind::BodyTooLarge, "request body too large");
+  Line.clear();
+  Next = BytesLeft == 0 ? part::Trailer : part::Data;
+  return Used;
+}
+
+std::size_t chunked_decoder::decodeData(std::string_view Bytes,
+                                        std::string &Body) {
+  std::string_view Data = Bytes.substr(0, BytesLeft);
+  Body.append(Data);
+  BytesLeft -= Data.size();
+  if (BytesLeft == 0) {
+    Next = part::DataEnd;
+    BytesLeft = LineEnd.size();
+  }
+  return Data.size();
+}
+
+result<std::size_t> chunked_decoder::decodeDataEnd(char Byte) {
+  if (Byte != LineEnd[LineEnd.size() - BytesLeft])
+    return fail(error_kind::BadRequest,
+                "a chunk is longer than its declared size");
+  if (--BytesLeft == 0)
+    Next = part::Size;
+  return std::size_t{1};
+}
+
+/// Skips the trailer, as its fields are not used.
+result<std::size_t> chunked_decoder::decodeTrailer(std::string_view Bytes) {
+  BOOST_LEAF_AUTO(Used, readLine(Bytes, Limits.HeadBytes));
+  if (!lineComplete())
+    return Used;
+  TrailerBytes += Line.size();
+  if (TrailerBytes > Limits.HeadBytes)
+    return fail(error_kind::BodyTooLarge, "trailer too large");
+  if (Line == LineEnd)
+    Next = part::Nothing;
+  Line.clear();
+  return Used;
+}
+
+/// Continues the line with the start of \p Bytes and returns how many of them
+/// belong to it.
+result<std::size_t> chunked_decoder::readLine(std::string_view Bytes,
+                                              std::size_t MaxBytes) {
+  std::string_view Rest =
+      Bytes.substr(0, MaxBytes + LineEnd.size() - Line.size());
+  std::size_t Feed = Rest.find(LineEnd.back());
+  if (Feed != std::string_view::npos)
+    Rest = Rest.substr(0, Feed + 1);
+  Line.append(Rest);
+  if (!lineComplete() &&
+      Line.size() - (Line.ends_with(LineEnd.front()) ? 1 : 0) > MaxBytes)
+    return fail(error_kind::BadRequest, "line too long in a chunked body");
+  return Rest.size();
+}
+
+bool chunked_decoder::lineComplete() const { return Line.ends_with(LineEnd); }
 
 result<std::optional<chunked_body>>
 readChunkedBody(std::string_view Bytes, const framing_limits &Limits) {
+  chunked_decoder Decoder(Limits);
   chunked_body Read;
-  while (true) {
-    BOOST_LEAF_AUTO(Line, readLine(Bytes, MaxChunkLineBytes));
-    if (!Line)
-      return std::optional<chunked_body>{};
-    BOOST_LEAF_AUTO(Size, parseChunkSize(*Line));
-    if (Size > Limits.BodyBytes - Read.Body.size())
-      return fail(error_kind::BodyTooLarge, "request body too large");
-    std::size_t LineBytes = Line->size() + LineEnd.size();
-    Bytes.remove_prefix(LineBytes);
-    Read.EncodedBytes += LineBytes;
-    if (Size == 0)
-      break;
-    if (Bytes.size() < Size + LineEnd.size())
-      return std::optional<chunked_body>{};
-    if (Bytes.substr(Size, LineEnd.size()) != LineEnd)
-      return fail(error_kind::BadRequest,
-                  "a chunk is longer than its declared size");
-    Read.Body.append(Bytes.substr(0, Size));
-    Bytes.remove_prefix(Size + LineEnd.size());
-    Read.EncodedBytes += Size + LineEnd.size();
-  }
-  BOOST_LEAF_AUTO(TrailerBytes, skipTrailer(Bytes, Limits.HeadBytes));
-  if (!TrailerBytes)
+  BOOST_LEAF_ASSIGN(Read.EncodedBytes, Decoder.decode(Bytes, Read.Body));
+  if (!Decoder.complete())
     return std::optional<chunked_body>{};
-  Read.EncodedBytes += *TrailerBytes;
   return std::optional(std::move(Read));
 }
 
--- a/src/libs/connection/request_framing.h
+++ b/src/libs/connection/request_framing.h
@@ -46,6 +46,40 @@
 result<std::optional<request_frame>> frameRequest(std::string_view Bytes,
                                                   const framing_limits &Limits);
 
+/// Decodes one chunked body from pieces of any size. Each byte is looked at
+/// once, and only the line of a chunk's size or of the trailer is kept.
+class chunked_decoder {
+public:
+  explicit chunked_decoder(const framing_limits &Limits) : Limits(Limits) {}
+
+  /// Appends the data of the chunks in \p Bytes to \p Body and returns how many
+  /// bytes were used: all of them until the body is complete. Fails with
+  /// BadRequest, or with BodyTooLarge if the chunks or the trailer exceed the
+  /// limits; then the decoder must not be used again.
+  result<std::size_t> decode(std::string_view Bytes, std::string &Body);
+
+  bool complete() const { return Next == part::Nothing; }
+
+private:
+  enum class part { Size, Data, DataEnd, Trailer, Nothing };
+
+  result<std::size_t> decodePart(std::string_view Bytes, std::string &Body);
+  result<std::size_t> decodeSize(std::string_view Bytes, std::size_t BodyBytes);
+  std::size_t decodeData(std::string_view Bytes, std::string &Body);
+  result<std::size_t> decodeDataEnd(char Byte);
+  result<std::size_t> decodeTrailer(std::string_view Bytes);
+  result<std::size_t> readLine(std::string_view Bytes, std::size_t MaxBytes);
+  bool lineComplete() const;
+
+  framing_limits Limits;
+  part Next = part::Size;
+  /// Of the current chunk's data, or of the line break behind it.
+  std::size_t BytesLeft = 0;
+  std::size_t TrailerBytes = 0;
+  /// With its line break, as far as it is there.
+  std::string Line;
+};
+
 /// A decoded chunked body.
 struct chunked_body {
   /// Encoded size on the connection, including the trailer.
@@ -54,8 +88,7 @@
 };
 
 /// Decodes the chunked body at the start of \p Bytes. Returns nullopt while it
-/// is incomplete. Fails with BadRequest, or with BodyTooLarge if the chunks or
-/// the trailer exceed \p Limits.
+/// is incomplete. Fails like chunked_decoder.
 result<std::optional<chunked_body>>
 readChunkedBody(std::string_view Bytes, const framing_limits &Limits);
 
--- a/src/libs/http/connection_io.cpp
+++ b/src/libs/http/connection_io.cpp
@@ -25,6 +25,18 @@
   return std::nullopt;
 }
 
+received_piece receiveSome(int Descriptor, std::span<char> Buffer) {
+  ssize_t Size = 0;
+  do
+    Size = ::recv(Descriptor, Buffer.data(), Buffer.size(), MSG_DONTWAIT);
+  while (Size < 0 && errno == EINTR);
+  if (Size > 0)
+    return {receive_state::Data,
+            {Buffer.data(), static_cast<std::size_t>(Size)}};
+  bool Waits = Size < 0 && errno == EAGAIN;
+  return {Waits ? receive_state::Nothing : receive_state::Ended, {}};
+}
+
 std::size_t waitingBytes(int Descriptor, std::size_t Max) {
   std::string Bytes(Max, '\0');
   ssize_t Size =
--- a/src/libs/http/connection_io.h
+++ b/src/libs/http/connection_io.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <span>
 #include <string_view>
 
 namespace endiverail::detail {
@@ -18,6 +19,15 @@
 std::optional<std::size_t> sendSome(const Pistache::Tcp::Peer &Peer,
                                     std::string_view Bytes);
 
+enum class receive_state { Data, Nothing, Ended };
+struct received_piece {
+  receive_state State = receive_state::Nothing;
+  std::string_view Bytes;
+};
+
+/// Reads what a socket has now into \p Buffer, which is not empty.
+received_piece receiveSome(int Descriptor, std::span<char> Buffer);
+
 /// Number of bytes that wait to be read from a socket, counted up to \p Max.
 std::size_t waitingBytes(int Descriptor, std::size_t Max);
 
--- a/src/libs/http/connection_worker.h
+++ b/src/libs/http/connection_worker.h
@@ -20,11 +20,13 @@
 #include <future>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <variant>
+#include <vector>
 
 namespace endiverail {
 
@@ -99,10 +101,11 @@
   using connection_adopter = std::function<void(owned_socket)>;
   void setAdopter(connection_adopter Adopter) { Adopt = std::move(Adopter); }
 
-  /// Asks to be told when a connection's descriptor takes bytes again.
-  using writable_watch = std::function<void(int Descriptor, bool Wanted)>;
-  void setWritableWatch(writable_watch Watch) {
-    WatchWritable = std::move(Watch);
+  /// Asks to be told when a connection's descriptor has bytes, at once if it
+  /// has some already, and if \p Writable when it takes bytes again.
+  using descriptor_watch = std::function<void(int Descriptor, bool Writable)>;
+  void setWatch(descriptor_watch Descriptors) {
+    Watch = std::move(Descriptors);
   }
 
   void onConnected(const std::shared_ptr<Pistache::Tcp::Peer> &Peer) {
@@ -112,22 +115,32 @@
     expectBy(Added.first->second, headTimeout());
   }
 
-  void onInput(std::uint64_t Id, std::string_view Bytes) {
-    auto Found = Connections.find(Id);
-    if (Found == Connections.end() || Found->second.Closing)
-      return;
-    entry &Entry = Found->second;
-    bool FirstBytes = !Entry.State.inProgress() && !Entry.State.hasBytes();
-    // Only the first bytes of a request tell when it arrived.
-    request_arrival Arrived{steadyNow()};
-    if (!Entry.State.hasBytes())
-      Arrived = arrivalOf(Entry.Peer->fd(), Arrived.At);
-    handleFailure(
-        [&]() -> result<void> { return Entry.State.receive(Bytes, Arrived); },
-        [&](const failure &Failure) { refuse(Entry, Failure); });
-    if (FirstBytes)
-      expectHead(Entry);
-    takeRequests(Entry);
+  /// Whether the worker reads from that descriptor.
+  bool owns(int Descriptor) const { return ByDescriptor.contains(Descriptor); }
+
+  /// Reads for a bounded time, so that no caller holds up the others. Returns
+  /// whether the connection has ended.
+  bool onReadable(int Descriptor) {
+    entry &Entry = Connections.at(ByDescriptor.at(Descriptor));
+    for (std::size_t TurnBytes = 0; TurnBytes < MaxTurnBytes;) {
+      std::size_t Room = readableBytes(Entry);
+      Entry.ReadPaused = Room == 0;
+      if (Entry.ReadPaused)
+        return false;
+      received_piece Piece = receiveSome(
+          Descriptor, std::span(ReadBuffer).first(std::min(Room, PieceBytes)));
+      if (Piece.State != receive_state::Data)
+        return Piece.State == receive_state::Ended;
+      TurnBytes += Piece.Bytes.size();
+      onInput(Entry, Piece.Bytes);
+    }
+    Watch(Descriptor, Entry.AwaitsWritable);
+    return false;
+  }
+
+  /// Both directions are closed: what is still unread asks for nothing.
+  void onHangup(int Descriptor) {
+    Connections.at(ByDescriptor.at(Descriptor)).Closing = true;
   }
 
   void onDisconnected(std::uint64_t Id) {
@@ -185,6 +198,11 @@
 
 private:
   static constexpr milliseconds LingerTime{2'000};
+  static constexpr std::size_t PieceBytes = std::size_t{16} * 1024;
+  /// Read from a connection before others have their turn.
+  static constexpr std::size_t MaxTurnBytes = 4 * PieceBytes;
+  /// Read from a connection while its request is in progress.
+  static constexpr std::size_t MaxReadAheadBytes = 4 * PieceBytes;
 
   struct unsent_text {
     std::string Text;
@@ -215,9 +233,41 @@
     /// Of the current response, its head included.
     std::size_t BytesSent = 0;
     bool AwaitsWritable = false;
+    /// The socket holds bytes that are not read until the request in progress
+    /// has ended.
+    bool ReadPaused = false;
     bool AnswerEnded = false;
   };
 
+  void onInput(entry &Entry, std::string_view Bytes) {
+    if (Entry.Closing)
+      return;
+    bool FirstBytes = !Entry.State.inProgress() && !Entry.State.hasBytes();
+    // Only the first bytes of a request tell when it arrived.
+    request_arrival Arrived{steadyNow()};
+    if (!Entry.State.hasBytes())
+      Arrived = arrivalOf(Entry.Peer->fd(), Arrived.At);
+    handleFailure(
+        [&]() -> result<void> { return Entry.State.receive(Bytes, Arrived); },
+        [&](const failure &Failure) { refuse(Entry, Failure); });
+    if (FirstBytes)
+      expectHead(Entry);
+    takeRequests(Entry);
+  }
+
+  /// How much a connection may be read now.
+  static std::size_t readableBytes(const entry &Entry) {
+    if (Entry.Closing || !Entry.State.inProgress())
+      return PieceBytes;
+    return MaxReadAheadBytes -
+           std::min(MaxReadAheadBytes, Entry.State.unreadBytes());
+  }
+
+  void resumeReading(entry &Entry) {
+    if (std::exchange(Entry.ReadPaused, false))
+      Watch(Entry.Peer->fd(), Entry.AwaitsWritable);
+  }
+
   response_handle ticket(const entry &Entry) const {
     return {Index, Entry.Peer->getID(), Entry.State.lastSequence()};
   }
@@ -253,6 +303,7 @@
 
   void close(entry &Entry) {
     Entry.Closing = true;
+    Entry.State.discardBytes();
     breakConnection(*Entry.Peer);
   }
 
@@ -260,8 +311,10 @@
   /// reply to that would take the answer away from it.
   void closeGently(entry &Entry) {
     Entry.Closing = true;
+    Entry.State.discardBytes();
     endSending(*Entry.Peer);
     expectBy(Entry, LingerTime);
+    resumeReading(Entry);
   }
 
   /// Takes whole requests as long as none is in progress.
@@ -275,11 +328,11 @@
             return {};
           Entry.ExpectedBy = Entry.RequestBy;
           BOOST_LEAF_CHECK(reserveMemory(Entry, Awaited->BodyBytes));
+          bool ExpectsContinue = Awaited->ExpectsContinue;
           BOOST_LEAF_AUTO(Request, Entry.State.takeRequest());
           if (Request)
             start(Entry, std::move(*Request));
-          else if (Awaited->ExpectsContinue &&
-                   !std::exchange(Entry.ContinueSent, true))
+          else if (ExpectsContinue && !std::exchange(Entry.ContinueSent, true))
             send(Entry, std::string(ContinueText), 0);
           return {};
         },
@@ -323,6 +376,7 @@
     Entry.KeepAlive = false;
     Entry.AnswerEnded = true;
     Entry.BytesSent = 0;
+    Entry.State.discardBytes();
     releaseMemory(Entry);
     expectBy(Entry, LingerTime);
     send(Entry, answerHeadText(Head, body_framing::Length, false) + Body, 0);
@@ -457,7 +511,7 @@
 
   void awaitWritable(entry &Entry, bool Wanted) {
     if (std::exchange(Entry.AwaitsWritable, Wanted) != Wanted)
-      WatchWritable(Entry.Peer->fd(), Wanted);
+      Watch(Entry.Peer->fd(), Wanted);
   }
 
   void finishIfSent(entry &Entry) {
@@ -482,6 +536,7 @@
     else
       expectBy(Entry, Settings.IdleTimeout);
     takeRequests(Entry);
+    resumeReading(Entry);
   }
 
   std::size_t Index;
@@ -493,7 +548,8 @@
   std::unordered_map<std::uint64_t, entry> Connections;
   std::unordered_map<int, std::uint64_t> ByDescriptor;
   connection_adopter Adopt;
-  writable_watch WatchWritable;
+  descriptor_watch Watch;
+  std::vector<char> ReadBuffer = std::vector<char>(PieceBytes);
   std::atomic<std::size_t> Count = 0;
   thread_lag Lag{"connection"};
   bool KeepNone = false;
--- a/src/libs/http/front_end.h
+++ b/src/libs/http/front_end.h
@@ -19,7 +19,7 @@
 namespace endiverail {
 namespace detail {
 
-/// Hands what Pistache reads to the worker of its thread.
+/// Tells the worker of its thread which connections come and go.
 template <caller_request_sink Sink>
 class front_handler final : public Pistache::Tcp::Handler {
 public:
@@ -31,10 +31,9 @@
   void onConnection(const std::shared_ptr<Pistache::Tcp::Peer> &Peer) override {
     Worker->onConnected(Peer);
   }
-  void onInput(const char *Bytes, std::size_t Size,
-               const std::shared_ptr<Pistache::Tcp::Peer> &Peer) override {
-    Worker->onInput(Peer->getID(), {Bytes, Size});
-  }
+  /// The worker reads by itself; these are bytes that came after the end.
+  void onInput(const char *, std::size_t,
+               const std::shared_ptr<Pistache::Tcp::Peer> &) override {}
   void
   onDisconnection(const std::shared_ptr<Pistache::Tcp::Peer> &Peer) override {
     Worker->onDisconnected(Peer->getID());
@@ -71,13 +70,8 @@
       handleNewPeer(
           Pistache::Tcp::Peer::Create(Socket.release(), Pistache::Address()));
     });
-    Worker->setWritableWatch([this](int Descriptor, bool Wanted) {
-      using Pistache::Polling::NotifyOn;
-      reactor()->modifyFd(key(), Descriptor,
-                          Wanted ? NotifyOn::Read | NotifyOn::Write
-                                 : NotifyOn::Read,
-                          Pistache::Polling::Mode::Edge);
-    });
+    Worker->setWatch(
+        [this](int Descriptor, bool Writable) { watch(Descriptor, Writable); });
   }
 
   void onReady(const Pistache::Aio::FdSet &Ready) override {
@@ -95,13 +89,31 @@
   }
 
 private:
-  /// Pistache knows nothing of what waits to be written.
+  /// Pistache reads without a limit and knows nothing of what waits to be
+  /// written, so it only gets to see the end of a connection.
   void onConnectionReady(const Pistache::Aio::FdSet::Entry &Entry,
                          std::vector<Pistache::Polling::Event> &Others) {
-    if (Entry.isWritable())
-      Worker->onWritable(static_cast<int>(Entry.getTag().value()));
-    if (Entry.isReadable() || !Entry.isWritable())
+    int Descriptor = static_cast<int>(Entry.getTag().value());
+    if (!Worker->owns(Descriptor)) {
       Others.push_back(withoutWritable(Entry));
+      return;
+    }
+    if (Entry.isWritable())
+      Worker->onWritable(Descriptor);
+    if (Entry.isHangup())
+      Worker->onHangup(Descriptor);
+    else if (!Entry.isReadable() || !Worker->onReadable(Descriptor))
+      return;
+    Others.push_back(withoutWritable(Entry));
+  }
+
+  /// The descriptor is reported again if it has bytes to read already.
+  void watch(int Descriptor, bool Writable) {
+    using Pistache::Polling::NotifyOn;
+    reactor()->modifyFd(key(), Descriptor,
+                        Writable ? NotifyOn::Read | NotifyOn::Write
+                                 : NotifyOn::Read,
+                        Pistache::Polling::Mode::Edge);
   }
 
   static Pistache::Polling::Tag tagOf(int Descriptor) {
