Don't confirm a failure at once when no proxy can be asked

A backend server that failed here was confirmed as failing, and its ejection requested, as soon as no other proxy was available to try it, even if one had just reached it. Members may be missing or not offered for a moment; the time of 1.5 s without a try, which decides in the same way, was passed by.

--- a/src/libs/process/failure_confirmation.cpp
+++ b/src/libs/process/failure_confirmation.cpp
@@ -76,9 +76,10 @@
     Inquiry->Verdict = opinion_verdict::Contradicted;
 }
 
-void failure_confirmation::onNoPeerAvailable(std::string_view Server) {
+void failure_confirmation::onNoPeerAvailable(std::string_view Server,
+                                             steady_time Now) {
   if (inquiry *Inquiry = find(Server))
-    Inquiry->Verdict = opinion_verdict::Confirmed;
+    Inquiry->NextTry = Now + TryInterval;
 }
 
 void failure_confirmation::retainOnly(std::span<const endpoint_text> Failing,
--- a/src/libs/process/failure_confirmation.h
+++ b/src/libs/process/failure_confirmation.h
@@ -40,8 +40,9 @@
   void onTryStarted(std::string_view Server, steady_time Now);
   /// Adds the result of a try by another proxy.
   void addResult(std::string_view Server, bool Succeeded);
-  /// No other proxy is available to try the backend server.
-  void onNoPeerAvailable(std::string_view Server);
+  /// No other proxy is available to try the backend server now. This may be
+  /// for a moment only, so it decides nothing by itself.
+  void onNoPeerAvailable(std::string_view Server, steady_time Now);
 
   /// Removes inquiries about backend servers that are not in \p Failing, except
   /// for contradicted ones that are still valid.
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -919,7 +919,7 @@
     const proxy_member *Observer =
         chooseObserver(*Version, *Server, NextAttempt);
     if (!Observer)
-      return State.Opinions.onNoPeerAvailable(*Server);
+      return State.Opinions.onNoPeerAvailable(*Server, Now);
     auto Request = State.Scheduler.takeForTrial(Now);
     if (!Request)
       return;
