Count what callers hold in one account and let it give way

Cause: only bodies with a length counted toward the memory for bodies, by what they announced; chunked bodies, bytes read ahead and unread answers had no limit but a constant that the host's memory had no part in.

Change: memory_budget is an account of the bytes that callers' requests and unread answers hold. Its size is a quarter of host.memory_mb, 64 MiB at most. What finds no room is refused before it is read; requests of up to 16 KiB are always taken. Other doors than that for requests have an account of their own. Large blocks go back to the system when they are freed. The stand-in of the review knows the new field.

--- a/review/common/stand.h
+++ b/review/common/stand.h
@@ -617,7 +617,8 @@
         {"{{bounds.budget-ratio}}", "0.2"},
         {"{{bounds.budget-extra-attempts}}", "62"},
         {"{{limits.cpu-share}}", "0.2"},
-        {"{{limits.link-mbps}}", "1000.0"}};
+        {"{{limits.link-mbps}}", "1000.0"},
+        {"{{limits.memory-mb}}", "260"}};
     std::ifstream File(Template);
     std::stringstream Text;
     Text << File.rdbuf();
--- a/src/app/endiveraild/main.cpp
+++ b/src/app/endiveraild/main.cpp
@@ -6,6 +6,7 @@
 
 #include <gflags/gflags.h>
 #include <iostream>
+#include <malloc.h>
 
 using namespace endiverail;
 
@@ -93,9 +94,19 @@
                              [](auto &) { waitForEnd(); });
 }
 
+/// Gives the memory of large bodies and answers back once they are freed. By
+/// default glibc raises its threshold with each one, so that they come to lie
+/// among others and are kept.
+void limitKeptMemory() {
+  constexpr int LargeBytes = 128 * 1024;
+  mallopt(M_MMAP_THRESHOLD, LargeBytes);
+  mallopt(M_TRIM_THRESHOLD, LargeBytes);
+}
+
 } // namespace
 
 int main(int ArgumentCount, char **Arguments) {
+  limitKeptMemory();
   startProgram(ArgumentCount, Arguments, Usage);
   return static_cast<int>(handleFailure(run, [](const failure &Failure) {
     std::cerr << Failure.Detail << '\n';
--- a/src/libs/connection/caller_connection.cpp
+++ b/src/libs/connection/caller_connection.cpp
@@ -39,11 +39,18 @@
 
 result<bool> caller_connection::decodeBody() {
   if (Decoder) {
+    // Each growth copies the body; steps of four keep that and what is held
+    // twice meanwhile small.
+    if (std::size_t Needed = Body.size() + unreadBytes();
+        Needed > Body.capacity())
+      Body.reserve(std::min(Limits.BodyBytes, 4 * Needed));
     BOOST_LEAF_AUTO(Used, Decoder->decode(unread(), Body));
     markDecoded(Used);
     return Decoder->complete();
   }
   std::string_view Rest = unread().substr(0, Frame->BodyBytes - Body.size());
+  // Memory that nothing is written to is not used.
+  Body.reserve(Frame->BodyBytes);
   Body.append(Rest);
   markDecoded(Rest.size());
   return Body.size() == Frame->BodyBytes;
@@ -80,6 +87,12 @@
 void caller_connection::markDecoded(std::size_t Bytes) {
   Decoded += Bytes;
   Searched = 0;
+  if (Decoded == Buffer.size()) {
+    // An idle connection keeps no buffer.
+    Buffer = std::string();
+    Decoded = 0;
+    return;
+  }
   // Erasing less often keeps the work for each byte constant.
   if (Decoded < Buffer.size() - Decoded)
     return;
--- a/src/libs/daemon/store_daemon.h
+++ b/src/libs/daemon/store_daemon.h
@@ -151,9 +151,10 @@
 public:
   question_dispatch(const store_daemon_settings &Settings,
                     published<fleet_version> &Versions,
-                    process_metrics &Metrics, answer_route &Answers)
+                    process_metrics &Metrics, const memory_budget &CallerMemory,
+                    answer_route &Answers)
       : Settings(Settings), Versions(Versions), Metrics(Metrics),
-        Answers(Answers) {}
+        CallerMemory(CallerMemory), Answers(Answers) {}
 
   request_owner onRequest(const response_handle &ResponseHandle,
                           const received_request &Request) {
@@ -163,7 +164,7 @@
     else if (Edge::dialect::isReadinessCall(Target))
       answerReadiness(ResponseHandle);
     else if (Target == "/metrics")
-      answerText(ResponseHandle, "text/plain; version=0.0.4", Metrics.text());
+      answerMetrics(ResponseHandle);
     else
       refuse(ResponseHandle, error_kind::UnknownRoute);
     return NoTrafficThread;
@@ -180,6 +181,14 @@
     postResponse(Answers, ResponseHandle, std::move(Head), std::move(Text));
   }
 
+  void answerMetrics(const response_handle &ResponseHandle) {
+    Metrics.setGauge("caller_memory_bytes",
+                     static_cast<double>(CallerMemory.held()));
+    Metrics.setGauge("caller_memory_peak_bytes",
+                     static_cast<double>(CallerMemory.peak()));
+    answerText(ResponseHandle, "text/plain; version=0.0.4", Metrics.text());
+  }
+
   void refuse(const response_handle &ResponseHandle, error_kind Kind) {
     postErrorResponse(Answers, ResponseHandle, Kind, "");
   }
@@ -215,6 +224,7 @@
   const store_daemon_settings &Settings;
   published<fleet_version> &Versions;
   process_metrics &Metrics;
+  const memory_budget &CallerMemory;
   answer_route &Answers;
   std::atomic<std::uint64_t> Nonces = randomSeed();
 };
@@ -343,11 +353,14 @@
 
   explicit store_daemon(const store_daemon_settings &From)
       : Settings(From), Self(selfOf(From)), Versions(firstVersion()),
-        Memory(Settings.BodyMemoryBytes),
+        CallerMemory(Settings.BodyMemoryBytes),
+        OwnMemory(Settings.MostBodyBytes),
         Requests(Versions, Traffic, RequestAnswers, Overload, Metrics),
-        ReadyQuestions(Settings, Versions, Metrics, ReadyAnswers),
-        DirectoryQuestions(Settings, Versions, Metrics, DirectoryAnswers),
-        MetricsQuestions(Settings, Versions, Metrics, MetricsAnswers),
+        ReadyQuestions(Settings, Versions, Metrics, CallerMemory, ReadyAnswers),
+        DirectoryQuestions(Settings, Versions, Metrics, CallerMemory,
+                           DirectoryAnswers),
+        MetricsQuestions(Settings, Versions, Metrics, CallerMemory,
+                         MetricsAnswers),
         PeerQuestions(PeerAnswers) {}
 
   static proxy_member selfOf(const store_daemon_settings &Settings) {
@@ -370,16 +383,16 @@
     BOOST_LEAF_CHECK(makeTraffic());
     BOOST_LEAF_CHECK(makeControl());
     BOOST_LEAF_CHECK(openDoor(RequestDoor, Settings.CallerAddress, Requests,
-                              RequestAnswers));
+                              RequestAnswers, CallerMemory));
     BOOST_LEAF_CHECK(openDoor(ReadyDoor, Settings.ReadyAddress, ReadyQuestions,
-                              ReadyAnswers));
+                              ReadyAnswers, OwnMemory));
     BOOST_LEAF_CHECK(openDoor(DirectoryDoor, Settings.DirectoryAddress,
-                              DirectoryQuestions, DirectoryAnswers));
+                              DirectoryQuestions, DirectoryAnswers, OwnMemory));
     if (!Settings.MetricsAddress.empty())
       BOOST_LEAF_CHECK(openDoor(MetricsDoor, Settings.MetricsAddress,
-                                MetricsQuestions, MetricsAnswers));
-    BOOST_LEAF_CHECK(
-        openDoor(PeerDoor, Settings.PeerAddress, PeerQuestions, PeerAnswers));
+                                MetricsQuestions, MetricsAnswers, OwnMemory));
+    BOOST_LEAF_CHECK(openDoor(PeerDoor, Settings.PeerAddress, PeerQuestions,
+                              PeerAnswers, OwnMemory));
     Traffic.start();
     ControlThread = std::jthread([this] { Control->run(); });
     return {};
@@ -433,11 +446,12 @@
   template <typename Dispatch>
   result<void> openDoor(front_door<Dispatch> &Door,
                         const endpoint_text &Address, Dispatch &To,
-                        answer_route &Answers) {
+                        answer_route &Answers, memory_budget &Memory) {
     front_end_settings Doors;
     std::tie(Doors.Address, Doors.Port) = splitEndpoint(Address);
     Doors.Limits.BodyBytes = Settings.MostBodyBytes;
     Doors.Limits.AcceptsChunked = true;
+    Doors.LimitsUnreadAnswers = &Memory == &CallerMemory;
     Answers.open(
         [&Door](response_message Message) { Door.post(std::move(Message)); });
     return Door.open(Doors, To, Memory);
@@ -450,7 +464,10 @@
   /// Until when requests may be sent to backend servers by what is published.
   std::atomic<steady_time> ServersUsableUntil;
   overload_controller Overload;
-  memory_budget Memory;
+  /// For requests and the answers to them.
+  memory_budget CallerMemory;
+  /// For all other doors, so that callers do not take their room.
+  memory_budget OwnMemory;
   answer_route RequestAnswers;
   answer_route ReadyAnswers;
   answer_route DirectoryAnswers;
--- a/src/libs/files/store_daemon_settings.cpp
+++ b/src/libs/files/store_daemon_settings.cpp
@@ -36,6 +36,20 @@
                LinkMegabits * BytesPerMegabit / BytesPerRequest));
 }
 
+/// The memory for callers: a quarter of the host's, as long as that is not more
+/// than most daemons need. The rest is for answers that are held back, the
+/// fleet's state and what the allocator keeps.
+std::size_t readCallerMemory(checked_object &File, std::size_t HostBytes) {
+  constexpr std::size_t UsualBytes = 64 * MiB;
+  std::size_t Default =
+      HostBytes == 0 ? UsualBytes : std::min(UsualBytes, HostBytes / 4);
+  std::size_t Bytes =
+      File.optionalNumber("body_memory_bytes", Default, {64 * KiB, 1024 * MiB});
+  if (HostBytes != 0 && Bytes > HostBytes / 2)
+    File.mistake("body_memory_bytes", "more than half of host.memory_mb");
+  return Bytes;
+}
+
 store_daemon_settings readFields(checked_object &File) {
   store_daemon_settings Settings;
   Settings.Id = File.requiredText("id");
@@ -57,8 +71,6 @@
   Settings.FleetSecret = File.requiredText("fleet_secret");
   Settings.MostBodyBytes =
       File.optionalNumber("max_body_bytes", 16 * MiB, {0, 64 * MiB});
-  Settings.BodyMemoryBytes = File.optionalNumber("body_memory_bytes", 64 * MiB,
-                                                 {64 * KiB, 1024 * MiB});
   Settings.MostBufferedBytes =
       File.optionalNumber("max_buffered_bytes", 1 * MiB, {4 * KiB, 16 * MiB});
   File.object("retries", [&](checked_object &Budget) {
@@ -68,9 +80,15 @@
     File.object("quotas", [&](checked_object &Quotas) {
       Settings.Quotas = readQuotas(Quotas);
     });
+  std::size_t HostBytes = 0;
   File.object("host", [&](checked_object &Host) {
     Settings.Capacity = readCapacity(Host);
+    if (Host.has("memory_mb"))
+      HostBytes =
+          static_cast<std::size_t>(Host.requiredReal("memory_mb", 32, 1e6)) *
+          MiB;
   });
+  Settings.BodyMemoryBytes = readCallerMemory(File, HostBytes);
   Settings.AddressLifetime =
       readTime(File, "address_lifetime_ms", 1'000, {100, 600'000});
   constexpr double UsualRegistrationSeconds = 1.5;
--- a/src/libs/http/connection_worker.h
+++ b/src/libs/http/connection_worker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connection/caller_connection.h"
+#include "connection/memory_claim.h"
 #include "connection/response_message.h"
 #include "connection/response_progress.h"
 #include "http/answer_text.h"
@@ -41,6 +42,9 @@
   milliseconds ReceiveTimeout{10'000};
   /// Between requests of a connection.
   milliseconds IdleTimeout{60'000};
+  /// Whether answers that callers have not read count toward the memory for
+  /// callers, and give way when it is used up.
+  bool LimitsUnreadAnswers = false;
 };
 
 /// Whichever part of the process answers a request; the sink gives it out and
@@ -162,8 +166,13 @@
 
   void onWritable(int Descriptor) {
     auto Id = ByDescriptor.find(Descriptor);
-    if (Id != ByDescriptor.end())
-      sendUnsent(Connections.at(Id->second));
+    if (Id == ByDescriptor.end())
+      return;
+    entry &Entry = Connections.at(Id->second);
+    if (Entry.Broken)
+      return;
+    sendUnsent(Entry);
+    claimHeld(Entry);
   }
 
   void onInbox() {
@@ -203,6 +212,10 @@
   static constexpr std::size_t MaxTurnBytes = 4 * PieceBytes;
   /// Read from a connection while its request is in progress.
   static constexpr std::size_t MaxReadAheadBytes = 4 * PieceBytes;
+  /// Requests up to this size are taken even if there is no room: their number
+  /// is bounded by that of the connections.
+  static constexpr std::size_t MaxUnrefusedBytes = PieceBytes;
+  static constexpr milliseconds EvictionReportInterval{1'000};
 
   struct unsent_text {
     std::string Text;
@@ -219,6 +232,11 @@
     caller_connection State;
     request_owner Owner = 0;
     std::size_t ReservedBytes = 0;
+    /// Of the request in progress.
+    std::size_t RequestBytes = 0;
+    /// Of the answer, what the socket has not taken yet.
+    std::size_t UnsentBytes = 0;
+    steady_time LastProgress = steadyNow();
     steady_time ExpectedBy;
     /// When the whole request has to be there.
     steady_time RequestBy;
@@ -237,6 +255,8 @@
     /// has ended.
     bool ReadPaused = false;
     bool AnswerEnded = false;
+    /// Closed without regard to what is unsent.
+    bool Broken = false;
   };
 
   void onInput(entry &Entry, std::string_view Bytes) {
@@ -245,6 +265,8 @@
     bool FirstBytes = !Entry.State.inProgress() && !Entry.State.hasBytes();
     // Only the first bytes of a request tell when it arrived.
     request_arrival Arrived{steadyNow()};
+    if (!Entry.State.inProgress())
+      Entry.LastProgress = Arrived.At;
     if (!Entry.State.hasBytes())
       Arrived = arrivalOf(Entry.Peer->fd(), Arrived.At);
     handleFailure(
@@ -253,6 +275,7 @@
     if (FirstBytes)
       expectHead(Entry);
     takeRequests(Entry);
+    claimHeld(Entry);
   }
 
   /// How much a connection may be read now.
@@ -303,7 +326,11 @@
 
   void close(entry &Entry) {
     Entry.Closing = true;
+    Entry.Broken = true;
     Entry.State.discardBytes();
+    Entry.Unsent.clear();
+    Entry.UnsentBytes = 0;
+    releaseMemory(Entry);
     breakConnection(*Entry.Peer);
   }
 
@@ -327,7 +354,7 @@
           if (!Awaited)
             return {};
           Entry.ExpectedBy = Entry.RequestBy;
-          BOOST_LEAF_CHECK(reserveMemory(Entry, Awaited->BodyBytes));
+          BOOST_LEAF_CHECK(makeRoom(Entry, Awaited->BodyBytes));
           bool ExpectsContinue = Awaited->ExpectsContinue;
           BOOST_LEAF_AUTO(Request, Entry.State.takeRequest());
           if (Request)
@@ -339,17 +366,75 @@
         [&](const failure &Failure) { refuse(Entry, Failure); });
   }
 
-  /// Counts a body before it is here, so that many callers at once can't use
-  /// more than the process has.
-  result<void> reserveMemory(entry &Entry, std::size_t Bytes) {
-    if (Entry.ReservedBytes != 0 || Bytes == 0)
-      return {};
-    if (!Memory.tryReserve(Bytes))
-      return fail(error_kind::MemoryLimit, "no room for the body now");
-    Entry.ReservedBytes = Bytes;
+  /// Refuses a body that finds no room before it is read. Only what has come
+  /// is reserved, so an announced length keeps no room from others.
+  result<void> makeRoom(entry &Entry, std::size_t BodyBytes) {
+    std::size_t Wanted = std::max(heldBytes(Entry), BodyBytes);
+    while (Wanted > MaxUnrefusedBytes &&
+           Wanted > Entry.ReservedBytes + Memory.available())
+      if (!evictFor(Entry, memory_use::IncompleteRequest, Wanted))
+        return fail(error_kind::MemoryLimit, "no room for the body now");
     return {};
   }
 
+  /// Brings the account to what a connection holds.
+  void claimHeld(entry &Entry) {
+    if (Entry.Broken)
+      return;
+    std::size_t Held = heldBytes(Entry);
+    if (Held >= Entry.ReservedBytes)
+      Memory.reserve(Held - Entry.ReservedBytes);
+    else
+      Memory.release(Entry.ReservedBytes - Held);
+    Entry.ReservedBytes = Held;
+  }
+
+  std::size_t heldBytes(const entry &Entry) const {
+    return Entry.State.heldBytes() + Entry.RequestBytes +
+           (Settings.LimitsUnreadAnswers ? Entry.UnsentBytes : 0);
+  }
+
+  static memory_use useOf(const entry &Entry) {
+    if (Entry.UnsentBytes != 0)
+      return memory_use::UnreadAnswer;
+    return Entry.State.inProgress() ? memory_use::RequestInProgress
+                                    : memory_use::IncompleteRequest;
+  }
+
+  /// Whether a connection gave way to another one.
+  bool evictFor(const entry &Wanting, memory_use Use, std::size_t Bytes) {
+    std::vector<memory_claim> Claims;
+    for (const auto &[Id, Entry] : Connections)
+      if (!Entry.Closing)
+        Claims.push_back(
+            {Id, useOf(Entry), Entry.ReservedBytes, Entry.LastProgress});
+    auto Chosen = chooseEviction(
+        Claims, {Wanting.Peer->getID(), Use, Bytes, {}}, steadyNow());
+    if (!Chosen)
+      return false;
+    entry &Evicted = Connections.at(*Chosen);
+    reportEviction(Evicted);
+    if (Evicted.State.inProgress())
+      close(Evicted);
+    else
+      refuse(Evicted, {error_kind::MemoryLimit, "others need the room"});
+    return true;
+  }
+
+  /// A crowd would fill the log.
+  void reportEviction(const entry &Evicted) {
+    ++UnreportedEvictions;
+    steady_time Now = steadyNow();
+    if (Now < NextEvictionReport)
+      return;
+    NextEvictionReport = Now + EvictionReportInterval;
+    event_line("caller_evicted", event_level::Warning)
+        .with("caller_connection", Evicted.Peer->getID())
+        .with("bytes", Evicted.ReservedBytes)
+        .with("answer_unread", Evicted.UnsentBytes != 0)
+        .with("since_last_line", std::exchange(UnreportedEvictions, 0));
+  }
+
   void releaseMemory(entry &Entry) {
     Memory.release(std::exchange(Entry.ReservedBytes, 0));
   }
@@ -361,6 +446,8 @@
     Entry.ContinueSent = false;
     Entry.BytesSent = 0;
     Entry.Framing = body_framing::None;
+    Entry.RequestBytes = Request.Frame.HeadBytes + Request.Body.size();
+    claimHeld(Entry);
     Entry.Owner = To.onRequest(ticket(Entry), std::move(Request));
   }
 
@@ -437,6 +524,10 @@
     if (Entry->Framing == body_framing::Chunked)
       Piece.Bytes = chunkText(Piece.Bytes);
     send(*Entry, std::move(Piece.Bytes), Size);
+    while (Settings.LimitsUnreadAnswers && Entry->UnsentBytes != 0 &&
+           Memory.overdrawn() &&
+           evictFor(*Entry, memory_use::UnreadAnswer, Entry->UnsentBytes)) {
+    }
   }
 
   void take(response_end &End) {
@@ -483,9 +574,13 @@
   /// What the socket does not take now leaves as the caller reads; a caller
   /// that stalls holds no more than what is queued for it.
   void send(entry &Entry, std::string Text, std::size_t PieceBytes) {
+    if (Entry.Unsent.empty())
+      Entry.LastProgress = steadyNow();
+    Entry.UnsentBytes += Text.size();
     Entry.Unsent.push_back({std::move(Text), PieceBytes});
     if (!Entry.AwaitsWritable)
       sendUnsent(Entry);
+    claimHeld(Entry);
   }
 
   void sendUnsent(entry &Entry) {
@@ -498,6 +593,9 @@
         return breakConnection(*Entry.Peer);
       First.Sent += *Sent;
       Entry.BytesSent += *Sent;
+      Entry.UnsentBytes -= *Sent;
+      if (*Sent != 0)
+        Entry.LastProgress = steadyNow();
       if (First.Sent < First.Text.size())
         return awaitWritable(Entry, true);
       std::size_t PieceBytes = First.PieceBytes;
@@ -528,7 +626,7 @@
     }
     if (!Entry.State.inProgress())
       return;
-    releaseMemory(Entry);
+    Entry.RequestBytes = 0;
     Entry.AnswerEnded = false;
     Entry.State.finishResponse();
     if (Entry.State.hasBytes())
@@ -536,6 +634,7 @@
     else
       expectBy(Entry, Settings.IdleTimeout);
     takeRequests(Entry);
+    claimHeld(Entry);
     resumeReading(Entry);
   }
 
@@ -552,6 +651,8 @@
   std::vector<char> ReadBuffer = std::vector<char>(PieceBytes);
   std::atomic<std::size_t> Count = 0;
   thread_lag Lag{"connection"};
+  std::size_t UnreportedEvictions = 0;
+  steady_time NextEvictionReport{};
   bool KeepNone = false;
   std::optional<std::promise<void>> Closed;
 };
--- a/src/libs/process/memory_budget.h
+++ b/src/libs/process/memory_budget.h
@@ -1,36 +1,69 @@
 #pragma once
 
+#include <algorithm>
 #include <atomic>
 #include <cstddef>
 
 namespace endiverail {
 
-/// Limits the memory that request bodies in progress use in the whole process.
+/// Account of the memory that callers' requests and the answers that they have
+/// not read use in the whole process.
 class memory_budget {
 public:
-  explicit memory_budget(std::size_t Limit) : Available(Limit) {}
+  explicit memory_budget(std::size_t Limit)
+      : Limit(static_cast<std::ptrdiff_t>(Limit)) {}
 
   /// Reserves \p Bytes; returns false and reserves nothing if fewer are
   /// available.
   bool tryReserve(std::size_t Bytes) {
-    std::size_t Current = Available.load(std::memory_order_relaxed);
-    while (Current >= Bytes)
-      if (Available.compare_exchange_weak(Current, Current - Bytes,
-                                          std::memory_order_relaxed))
+    auto Change = static_cast<std::ptrdiff_t>(Bytes);
+    std::ptrdiff_t Current = Held.load(std::memory_order_relaxed);
+    while (Limit - Current >= Change)
+      if (Held.compare_exchange_weak(Current, Current + Change,
+                                     std::memory_order_relaxed)) {
+        notePeak(Current + Change);
         return true;
+      }
     return false;
   }
 
+  /// Reserves \p Bytes that are held already, even beyond the limit.
+  void reserve(std::size_t Bytes) {
+    auto Change = static_cast<std::ptrdiff_t>(Bytes);
+    notePeak(Held.fetch_add(Change, std::memory_order_relaxed) + Change);
+  }
+
   void release(std::size_t Bytes) {
-    Available.fetch_add(Bytes, std::memory_order_relaxed);
+    Held.fetch_sub(static_cast<std::ptrdiff_t>(Bytes),
+                   std::memory_order_relaxed);
   }
 
   std::size_t available() const {
-    return Available.load(std::memory_order_relaxed);
+    std::ptrdiff_t Left = Limit - Held.load(std::memory_order_relaxed);
+    return static_cast<std::size_t>(std::max<std::ptrdiff_t>(0, Left));
+  }
+  bool overdrawn() const {
+    return Held.load(std::memory_order_relaxed) > Limit;
+  }
+  std::size_t held() const {
+    return static_cast<std::size_t>(Held.load(std::memory_order_relaxed));
+  }
+  /// The most that was held at any time.
+  std::size_t peak() const {
+    return static_cast<std::size_t>(Peak.load(std::memory_order_relaxed));
   }
 
 private:
-  std::atomic<std::size_t> Available;
+  void notePeak(std::ptrdiff_t Now) {
+    std::ptrdiff_t Current = Peak.load(std::memory_order_relaxed);
+    while (Current < Now && !Peak.compare_exchange_weak(
+                                Current, Now, std::memory_order_relaxed)) {
+    }
+  }
+
+  std::ptrdiff_t Limit;
+  std::atomic<std::ptrdiff_t> Held = 0;
+  std::atomic<std::ptrdiff_t> Peak = 0;
 };
 
 } // namespace endiverail
