Give the memory of a caller's buffers back when they are emptied

An assigned empty string leaves libstdc++ the capacity, so refused uploads kept their memory until their connections closed.

--- a/src/libs/connection/caller_connection.cpp
+++ b/src/libs/connection/caller_connection.cpp
@@ -4,6 +4,12 @@
 #include <utility>
 
 namespace endiverail {
+namespace {
+
+/// An assignment would keep the capacity.
+void freeMemory(std::string &Text) { std::string().swap(Text); }
+
+} // namespace
 
 result<void> caller_connection::receive(std::string_view Bytes,
                                         request_arrival Arrived) {
@@ -39,18 +45,11 @@
 
 result<bool> caller_connection::decodeBody() {
   if (Decoder) {
-    // Each growth copies the body; steps of four keep that and what is held
-    // twice meanwhile small.
-    if (std::size_t Needed = Body.size() + unreadBytes();
-        Needed > Body.capacity())
-      Body.reserve(std::min(Limits.BodyBytes, 4 * Needed));
     BOOST_LEAF_AUTO(Used, Decoder->decode(unread(), Body));
     markDecoded(Used);
     return Decoder->complete();
   }
   std::string_view Rest = unread().substr(0, Frame->BodyBytes - Body.size());
-  // Memory that nothing is written to is not used.
-  Body.reserve(Frame->BodyBytes);
   Body.append(Rest);
   markDecoded(Rest.size());
   return Body.size() == Frame->BodyBytes;
@@ -76,8 +75,8 @@
 }
 
 void caller_connection::discardBytes() {
-  Buffer = std::string();
-  Body = std::string();
+  freeMemory(Buffer);
+  freeMemory(Body);
   Decoded = 0;
   Searched = 0;
   Frame.reset();
@@ -89,7 +88,7 @@
   Searched = 0;
   if (Decoded == Buffer.size()) {
     // An idle connection keeps no buffer.
-    Buffer = std::string();
+    freeMemory(Buffer);
     Decoded = 0;
     return;
   }
--- a/src/libs/process/memory_budget.h
+++ b/src/libs/process/memory_budget.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <atomic>
 #include <cstddef>
+#include <utility>
 
 namespace endiverail {
 
@@ -66,4 +67,36 @@
   std::atomic<std::ptrdiff_t> Peak = 0;
 };
 
+/// Bytes that an owner holds of an account, until it ends at the latest.
+class memory_hold {
+public:
+  memory_hold() = default;
+  explicit memory_hold(memory_budget *From) : From(From) {}
+  memory_hold(memory_hold &&Other) noexcept
+      : From(Other.From), Bytes(std::exchange(Other.Bytes, 0)) {}
+  memory_hold &operator=(memory_hold &&Other) noexcept {
+    std::swap(From, Other.From);
+    std::swap(Bytes, Other.Bytes);
+    return *this;
+  }
+  memory_hold(const memory_hold &) = delete;
+  memory_hold &operator=(const memory_hold &) = delete;
+  ~memory_hold() { resize(0); }
+
+  /// Holds \p Size bytes from now on, even beyond the limit.
+  void resize(std::size_t Size) {
+    if (!From)
+      return;
+    if (Size >= Bytes)
+      From->reserve(Size - Bytes);
+    else
+      From->release(Bytes - Size);
+    Bytes = Size;
+  }
+
+private:
+  memory_budget *From = nullptr;
+  std::size_t Bytes = 0;
+};
+
 } // namespace endiverail
