--- a/src/libs/daemon/store_daemon.h
+++ b/src/libs/daemon/store_daemon.h
@@ -411,6 +411,7 @@
     Traffics.Versions = &Versions;
     Traffics.ServersUsableUntil = &ServersUsableUntil;
     Traffics.Overload = &Overload;
+    Traffics.CallerMemory = &CallerMemory;
     Traffic.add(std::make_unique<traffic_of_store>(
         std::move(Poller), std::move(Event), std::move(Traffics),
         RequestAnswers, Notices, Metrics));
--- a/src/libs/process/active_request.h
+++ b/src/libs/process/active_request.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connection/backend_attempt.h"
+#include "process/memory_budget.h"
 #include "process/outcome_table.h"
 #include "process/quarantine.h"
 #include "process/rank_queue.h"
@@ -100,6 +101,7 @@
 
   /// Part of the response that has not been forwarded yet.
   std::string Buffered;
+  std::optional<memory_hold> BufferedHold{};
   bool HeadSent = false;
   /// Bytes forwarded but not yet written to the caller's connection.
   std::size_t UnwrittenBytes = 0;
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -12,6 +12,7 @@
 #include "process/idempotency_key.h"
 #include "process/key_registry.h"
 #include "process/mailbox.h"
+#include "process/memory_budget.h"
 #include "process/message_dialect.h"
 #include "process/metrics.h"
 #include "process/overload_controller.h"
@@ -66,6 +67,9 @@
   /// Told when requests are taken up. Null if nothing asks for it. Must outlive
   /// the thread.
   overload_controller *Overload = nullptr;
+  /// Account of the memory for callers, which buffered responses count toward.
+  /// Null if they don't. Must outlive the thread.
+  memory_budget *CallerMemory = nullptr;
 };
 
 /// Processes the requests of the services assigned to this thread. One thread
@@ -216,12 +220,17 @@
       return true;
     if (Active->UnwrittenBytes + Active->Buffered.size() >
         maxUnwrittenBytes()) {
+      // Only what is written makes the response go on.
+      if (!Active->Buffered.empty())
+        forwardBuffered(*Active);
       Active->Paused = true;
       return false;
     }
     Active->Buffered.append(Piece);
-    if (Active->HeadSent || Active->Buffered.size() > Settings.MaxBufferedBytes)
-      Responses.forwardBuffered(*Active);
+    if (Active->HeadSent || Active->Buffered.size() > maxBufferedBytes())
+      forwardBuffered(*Active);
+    else
+      holdBuffered(*Active);
     return true;
   }
 
@@ -339,10 +348,33 @@
     return UsualDetail;
   }
 
+  void forwardBuffered(active_request &Active) {
+    Responses.forwardBuffered(Active);
+    holdBuffered(Active);
+  }
+
+  void holdBuffered(active_request &Active) {
+    if (!Active.BufferedHold)
+      Active.BufferedHold.emplace(Settings.CallerMemory);
+    Active.BufferedHold->resize(Active.Buffered.size());
+  }
+
+  bool isShortOfMemory() const {
+    return Settings.CallerMemory && Settings.CallerMemory->overdrawn();
+  }
+  std::size_t maxBufferedBytes() const {
+    return isShortOfMemory()
+               ? std::min(ScarceBufferedBytes, Settings.MaxBufferedBytes)
+               : Settings.MaxBufferedBytes;
+  }
   std::size_t maxUnwrittenBytes() const {
-    return MaxUnwrittenBytes + Settings.MaxBufferedBytes;
+    return isShortOfMemory() ? 2 * ScarceBufferedBytes
+                             : MaxUnwrittenBytes + Settings.MaxBufferedBytes;
   }
 
+  /// Limit for buffered responses while the memory for callers is used up.
+  static constexpr std::size_t ScarceBufferedBytes = std::size_t{16} * 1024;
+
   /// Limit for the bytes of one response that are waiting to be written to the
   /// caller, in addition to MaxBufferedBytes.
   static constexpr std::size_t MaxUnwrittenBytes = std::size_t{448} * 1024;
@@ -1271,6 +1303,7 @@
     if (!Attempt.StaleConnection)
       Active.FailedServers.push_back(Attempt.Target.Server);
     Active.Buffered.clear();
+    Active.BufferedHold.reset();
     state &State = stateOf(Active);
     if (usesRetryBudget(Failure))
       State.Scheduler.retries().take(Active.Request.Kind->Rank);
