--- a/src/libs/connection/caller_connection.cpp
+++ b/src/libs/connection/caller_connection.cpp
@@ -4,6 +4,12 @@
 #include <utility>
 
 namespace endiverail {
+namespace {
+
+/// An assignment would keep the capacity.
+void freeMemory(std::string &Text) { std::string().swap(Text); }
+
+} // namespace
 
 result<void> caller_connection::receive(std::string_view Bytes,
                                         request_arrival Arrived) {
@@ -69,8 +75,8 @@
 }
 
 void caller_connection::discardBytes() {
-  Buffer = std::string();
-  Body = std::string();
+  freeMemory(Buffer);
+  freeMemory(Body);
   Decoded = 0;
   Searched = 0;
   Frame.reset();
@@ -80,6 +86,12 @@
 void caller_connection::markDecoded(std::size_t Bytes) {
   Decoded += Bytes;
   Searched = 0;
+  if (Decoded == Buffer.size()) {
+    // An idle connection keeps no buffer.
+    freeMemory(Buffer);
+    Decoded = 0;
+    return;
+  }
   // Erasing less often keeps the work for each byte constant.
   if (Decoded < Buffer.size() - Decoded)
     return;
