Bound the numbers of quotas that datagrams bring

Counters of a datagram were taken as they were, so that a difference of two could overflow; a negative share would have blocked an organisation for as many requests, and a huge own part is multiplied to infinity.

--- a/src/libs/peer/wire_conversion.cpp
+++ b/src/libs/peer/wire_conversion.cpp
@@ -15,8 +15,20 @@
   return static_cast<std::uint32_t>(std::clamp(Value, 0, MostWorkCount));
 }
 
-double finiteOr(double Value, double Otherwise) {
-  return std::isfinite(Value) ? Value : Otherwise;
+/// More requests of an organisation than a process counts over its life.
+constexpr std::int64_t MostRequests = 1'000'000'000'000'000;
+/// Requests a second, more than any fleet gets.
+constexpr double MostRate = 1e9;
+/// Above any share that a coordinator sends.
+constexpr double MostShare = 1'000;
+
+/// \p Value, or the nearest that is allowed; 0 for what is not finite.
+double amountFromWire(double Value, double Most) {
+  return std::isfinite(Value) ? std::clamp(Value, 0.0, Most) : 0;
+}
+
+std::int64_t requestsFromWire(std::int64_t Value, std::int64_t Least) {
+  return std::clamp(Value, Least, MostRequests);
 }
 
 } // namespace
@@ -287,10 +299,10 @@
 
 quota_use fromWire(const wire::QuotaUse &Use) {
   return {Use.organisation,
-          Use.requested,
-          Use.admitted,
-          Use.recentlyAdmitted,
-          finiteOr(Use.knownRequestRate, 0),
+          requestsFromWire(Use.requested, 0),
+          requestsFromWire(Use.admitted, -MostRequests),
+          requestsFromWire(Use.recentlyAdmitted, 0),
+          amountFromWire(Use.knownRequestRate, MostRate),
           milliseconds(std::max(0, Use.knownRequestRateAgeMilliseconds)),
           Use.keepsReporting};
 }
@@ -320,10 +332,10 @@
 }
 
 quota_share fromWire(const wire::QuotaShare &Share) {
-  quota_share Result{Share.organisation, finiteOr(Share.share, 0),
-                     finiteOr(Share.requestRate, 0)};
+  quota_share Result{Share.organisation, amountFromWire(Share.share, MostShare),
+                     amountFromWire(Share.requestRate, MostRate)};
   if (Share.__isset.ownPart)
-    Result.OwnPart = finiteOr(Share.ownPart, 0);
+    Result.OwnPart = amountFromWire(Share.ownPart, 1);
   return Result;
 }
 
--- a/tests/auto/peer/tst_peer_codec.cpp
+++ b/tests/auto/peer/tst_peer_codec.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <cstdint>
+#include <limits>
+
 using namespace endiverail;
 using namespace endiverail::test;
 
@@ -90,3 +93,46 @@
   peer_message Message = sampleMessage();
   CHECK(Codec.encode(Message).size() < 400);
 }
+
+TEST_CASE("odd numbers in quotas of organisations can neither overflow nor "
+          "block an organisation") {
+  constexpr double Infinite = std::numeric_limits<double>::infinity();
+  constexpr double NotANumber = std::numeric_limits<double>::quiet_NaN();
+  constexpr auto Most = std::numeric_limits<std::int64_t>::max();
+  constexpr auto Least = std::numeric_limits<std::int64_t>::min();
+  for (double Odd : {Infinite, -Infinite, NotANumber, -7.0, 1e300}) {
+    for (std::int64_t Counter : {Most, Least, std::int64_t{-1}}) {
+      INFO(Odd << " " << Counter);
+      peer_message Message;
+      Message.QuotaReport = quota_report{
+          1,
+          milliseconds(Counter),
+          {{"acme", Counter, Counter, Counter, Odd, milliseconds(-5), true}}};
+      Message.QuotaShares = {{"acme", Odd, Odd, Odd}};
+      auto Read = valueOf(Codec.decodeMessage(Codec.encode(Message)));
+      REQUIRE(Read.QuotaReport);
+      CHECK(Read.QuotaReport->Uptime.count() >= 0);
+      REQUIRE(Read.QuotaReport->Uses.size() == 1);
+      const quota_use &Use = Read.QuotaReport->Uses[0];
+      constexpr std::int64_t MostRequests = Most / 1'000;
+      for (std::int64_t Count :
+           {Use.Requested, Use.Admitted, Use.RecentlyAdmitted}) {
+        CHECK(Count >= -MostRequests);
+        CHECK(Count <= MostRequests);
+      }
+      CHECK(Use.Requested >= 0);
+      CHECK(Use.RecentlyAdmitted >= 0);
+      CHECK(Use.KnownRequestRate >= 0);
+      CHECK(Use.KnownRequestRate <= 1e9);
+      CHECK(Use.KnownRequestRateAge.count() >= 0);
+      REQUIRE(Read.QuotaShares.size() == 1);
+      const quota_share &Share = Read.QuotaShares[0];
+      CHECK(Share.Share >= 0);
+      CHECK(Share.Share <= 1e6);
+      CHECK(Share.RequestRate >= 0);
+      REQUIRE(Share.OwnPart);
+      CHECK(*Share.OwnPart >= 0);
+      CHECK(*Share.OwnPart <= 1);
+    }
+  }
+}
