Mend what the traffic thread does with quotas and removed keys

- A request whose caller had gone and whose attempt was withdrawn before anything was sent kept its place in the quota; the test saw 1 instead of 0.
- A restriction announced before the first version left a report due that nothing could send: the thread woke without end.
The test saw a wake that had passed.
- A request that waited on a public route was answered 401 when its key was removed; it goes on without an organisation now.
The test was not run against the code before.
- A key listed n times by one organisation cost n squared comparisons at each version; neighbours are compared now.
Not measured before.

--- a/src/libs/daemon/route_placement.cpp
+++ b/src/libs/daemon/route_placement.cpp
@@ -52,6 +52,7 @@
   if (Version.Organisations)
     BOOST_LEAF_CHECK(identifyOrganisation(*Version.Organisations, *Route,
                                           Words.AccessKey, Request));
+  Request.Public = Route->Public;
   Request.Routes = Version.Routes;
   Request.Kind = &Route->Kind;
   const weighted_service &Part = chooseService(*Route, Position);
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -455,6 +455,9 @@
   }
 
   void handle(quota_shares &Answer, steady_time Now) {
+    // Without a version there is nothing to report, and nobody to report to.
+    if (!Version || !Version->Organisations)
+      return;
     Quotas.onShares(Answer.Shares, Now);
   }
 
@@ -522,7 +525,8 @@
     }
   }
 
-  /// Rejects the queued requests whose access key is no longer valid.
+  /// Rejects the queued requests whose access key is no longer valid and whose
+  /// route needs one.
   void rejectRevoked(const organisation_table &Organisations, steady_time Now) {
     auto IsRevoked = [&](const active_request &Active) {
       const auto &Hash = Active.Request.AccessKeyHash;
@@ -534,6 +538,10 @@
         Revoked.push_back(Id);
     for (request_id Id : Revoked) {
       active_request &Active = Requests.at(Id);
+      if (Active.Request.Public) {
+        forgetOrganisation(Active, Now);
+        continue;
+      }
       stateOf(Active).Scheduler.cancel(Id);
       respondWithError(Active, error_kind::UnknownAccessKey,
                        "the access key was removed while the request waited",
@@ -541,6 +549,13 @@
     }
   }
 
+  void forgetOrganisation(active_request &Active, steady_time Now) {
+    takeBackQuota(Active, Now);
+    Active.Request.Organisation.clear();
+    Active.Request.OrganisationRank.reset();
+    Active.Request.AccessKeyHash.reset();
+  }
+
   void handle(servers_confirmed &, steady_time Now) {
     for (const std::string &Name : Services | std::views::keys)
       startNext(Name, Now);
@@ -1299,6 +1314,7 @@
     if (Active.CallerGone) {
       if (Active.HoldsKey)
         Keys.forget(keyOf(Active.Request));
+      takeBackQuota(Active, Now);
       removeRequest(Active);
       return;
     }
--- a/src/libs/request/caller_request.h
+++ b/src/libs/request/caller_request.h
@@ -66,6 +66,8 @@
   std::string Organisation;
   /// Rank of that organisation, which goes before that of the kind of work.
   std::optional<rank> OrganisationRank{};
+  /// Whether the request's route needs no access key.
+  bool Public = false;
   /// Hash of the access key by which the organisation was recognised.
   std::optional<access_key_hash> AccessKeyHash{};
   std::string Key;
--- a/src/libs/version/organisation_table.cpp
+++ b/src/libs/version/organisation_table.cpp
@@ -6,8 +6,10 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <iterator>
 #include <limits>
 #include <random>
+#include <tuple>
 #include <utility>
 
 namespace endiverail {
@@ -59,7 +61,9 @@
                        Definition.AccessKeys));
     Table->Organisations.push_back(std::move(Definition.Organisation));
   }
-  std::ranges::sort(Table->Keys, {}, &key_entry::Hash);
+  std::ranges::sort(Table->Keys, {}, [&](const key_entry &Entry) {
+    return std::tuple(Entry.Hash, Table->textOf(Entry), Entry.Organisation);
+  });
   BOOST_LEAF_CHECK(Table->checkKeys());
   Table->Organisations.shrink_to_fit();
   Table->KeyText.shrink_to_fit();
@@ -84,15 +88,17 @@
 }
 
 result<void> organisation_table::checkKeys() const {
-  for (const key_entry &Entry : Keys)
-    for (const key_entry &Other : entriesOf(Entry.Hash))
-      if (Entry.Organisation != Other.Organisation &&
-          textOf(Entry) == textOf(Other))
-        return fail(error_kind::BadRecord,
-                    "two organisations share an access key: " +
-                        Organisations[Entry.Organisation].Name + " and " +
-                        Organisations[Other.Organisation].Name);
-  return {};
+  auto IsShared = [this](const key_entry &Entry, const key_entry &Next) {
+    return Entry.Organisation != Next.Organisation && Entry.Hash == Next.Hash &&
+           textOf(Entry) == textOf(Next);
+  };
+  auto Shared = std::ranges::adjacent_find(Keys, IsShared);
+  if (Shared == Keys.end())
+    return {};
+  return fail(error_kind::BadRecord,
+              "two organisations share an access key: " +
+                  Organisations[Shared->Organisation].Name + " and " +
+                  Organisations[std::next(Shared)->Organisation].Name);
 }
 
 std::span<const organisation_table::key_entry>
--- a/tests/auto/process/traffic_fixture.h
+++ b/tests/auto/process/traffic_fixture.h
@@ -25,16 +25,21 @@
   static constexpr std::string_view Secret = "a secret of the fleet";
 
   explicit basic_traffic_fixture(std::size_t ServerCount = 3) {
-    Traffic = std::make_unique<traffic_under_test>(
-        valueOf(poller::create()), valueOf(event_descriptor::create()),
-        settings(&Versions, &ServersUsableUntil), Responses, Notices, Metrics,
-        manual_clock{&Now});
+    Traffic = makeTraffic();
     auto Service = std::make_shared<accepted_service>();
     Service->Definition = definition(ServerCount);
     this->Service = Service;
     publish("self", ServerCount);
   }
 
+  /// A traffic thread to which no version has been published yet.
+  std::unique_ptr<traffic_under_test> makeTraffic() {
+    return std::make_unique<traffic_under_test>(
+        valueOf(poller::create()), valueOf(event_descriptor::create()),
+        settings(&Versions, &ServersUsableUntil), Responses, Notices, Metrics,
+        manual_clock{&Now});
+  }
+
   static traffic_settings
   settings(const published<fleet_version> *Versions,
            const std::atomic<steady_time> *ServersUsableUntil) {
@@ -124,6 +129,8 @@
     Request.Forwarded = Forwarded;
     if (!AccessKey.empty())
       Request.AccessKeyHash = hashAccessKey(AccessKey);
+    Request.Organisation = Organisation;
+    Request.Public = Public;
     Request.Arrival.At = Request.ReadAt = Now;
     Request.Deadline = Now + 2000ms;
     std::uint64_t Connection = Request.ResponseHandle.Connection;
@@ -179,6 +186,8 @@
   organisation_table_ref Organisations;
   /// Of the requests sent later.
   std::string AccessKey;
+  std::string Organisation;
+  bool Public = false;
 };
 
 using traffic_fixture = basic_traffic_fixture<service_scheduler>;
--- a/tests/auto/process/tst_traffic_thread.cpp
+++ b/tests/auto/process/tst_traffic_thread.cpp
@@ -791,3 +791,130 @@
   CHECK(Paused[0]["asked_ms"] == 7'200'000);
   CHECK(Paused[0]["paused_ms"] == 3'600'000);
 }
+
+namespace {
+
+/// A shared pool, and an organisation with a quota that is known to be used up.
+class quota_traffic_fixture : public pausing_traffic_fixture {
+public:
+  quota_traffic_fixture() {
+    Organisations = valueFrom([] {
+      return organisation_table::build({{{"acme", {}, {10, 10}}, {"key"}},
+                                        {{"free", {}, {}}, {"other-key"}}});
+    });
+    AccessKey = "key";
+    Organisation = "acme";
+    publish("self", 3);
+  }
+
+  void setShare(double Share) {
+    deliver(quota_shares{{{"acme", Share, 100, 0.5}}});
+  }
+
+  /// The counters of the last report to the coordinator.
+  quota_use lastReported() {
+    Now += 200ms;
+    Traffic->onWake(Now);
+    quota_use Last;
+    for (const control_notice &Notice : Notices.Notices)
+      if (const auto *Report = std::get_if<quota_report>(&Notice))
+        Last = Report->Uses.back();
+    return Last;
+  }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(quota_traffic_fixture,
+                 "an organisation beyond its quota is answered 429 with a time "
+                 "to come back, and no attempt starts") {
+  setShare(0);
+  std::string Method = GENERATE("GET", "POST");
+  std::uint64_t Caller = send(Method, "/s/x");
+  CHECK(attempts().empty());
+  REQUIRE(response(Caller).Head);
+  CHECK(response(Caller).Head->Status == 429);
+  CHECK(outcomeOf(Caller) == outcome::NotRun);
+  auto Retry =
+      parseDecimal(findHeader(response(Caller).Head->Headers, "Test-Retry"));
+  REQUIRE(Retry);
+  CHECK(*Retry >= 500);
+  CHECK(Metrics.text().find("endiverail_quota_refusals_total{basis=\"share\"} "
+                            "1") != std::string::npos);
+  CHECK(lastReported().Requested == 1);
+  CHECK(lastReported().Admitted == 0);
+  // Another organisation is served.
+  Organisation = "free";
+  AccessKey = "other-key";
+  send(Method, "/s/x");
+  CHECK(attempts().size() == 1);
+}
+
+TEST_CASE_METHOD(quota_traffic_fixture,
+                 "a request that a server has turned away before it ran is "
+                 "given back to its organisation's quota") {
+  publish("self", 1);
+  setShare(10);
+  std::uint64_t Caller = send("POST", "/s/x");
+  REQUIRE(attempts().size() == 1);
+  CHECK(lastReported().Admitted == 1);
+  transport().respond(attempts().begin()->first, 503, "",
+                      {{"Endiverail-Not-Run", "true"}, {"Test-Pause", "9000"}});
+  REQUIRE(response(Caller).Head);
+  CHECK(outcomeOf(Caller) == outcome::NotRun);
+  CHECK(lastReported().Admitted == 0);
+}
+
+TEST_CASE_METHOD(quota_traffic_fixture, "a request that may have run is not "
+                                        "given back to the quota") {
+  setShare(10);
+  send("POST", "/s/x");
+  REQUIRE(attempts().size() == 1);
+  transport().fail(attempts().begin()->first, error_kind::BackendCut);
+  CHECK(lastReported().Admitted == 1);
+}
+
+TEST_CASE_METHOD(quota_traffic_fixture,
+                 "a request whose caller goes before it was sent is given back "
+                 "to the quota when its server leaves") {
+  setShare(10);
+  std::uint64_t Caller = send("POST", "/s/x");
+  REQUIRE(attempts().size() == 1);
+  started_attempt First = attempts().begin()->second;
+  deliver(caller_gone{{0, Caller, 1}});
+  publishLeaving(First.Server);
+  CHECK_FALSE(transport().connect(First.Id));
+  CHECK(attempts().empty());
+  CHECK(lastReported().Admitted == 0);
+}
+
+TEST_CASE_METHOD(quota_traffic_fixture,
+                 "a thread without a version does not spin when a coordinator "
+                 "announces a restriction") {
+  Traffic = makeTraffic();
+  deliver(quota_shares{{{"acme", 0.5, 100, std::nullopt}}});
+  Traffic->onWake(Now);
+  CHECK((!Traffic->nextWake() || *Traffic->nextWake() > Now));
+}
+
+TEST_CASE_METHOD(quota_traffic_fixture,
+                 "a request that waits on a public route is not refused when "
+                 "its key is removed") {
+  publish("self", 1);
+  setShare(10);
+  Public = GENERATE(false, true);
+  setConfirmed(false);
+  std::uint64_t Last = send("POST", "/s/x");
+  REQUIRE(attempts().empty());
+  CHECK_FALSE(response(Last).Head);
+  Organisations = valueFrom([] {
+    return organisation_table::build({{{"acme", {}, {10, 10}}, {"new-key"}}});
+  });
+  publish("self", 1);
+  if (Public) {
+    CHECK_FALSE(response(Last).Head);
+    return;
+  }
+  REQUIRE(response(Last).Head);
+  CHECK(response(Last).Head->Status == 401);
+}
--- a/tests/auto/version/tst_organisation_table.cpp
+++ b/tests/auto/version/tst_organisation_table.cpp
@@ -91,3 +91,17 @@
           "o" + std::to_string(Index));
   CHECK_FALSE(Table->findByKey("key-" + std::to_string(Count)));
 }
+
+TEST_CASE("a key that an organisation lists very often takes no quadratic "
+          "time") {
+  std::vector<std::string> Same(100'000, "key");
+  auto Table = valueFrom([&] {
+    return organisation_table::build({{{"acme", {}, {}}, Same}});
+  });
+  REQUIRE(Table->findByKey("key"));
+  CHECK(Table->findByKey("key")->Name == "acme");
+  CHECK(detailOf([&] {
+          return organisation_table::build(
+              {{{"acme", {}, {}}, Same}, {{"beta", {}, {}}, {"key"}}});
+        }).find("acme and beta") != std::string::npos);
+}
