--- a/src/libs/request/caller_request.h
+++ b/src/libs/request/caller_request.h
@@ -68,6 +68,8 @@
   std::optional<rank> OrganisationRank{};
   /// Weight of that organisation's share when there is too little room.
   double OrganisationWeight = 1;
+  /// Whether the request's route needs no access key.
+  bool Public = false;
   /// Hash of the access key by which the organisation was recognised.
   std::optional<access_key_hash> AccessKeyHash{};
   std::string Key;
