--- a/src/libs/process/metrics.cpp
+++ b/src/libs/process/metrics.cpp
@@ -101,6 +101,12 @@
   IdleServers[{std::string(Service), std::string(Reason)}] = Count;
 }
 
+void process_metrics::setCosts(std::string_view Service,
+                               std::vector<cost_model::accuracy> Routes) {
+  std::lock_guard Lock(Mutex);
+  Costs.insert_or_assign(std::string(Service), std::move(Routes));
+}
+
 void process_metrics::setPeerTraffic(const peer_traffic &Traffic) {
   std::lock_guard Lock(Mutex);
   PeerTraffic = Traffic;
@@ -188,6 +194,20 @@
     fmt::format_to(
         Out, "endiverail_idle_servers{{service=\"{}\",reason=\"{}\"}} {}\n",
         Key.Service, Key.Reason, Count);
+  Text += "# TYPE endiverail_request_cost_milliseconds gauge\n";
+  auto AddCost = [&](std::string_view Service, std::string_view Route,
+                     std::string_view Value, double Milliseconds) {
+    fmt::format_to(Out,
+                   "endiverail_request_cost_milliseconds{{service=\"{}\","
+                   "route=\"{}\",value=\"{}\"}} {:.1f}\n",
+                   Service, Route, Value, Milliseconds);
+  };
+  for (const auto &[Service, Routes] : Costs)
+    for (const cost_model::accuracy &Route : Routes) {
+      AddCost(Service, Route.Route, "expected", Route.ExpectedMean);
+      AddCost(Service, Route.Route, "true", Route.TrueMean);
+      AddCost(Service, Route.Route, "error", Route.MeanAbsoluteError);
+    }
   auto AddPeerTraffic = [&](std::string_view Direction,
                             datagram_purpose Purpose,
                             const peer_traffic::volume &Volume) {
--- a/src/libs/process/metrics.h
+++ b/src/libs/process/metrics.h
@@ -2,6 +2,7 @@
 
 #include "base/error_kind.h"
 #include "base/time.h"
+#include "placement/cost_model.h"
 #include "process/peer_traffic.h"
 #include "version/rank.h"
 
@@ -19,6 +20,7 @@
 #include <mutex>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace endiverail {
 
@@ -77,6 +79,9 @@
   /// \p Reason.
   void setIdleServers(std::string_view Service, std::string_view Reason,
                       std::size_t Count);
+  /// Replaces the expected and true costs of the routes of \p Service.
+  void setCosts(std::string_view Service,
+                std::vector<cost_model::accuracy> Routes);
   /// Sets the totals of datagrams exchanged with peers.
   void setPeerTraffic(const peer_traffic &Traffic);
 
@@ -117,6 +122,7 @@
     auto operator<=>(const service_reason &) const = default;
   };
   std::map<service_reason, std::size_t> IdleServers;
+  std::map<std::string, std::vector<cost_model::accuracy>, std::less<>> Costs;
   std::map<std::string, double, std::less<>> Gauges;
   peer_traffic PeerTraffic;
 };
--- a/src/libs/process/request_log.h
+++ b/src/libs/process/request_log.h
@@ -2,6 +2,7 @@
 
 #include "base/error_kind.h"
 #include "log/event_line.h"
+#include "placement/cost_model.h"
 #include "process/active_request.h"
 #include "process/pool_use.h"
 #include "process/service_scheduler.h"
@@ -205,6 +206,18 @@
       .with("status", Status);
 }
 
+/// Expected and true costs of the requests of a route.
+inline void costEstimated(std::string_view Service,
+                          const cost_model::accuracy &Route) {
+  event_line("cost_estimated")
+      .with("service", Service)
+      .with("route", Route.Route)
+      .with("answers", Route.Answers)
+      .with("expected_ms", Route.ExpectedMean)
+      .with("true_ms", Route.TrueMean)
+      .with("error_ms", Route.MeanAbsoluteError);
+}
+
 /// Backend servers get no requests although more of them should.
 inline void serversIdle(std::string_view Service, const pool_use &Use) {
   constexpr std::size_t MaxListed = 8;
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -349,6 +349,9 @@
   /// caller, in addition to MaxBufferedBytes.
   static constexpr std::size_t MaxUnwrittenBytes = std::size_t{448} * 1024;
   static constexpr milliseconds ReportPeriod{1'000};
+  static constexpr std::chrono::seconds CostReportPeriod{10};
+  /// Number of routes of a service whose costs are reported.
+  static constexpr std::size_t MaxReportedRoutes = 4;
   /// A version that takes longer than this to reach the thread is logged.
   static constexpr milliseconds LateVersionThreshold{200};
 
@@ -1551,8 +1554,23 @@
             server_death{Service->second, Fingerprint, Death.Server});
   }
 
+  /// Reports expected and true costs of the busiest routes of each service.
+  void reportCosts(steady_time Now) {
+    if (Now < NextCostReport)
+      return;
+    NextCostReport = Now + CostReportPeriod;
+    for (auto &[Name, State] : Services) {
+      auto Routes = State.Costs.takeAccuracy(MaxReportedRoutes);
+      for (const cost_model::accuracy &Route : Routes)
+        request_log::costEstimated(Name, Route);
+      if (!Routes.empty())
+        Metrics.setCosts(Name, std::move(Routes));
+    }
+  }
+
   void reportStatus(steady_time Now) {
     NextReport = Now + ReportPeriod;
+    reportCosts(Now);
     Quarantine.expire(Now);
     Keys.expire(Now);
     Quotas.expire(Now);
@@ -1634,6 +1652,7 @@
   attempt_id NextAttempt = 1;
   /// When queued requests may get a server without any other event.
   std::optional<steady_time> ScheduledWake;
+  steady_time NextCostReport;
   steady_time NextReport;
   thread_lag Lag{"traffic"};
   bool Finishing = false;
