--- a/src/libs/daemon/store_daemon.h
+++ b/src/libs/daemon/store_daemon.h
@@ -407,6 +407,7 @@
     Traffics.DataCentre = Settings.DataCentre;
     Traffics.Retries = Settings.Retries;
     Traffics.Quotas = Settings.Quotas;
+    Traffics.Placement = Settings.Placement;
     Traffics.MaxBufferedBytes = Settings.MostBufferedBytes;
     Traffics.Versions = &Versions;
     Traffics.ServersUsableUntil = &ServersUsableUntil;
--- a/src/libs/files/store_daemon_settings.cpp
+++ b/src/libs/files/store_daemon_settings.cpp
@@ -22,6 +22,17 @@
           Quotas.requiredReal("slack", 0, 1e6)};
 }
 
+placement_measure readPlacement(checked_object &File) {
+  std::string Name = File.optionalText("placement", "slots_in_use");
+  if (Name == "remaining_work")
+    return placement_measure::RemainingWork;
+  if (Name != "slots_in_use")
+    File.mistake("placement",
+                 "expected \"slots_in_use\" or \"remaining_work\", not \"" +
+                     Name + "\"");
+  return placement_measure::SlotsInUse;
+}
+
 /// Requests a second that a host carries with that share of a processor core
 /// and that link. What a request takes is measured on the users' calm days.
 std::uint32_t readCapacity(checked_object &Host) {
@@ -81,6 +92,7 @@
       Settings.Quotas = readQuotas(Quotas);
     });
   std::size_t HostBytes = 0;
+  Settings.Placement = readPlacement(File);
   File.object("host", [&](checked_object &Host) {
     Settings.Capacity = readCapacity(Host);
     if (Host.has("memory_mb"))
--- a/src/libs/files/store_daemon_settings.h
+++ b/src/libs/files/store_daemon_settings.h
@@ -2,6 +2,7 @@
 
 #include "base/error_kind.h"
 #include "base/time.h"
+#include "process/pool_scheduler.h"
 #include "process/retry_budget.h"
 #include "quota/quota_messages.h"
 #include "version/fleet_view.h"
@@ -43,6 +44,8 @@
   retry_allowance Retries;
   /// How closely the quotas of organisations have to be kept.
   quota_settings Quotas;
+  /// How requests are placed in pools of short and long requests.
+  placement_measure Placement = placement_measure::SlotsInUse;
   /// Requests a second that this host can carry; 0 where that is not known.
   std::uint32_t Capacity = 0;
   milliseconds AddressLifetime{0};
--- a/src/libs/process/rank_queue.h
+++ b/src/libs/process/rank_queue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission/retry_allotment.h"
+#include "placement/cost_curve.h"
 #include "request/caller_request.h"
 
 #include <algorithm>
@@ -35,6 +36,8 @@
   std::optional<rank> OrganisationRank{};
   /// Weight of the organisation's share of the room; its quota, if it has one.
   double OrganisationWeight = 1;
+  /// What the request is expected to cost a server, if that is estimated.
+  cost_estimate Cost{};
 
   precedence precedenceOf() const {
     return precedence::of(OrganisationRank, Rank);
