--- a/review/common/stand.h
+++ b/review/common/stand.h
@@ -618,7 +618,12 @@
         {"{{bounds.budget-extra-attempts}}", "62"},
         {"{{limits.cpu-share}}", "0.2"},
         {"{{limits.link-mbps}}", "1000.0"},
-        {"{{limits.memory-mb}}", "260"}};
+        {"{{limits.memory-mb}}", "260"},
+        {"{{#bounds.quota-window-s}}", ""},
+        {"{{bounds.quota-window-s}}", "10"},
+        {"{{bounds.quota-overage}}", "0.2"},
+        {"{{bounds.quota-slack}}", "60"},
+        {"{{/bounds.quota-window-s}}", ""}};
     std::ifstream File(Template);
     std::stringstream Text;
     Text << File.rdbuf();
