Let a returning coordinator begin once, with the rate of both sides

A coordinator that heard of another one's answers began its account anew at each process's first report, and lost what the others had told; and it knew only its own rate. It now begins once and adds the other's rate.

--- a/src/libs/quota/quota_ledger.cpp
+++ b/src/libs/quota/quota_ledger.cpp
@@ -51,10 +51,12 @@
   double Most = burstOf(Quota) * Heard;
   if (isTakingOver(Account, Now))
     Most += windowOf(Quota);
-  else if (std::exchange(Account.TakenOver, false))
+  else if (std::exchange(Account.TakenOver, false)) {
     // How the requests lie in the window is not known, so that a surplus might
-    // be a burst that has passed already.
+    // be a burst that has passed already, or what has not been reported yet.
+    Account.Unreported = std::max(Account.Tokens, 0.0);
     Account.Tokens = std::min(Account.Tokens, 0.0);
+  }
   double Refilled =
       Quota.RatePerSecond * Heard * inSeconds(Now - Account.TokensAt);
   // A debt from before the quota was lowered is forgiven but for one window.
@@ -72,8 +74,9 @@
                                        const quota_use &Use, steady_time Now) {
   steady_time AnsweredAt = Now - Use.KnownRequestRateAge;
   return Use.KnownRequestRate > 0 &&
-         AnsweredAt >
-             std::max(Before.ReportedAt, Account.AnnouncedAt) + AbsenceTime;
+         AnsweredAt > std::max({Before.ReportedAt, Account.AnnouncedAt,
+                                Account.OpenedAt}) +
+                          AbsenceTime;
 }
 
 double quota_ledger::count(account &Account, std::string_view Process,
@@ -83,10 +86,12 @@
   auto [Found, Added] = Account.Processes.try_emplace(std::string(Process));
   process_count &Before = Found->second;
   if (!Added && wasCountedElsewhere(Account, Before, Use, Now)) {
+    // The other member has counted only those that it heard, and so has this
+    // one.
+    Account.InheritedRate = requestRate(Account, Now) + Use.KnownRequestRate;
     Account.Tokens = burstOf(Quota);
     Account.OpenedAt = Now;
     Account.TakenOver = false;
-    Account.InheritedRate = 0;
   }
   bool CountersKnown = !Added && Before.Incarnation == Report.Incarnation &&
                        Before.ReportedAt >= Account.OpenedAt &&
@@ -113,6 +118,13 @@
           Quota.RatePerSecond * inSeconds(Unknown) /
           static_cast<double>(std::max<std::size_t>(1, Fleet.Members));
   }
+  if (!CountersKnown && !isOpening(Account, Now) &&
+      Now < Account.OpenedAt + Settings.Window) {
+    double Covered =
+        std::min(Account.Unreported, static_cast<double>(Admitted));
+    Account.Unreported -= Covered;
+    Account.Tokens += Covered;
+  }
   double All = std::transform_reduce(
       Account.Processes.begin(), Account.Processes.end(), 0.0, std::plus{},
       [Now](const auto &Entry) { return Entry.second.rateAt(Now); });
--- a/src/libs/quota/quota_ledger.h
+++ b/src/libs/quota/quota_ledger.h
@@ -108,6 +108,9 @@
     /// before.
     steady_time OpenedAt;
     bool TakenOver = false;
+    /// What is left of the window's requests at the end of a takeover for
+    /// processes that report for the first time later.
+    double Unreported = 0;
     steady_time ReportedAt;
     /// Request rate that an earlier coordinator has told.
     double InheritedRate = 0;
