--- a/src/libs/quota/quota_ledger.h
+++ b/src/libs/quota/quota_ledger.h
@@ -111,6 +111,9 @@
     /// Requests of the window that processes may still be assumed to have
     /// admitted before they started.
     double UnknownLeft = 0;
+    /// What is left of the window's requests at the end of a takeover for
+    /// processes that report for the first time later.
+    double Unreported = 0;
     steady_time ReportedAt;
     /// Request rate that an earlier coordinator has told.
     double InheritedRate = 0;
