Let entries draw two servers in pools of one kind of work, too

Entries that know each other's slots half a second late choose the same servers also where all requests are alike. setSamplesServers lets them compare two servers drawn at random.

--- a/src/libs/process/pool_scheduler.cpp
+++ b/src/libs/process/pool_scheduler.cpp
@@ -578,7 +578,7 @@
     Choices.push_back(
         {&Server, costOf(Request, Server, Now) + TieBreak(Random)});
   }
-  if (placesByWork(Request))
+  if (SamplesServers || placesByWork(Request))
     Choices = sampleChoices(Request, std::move(Choices), Now);
   auto Best = std::ranges::min_element(Choices, {}, &choice::Cost);
   return Best == Choices.end() ? nullptr : Best->Server;
--- a/src/libs/process/pool_scheduler.h
+++ b/src/libs/process/pool_scheduler.h
@@ -63,6 +63,10 @@
   /// Sets the data centre whose backend servers are preferred for bulk work.
   void setDataCentre(std::string_view Name) { DataCentre = Name; }
   void setPlacementMeasure(placement_measure Measure) { Placement = Measure; }
+  /// Sets whether requests are compared at two servers drawn at random in all
+  /// pools, not just in those of requests that differ much in cost. With many
+  /// entries, whose reports are old, this keeps them from choosing alike.
+  void setSamplesServers(bool Value) { SamplesServers = Value; }
   void setRetryLimits(retry_limits Limits) { Retries.setLimits(Limits); }
   /// Partitions the trials of servers that may be unhealthy between the
   /// entries, which would otherwise all try the same server at the same time.
@@ -282,6 +286,7 @@
   retry_budget Retries;
   pool_failure_rate PoolFailures;
   placement_measure Placement = placement_measure::SlotsInUse;
+  bool SamplesServers = false;
   pool_work PoolWork;
   /// Rate at which requests start in this process.
   start_rate StartRate;
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -54,7 +54,9 @@
   retry_allowance Retries{};
   quota_settings Quotas{};
   /// What a server's load is measured by where all proxies share the pool.
-  placement_measure Placement = placement_measure::RemainingWork;
+  placement_measure Placement = placement_measure::SlotsInUse;
+  /// Whether requests are compared at two servers drawn at random in all pools.
+  bool SamplesServers = false;
   /// Responses up to this size are buffered until they are complete, so that
   /// the request can be retried if the connection is lost in the middle of one.
   std::size_t MaxBufferedBytes = std::size_t{64} * 1024;
@@ -833,6 +835,7 @@
     if constexpr (sharing_scheduler<Policy>) {
       State.Scheduler.setDataCentre(Settings.DataCentre);
       State.Scheduler.setPlacementMeasure(Settings.Placement);
+      State.Scheduler.setSamplesServers(Settings.SamplesServers);
       State.Scheduler.setRetryLimits(
           Settings.Retries.limitsFor(Version->EntryCount));
       State.Scheduler.setTrialPartition(
--- a/tests/auto/process/mixed_pool.h
+++ b/tests/auto/process/mixed_pool.h
@@ -29,6 +29,10 @@
   double SlowShare = 0.05;
   double SlowFactor = 3;
   steady_time::duration Length = std::chrono::seconds(34);
+  /// Mean work of short and long requests, in milliseconds.
+  std::array<double, 2> MeanWork{100, 1'300};
+  milliseconds ShortTarget{1'000};
+  bool SamplesServers = false;
   known_cost Known = known_cost::UsualTime;
   std::uint64_t Seed = 1;
 };
@@ -64,7 +68,7 @@
     Definition.Name = Definition.Pool = "s";
     Definition.QueueLimit = {400, 400, 400};
     Kinds[0].Name = "short";
-    Kinds[0].LatencyTarget = milliseconds(1'000);
+    Kinds[0].LatencyTarget = Load.ShortTarget;
     Kinds[0].Rank = AllRanks[0];
     Kinds[1].Name = "long";
     Kinds[1].LatencyTarget = milliseconds(10'000);
@@ -87,11 +91,13 @@
       Scheduler.setPlacementMeasure(Load.Known == known_cost::UsualTime
                                         ? placement_measure::SlotsInUse
                                         : placement_measure::RemainingWork);
+      Scheduler.setSamplesServers(Load.SamplesServers);
       Entries.back()->Work.setEntries(Load.Entries);
       sendReports(Index);
     }
     nextArrival(0, Load.ShortRate);
-    nextArrival(1, Load.LongRate);
+    if (Load.LongRate > 0)
+      nextArrival(1, Load.LongRate);
   }
 
   mixed_result simulate() {
@@ -108,7 +114,6 @@
   using state = service_state<pool_scheduler>;
   static constexpr std::size_t Slots = 4;
   static constexpr std::size_t ServerQueue = 16;
-  static constexpr std::array<double, 2> MeanWork{100, 1'300};
   static constexpr double TailShare = 0.01;
   static constexpr double TailFactor = 7;
   static constexpr double Deviation = 0.5;
@@ -153,7 +158,7 @@
   }
 
   double drawWork(std::size_t Kind) {
-    double Mean = MeanWork[Kind] / (1 + TailShare * (TailFactor - 1));
+    double Mean = Load.MeanWork[Kind] / (1 + TailShare * (TailFactor - 1));
     double Work = std::lognormal_distribution<double>(
         std::log(Mean) - Deviation * Deviation / 2, Deviation)(Random);
     return chance(TailShare) ? Work * TailFactor : Work;
--- a/tests/auto/process/tst_mixed_pool.cpp
+++ b/tests/auto/process/tst_mixed_pool.cpp
@@ -44,3 +44,25 @@
   CHECK(ByWork.Short.percentile99() < ByCount.Short.percentile99());
   CHECK(ByWork.Long.percentile99() <= ByCount.Long.percentile99());
 }
+
+TEST_CASE("entries with old reports do not choose the same servers when they "
+          "draw two") {
+  // Requests of one kind, for about two thirds of the slots.
+  mixed_load Load;
+  Load.LongRate = 0;
+  Load.ShortRate = 560;
+  Load.MeanWork[0] = 420;
+  Load.ShortTarget = milliseconds(1'500);
+  Load.Length = std::chrono::seconds(30);
+  mixed_result Compared = simulate(Load, known_cost::UsualTime);
+  Load.SamplesServers = true;
+  mixed_result Drawn = simulate(Load, known_cost::UsualTime);
+  auto Print = [](std::string_view Name, mixed_result::kind &Of) {
+    UNSCOPED_INFO(Name << ": in time " << Of.inTime() << ", p99 "
+                       << Of.percentile99() << " ms, rejected " << Of.Rejected);
+  };
+  Print("all compared", Compared.Short);
+  Print("two drawn", Drawn.Short);
+  CHECK(Drawn.Short.inTime() > Compared.Short.inTime());
+  CHECK(Drawn.Short.percentile99() < Compared.Short.percentile99());
+}
