--- a/src/libs/daemon/store_daemon.h
+++ b/src/libs/daemon/store_daemon.h
@@ -408,6 +408,7 @@
     Traffics.Retries = Settings.Retries;
     Traffics.Quotas = Settings.Quotas;
     Traffics.Placement = Settings.Placement;
+    Traffics.SamplesServers = Settings.SamplesServers;
     Traffics.MaxBufferedBytes = Settings.MostBufferedBytes;
     Traffics.Versions = &Versions;
     Traffics.ServersUsableUntil = &ServersUsableUntil;
--- a/src/libs/files/store_daemon_settings.cpp
+++ b/src/libs/files/store_daemon_settings.cpp
@@ -93,6 +93,7 @@
     });
   std::size_t HostBytes = 0;
   Settings.Placement = readPlacement(File);
+  Settings.SamplesServers = File.optionalFlag("samples_servers", false);
   File.object("host", [&](checked_object &Host) {
     Settings.Capacity = readCapacity(Host);
     if (Host.has("memory_mb"))
--- a/src/libs/files/store_daemon_settings.h
+++ b/src/libs/files/store_daemon_settings.h
@@ -46,6 +46,8 @@
   quota_settings Quotas;
   /// How requests are placed in pools of short and long requests.
   placement_measure Placement = placement_measure::SlotsInUse;
+  /// Whether requests are compared at two servers drawn at random in all pools.
+  bool SamplesServers = false;
   /// Requests a second that this host can carry; 0 where that is not known.
   std::uint32_t Capacity = 0;
   milliseconds AddressLifetime{0};
--- a/tests/auto/files/tst_store_daemon_settings.cpp
+++ b/tests/auto/files/tst_store_daemon_settings.cpp
@@ -76,3 +76,17 @@
     CHECK(Detail.find("/quotas/" + std::string(Missing)) != std::string::npos);
   }
 }
+
+TEST_CASE("how requests are placed is read from the settings") {
+  CHECK(read(good()).Placement == placement_measure::SlotsInUse);
+  CHECK_FALSE(read(good()).SamplesServers);
+  nlohmann::json Json = good();
+  Json["placement"] = "remaining_work";
+  Json["samples_servers"] = true;
+  CHECK(read(Json).Placement == placement_measure::RemainingWork);
+  CHECK(read(Json).SamplesServers);
+  Json["placement"] = "any";
+  CHECK(detailOf([&] {
+          return readStoreDaemonSettings("settings", Json.dump());
+        }).starts_with("settings:/placement: "));
+}
