Bound what passes between two answers of a coordinator

Everything passed until the first restriction came, which takes longer on a busy host. A process now lets its part of the burst and of half a second pass between two answers, and goes by its own part of the quota beyond that.

--- a/src/libs/quota/quota_meter.cpp
+++ b/src/libs/quota/quota_meter.cpp
@@ -106,13 +106,22 @@
                                    steady_time Now) {
   if (isUnanswered(Usage, Now))
     return decideByOwnPart(Usage, Quota, Now);
-  if (Usage.ShareValid && Now <= *Usage.AnsweredAt + ShareLifetime)
-    return decideByShare(Usage, Now);
   double Limit = unconfirmedLimit(Quota);
+  bool MayExceed = static_cast<double>(Usage.SinceAnswer) < Limit;
+  if (Usage.ShareValid && Now <= *Usage.AnsweredAt + ShareLifetime) {
+    // A surge may have begun that the coordinator can't know of yet.
+    double Surge =
+        Limit + Usage.OwnPart *
+                    (Quota.Burst + Quota.RatePerSecond * inSeconds(SurgeTime));
+    if (Usage.Share >= 1 && static_cast<double>(Usage.SinceAnswer) >= Surge)
+      return decideByOwnPart(Usage, Quota, Now);
+    ++Usage.SinceAnswer;
+    return decideByShare(Usage, Now);
+  }
   bool Silent = Usage.AnsweredAt && !Usage.ShareValid;
-  if (Silent || static_cast<double>(Usage.Unconfirmed) >= Limit)
+  if (Silent || !MayExceed)
     return decideByOwnPart(Usage, Quota, Now);
-  ++Usage.Unconfirmed;
+  ++Usage.SinceAnswer;
   return {true, quota_basis::Unconfirmed, Limit};
 }
 
@@ -186,7 +195,7 @@
     Usage.ShareValid = true;
     Usage.RequestRate = Answer.RequestRate;
     Usage.AnsweredAt = Now;
-    Usage.Unconfirmed = 0;
+    Usage.SinceAnswer = 0;
     Usage.TokensAt = Now;
     if (Answer.Share < 1)
       Usage.RestrictedAt = Now;
--- a/src/libs/quota/quota_meter.h
+++ b/src/libs/quota/quota_meter.h
@@ -93,6 +93,9 @@
   /// A restriction is assumed to go on for this long after the last answer that
   /// told it.
   static constexpr milliseconds RestrictionLifetime{2'000};
+  /// Between two answers, a process may use its own part of the burst and of
+  /// the requests of this time, beside what may pass without an answer.
+  static constexpr milliseconds SurgeTime{500};
   /// How long an answer applies.
   static constexpr milliseconds ShareLifetime{2'000};
   /// How long a process uses the part of the quota that follows from the last
@@ -132,8 +135,9 @@
     double OwnPart = 0;
     double RequestRate = 0;
     steady_time ReportedAt;
-    /// Admitted since the last answer, without one to go by.
-    std::size_t Unconfirmed = 0;
+    /// Requests since the last answer that were decided on by it, or without
+    /// any.
+    std::size_t SinceAnswer = 0;
     /// Shares of requests that have not added up to a request yet.
     double Credit = 0;
     /// Tokens of the own part.
@@ -158,7 +162,8 @@
   quota_decision decide(usage &Usage, const request_quota &Quota,
                         steady_time Now);
   quota_decision decideByShare(usage &Usage, steady_time Now);
-  /// Number of requests that may pass before the coordinator has answered.
+  /// Number of requests that may pass from one answer of the coordinator to the
+  /// next, beside the own part of the quota.
   double unconfirmedLimit(const request_quota &Quota) const;
   quota_decision decideByOwnPart(usage &Usage, const request_quota &Quota,
                                  steady_time Now) const;
