--- a/src/libs/files/store_daemon_settings.cpp
+++ b/src/libs/files/store_daemon_settings.cpp
@@ -22,6 +22,17 @@
           Quotas.requiredReal("slack", 0, 1e6)};
 }
 
+placement_measure readPlacement(checked_object &File) {
+  std::string Name = File.optionalText("placement", "slots_in_use");
+  if (Name == "remaining_work")
+    return placement_measure::RemainingWork;
+  if (Name != "slots_in_use")
+    File.mistake("placement",
+                 "expected \"slots_in_use\" or \"remaining_work\", not \"" +
+                     Name + "\"");
+  return placement_measure::SlotsInUse;
+}
+
 /// Requests a second that a host carries with that share of a processor core
 /// and that link. What a request takes is measured on the users' calm days.
 std::uint32_t readCapacity(checked_object &Host) {
@@ -36,6 +47,20 @@
                LinkMegabits * BytesPerMegabit / BytesPerRequest));
 }
 
+/// The memory for callers: a quarter of the host's, as long as that is not more
+/// than most daemons need. The rest is for answers that are held back, the
+/// fleet's state and what the allocator keeps.
+std::size_t readCallerMemory(checked_object &File, std::size_t HostBytes) {
+  constexpr std::size_t UsualBytes = 64 * MiB;
+  std::size_t Default =
+      HostBytes == 0 ? UsualBytes : std::min(UsualBytes, HostBytes / 4);
+  std::size_t Bytes =
+      File.optionalNumber("body_memory_bytes", Default, {64 * KiB, 1024 * MiB});
+  if (HostBytes != 0 && Bytes > HostBytes / 2)
+    File.mistake("body_memory_bytes", "more than half of host.memory_mb");
+  return Bytes;
+}
+
 store_daemon_settings readFields(checked_object &File) {
   store_daemon_settings Settings;
   Settings.Id = File.requiredText("id");
@@ -57,8 +82,6 @@
   Settings.FleetSecret = File.requiredText("fleet_secret");
   Settings.MostBodyBytes =
       File.optionalNumber("max_body_bytes", 16 * MiB, {0, 64 * MiB});
-  Settings.BodyMemoryBytes = File.optionalNumber("body_memory_bytes", 64 * MiB,
-                                                 {64 * KiB, 1024 * MiB});
   Settings.MostBufferedBytes =
       File.optionalNumber("max_buffered_bytes", 1 * MiB, {4 * KiB, 16 * MiB});
   File.object("retries", [&](checked_object &Budget) {
@@ -68,9 +91,17 @@
     File.object("quotas", [&](checked_object &Quotas) {
       Settings.Quotas = readQuotas(Quotas);
     });
+  std::size_t HostBytes = 0;
+  Settings.Placement = readPlacement(File);
+  Settings.SamplesServers = File.optionalFlag("samples_servers", false);
   File.object("host", [&](checked_object &Host) {
     Settings.Capacity = readCapacity(Host);
+    if (Host.has("memory_mb"))
+      HostBytes =
+          static_cast<std::size_t>(Host.requiredReal("memory_mb", 32, 1e6)) *
+          MiB;
   });
+  Settings.BodyMemoryBytes = readCallerMemory(File, HostBytes);
   Settings.AddressLifetime =
       readTime(File, "address_lifetime_ms", 1'000, {100, 600'000});
   constexpr double UsualRegistrationSeconds = 1.5;
--- a/src/libs/http/connection_worker.h
+++ b/src/libs/http/connection_worker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connection/caller_connection.h"
+#include "connection/memory_claim.h"
 #include "connection/response_message.h"
 #include "connection/response_progress.h"
 #include "http/answer_text.h"
@@ -20,11 +21,13 @@
 #include <future>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <variant>
+#include <vector>
 
 namespace endiverail {
 
@@ -39,6 +42,9 @@
   milliseconds ReceiveTimeout{10'000};
   /// Between requests of a connection.
   milliseconds IdleTimeout{60'000};
+  /// Whether answers that callers have not read count toward the memory for
+  /// callers, and give way when it is used up.
+  bool LimitsUnreadAnswers = false;
 };
 
 /// Whichever part of the process answers a request; the sink gives it out and
@@ -99,10 +105,11 @@
   using connection_adopter = std::function<void(owned_socket)>;
   void setAdopter(connection_adopter Adopter) { Adopt = std::move(Adopter); }
 
-  /// Asks to be told when a connection's descriptor takes bytes again.
-  using writable_watch = std::function<void(int Descriptor, bool Wanted)>;
-  void setWritableWatch(writable_watch Watch) {
-    WatchWritable = std::move(Watch);
+  /// Asks to be told when a connection's descriptor has bytes, at once if it
+  /// has some already, and if \p Writable when it takes bytes again.
+  using descriptor_watch = std::function<void(int Descriptor, bool Writable)>;
+  void setWatch(descriptor_watch Descriptors) {
+    Watch = std::move(Descriptors);
   }
 
   void onConnected(const std::shared_ptr<Pistache::Tcp::Peer> &Peer) {
@@ -112,22 +119,32 @@
     expectBy(Added.first->second, headTimeout());
   }
 
-  void onInput(std::uint64_t Id, std::string_view Bytes) {
-    auto Found = Connections.find(Id);
-    if (Found == Connections.end() || Found->second.Closing)
-      return;
-    entry &Entry = Found->second;
-    bool FirstBytes = !Entry.State.inProgress() && !Entry.State.hasBytes();
-    // Only the first bytes of a request tell when it arrived.
-    request_arrival Arrived{steadyNow()};
-    if (!Entry.State.hasBytes())
-      Arrived = arrivalOf(Entry.Peer->fd(), Arrived.At);
-    handleFailure(
-        [&]() -> result<void> { return Entry.State.receive(Bytes, Arrived); },
-        [&](const failure &Failure) { refuse(Entry, Failure); });
-    if (FirstBytes)
-      expectHead(Entry);
-    takeRequests(Entry);
+  /// Whether the worker reads from that descriptor.
+  bool owns(int Descriptor) const { return ByDescriptor.contains(Descriptor); }
+
+  /// Reads for a bounded time, so that no caller holds up the others. Returns
+  /// whether the connection has ended.
+  bool onReadable(int Descriptor) {
+    entry &Entry = Connections.at(ByDescriptor.at(Descriptor));
+    for (std::size_t TurnBytes = 0; TurnBytes < MaxTurnBytes;) {
+      std::size_t Room = readableBytes(Entry);
+      Entry.ReadPaused = Room == 0;
+      if (Entry.ReadPaused)
+        return false;
+      received_piece Piece = receiveSome(
+          Descriptor, std::span(ReadBuffer).first(std::min(Room, PieceBytes)));
+      if (Piece.State != receive_state::Data)
+        return Piece.State == receive_state::Ended;
+      TurnBytes += Piece.Bytes.size();
+      onInput(Entry, Piece.Bytes);
+    }
+    Watch(Descriptor, Entry.AwaitsWritable);
+    return false;
+  }
+
+  /// Both directions are closed: what is still unread asks for nothing.
+  void onHangup(int Descriptor) {
+    Connections.at(ByDescriptor.at(Descriptor)).Closing = true;
   }
 
   void onDisconnected(std::uint64_t Id) {
@@ -149,8 +166,13 @@
 
   void onWritable(int Descriptor) {
     auto Id = ByDescriptor.find(Descriptor);
-    if (Id != ByDescriptor.end())
-      sendUnsent(Connections.at(Id->second));
+    if (Id == ByDescriptor.end())
+      return;
+    entry &Entry = Connections.at(Id->second);
+    if (Entry.Broken)
+      return;
+    sendUnsent(Entry);
+    claimHeld(Entry);
   }
 
   void onInbox() {
@@ -185,6 +207,15 @@
 
 private:
   static constexpr milliseconds LingerTime{2'000};
+  static constexpr std::size_t PieceBytes = std::size_t{16} * 1024;
+  /// Read from a connection before others have their turn.
+  static constexpr std::size_t MaxTurnBytes = 4 * PieceBytes;
+  /// Read from a connection while its request is in progress.
+  static constexpr std::size_t MaxReadAheadBytes = 4 * PieceBytes;
+  /// Requests up to this size are taken even if there is no room: their number
+  /// is bounded by that of the connections.
+  static constexpr std::size_t MaxUnrefusedBytes = PieceBytes;
+  static constexpr milliseconds EvictionReportInterval{1'000};
 
   struct unsent_text {
     std::string Text;
@@ -201,6 +232,11 @@
     caller_connection State;
     request_owner Owner = 0;
     std::size_t ReservedBytes = 0;
+    /// Of the request in progress.
+    std::size_t RequestBytes = 0;
+    /// Of the answer, what the socket has not taken yet.
+    std::size_t UnsentBytes = 0;
+    steady_time LastProgress = steadyNow();
     steady_time ExpectedBy;
     /// When the whole request has to be there.
     steady_time RequestBy;
@@ -215,9 +251,46 @@
     /// Of the current response, its head included.
     std::size_t BytesSent = 0;
     bool AwaitsWritable = false;
+    /// The socket holds bytes that are not read until the request in progress
+    /// has ended.
+    bool ReadPaused = false;
     bool AnswerEnded = false;
+    /// Closed without regard to what is unsent.
+    bool Broken = false;
   };
 
+  void onInput(entry &Entry, std::string_view Bytes) {
+    if (Entry.Closing)
+      return;
+    bool FirstBytes = !Entry.State.inProgress() && !Entry.State.hasBytes();
+    // Only the first bytes of a request tell when it arrived.
+    request_arrival Arrived{steadyNow()};
+    if (!Entry.State.inProgress())
+      Entry.LastProgress = Arrived.At;
+    if (!Entry.State.hasBytes())
+      Arrived = arrivalOf(Entry.Peer->fd(), Arrived.At);
+    handleFailure(
+        [&]() -> result<void> { return Entry.State.receive(Bytes, Arrived); },
+        [&](const failure &Failure) { refuse(Entry, Failure); });
+    if (FirstBytes)
+      expectHead(Entry);
+    takeRequests(Entry);
+    claimHeld(Entry);
+  }
+
+  /// How much a connection may be read now.
+  static std::size_t readableBytes(const entry &Entry) {
+    if (Entry.Closing || !Entry.State.inProgress())
+      return PieceBytes;
+    return MaxReadAheadBytes -
+           std::min(MaxReadAheadBytes, Entry.State.unreadBytes());
+  }
+
+  void resumeReading(entry &Entry) {
+    if (std::exchange(Entry.ReadPaused, false))
+      Watch(Entry.Peer->fd(), Entry.AwaitsWritable);
+  }
+
   response_handle ticket(const entry &Entry) const {
     return {Index, Entry.Peer->getID(), Entry.State.lastSequence()};
   }
@@ -253,6 +326,11 @@
 
   void close(entry &Entry) {
     Entry.Closing = true;
+    Entry.Broken = true;
+    Entry.State.discardBytes();
+    Entry.Unsent.clear();
+    Entry.UnsentBytes = 0;
+    releaseMemory(Entry);
     breakConnection(*Entry.Peer);
   }
 
@@ -260,8 +338,10 @@
   /// reply to that would take the answer away from it.
   void closeGently(entry &Entry) {
     Entry.Closing = true;
+    Entry.State.discardBytes();
     endSending(*Entry.Peer);
     expectBy(Entry, LingerTime);
+    resumeReading(Entry);
   }
 
   /// Takes whole requests as long as none is in progress.
@@ -274,29 +354,87 @@
           if (!Awaited)
             return {};
           Entry.ExpectedBy = Entry.RequestBy;
-          BOOST_LEAF_CHECK(reserveMemory(Entry, Awaited->BodyBytes));
+          BOOST_LEAF_CHECK(makeRoom(Entry, Awaited->BodyBytes));
+          bool ExpectsContinue = Awaited->ExpectsContinue;
           BOOST_LEAF_AUTO(Request, Entry.State.takeRequest());
           if (Request)
             start(Entry, std::move(*Request));
-          else if (Awaited->ExpectsContinue &&
-                   !std::exchange(Entry.ContinueSent, true))
+          else if (ExpectsContinue && !std::exchange(Entry.ContinueSent, true))
             send(Entry, std::string(ContinueText), 0);
           return {};
         },
         [&](const failure &Failure) { refuse(Entry, Failure); });
   }
 
-  /// Counts a body before it is here, so that many callers at once can't use
-  /// more than the process has.
-  result<void> reserveMemory(entry &Entry, std::size_t Bytes) {
-    if (Entry.ReservedBytes != 0 || Bytes == 0)
-      return {};
-    if (!Memory.tryReserve(Bytes))
-      return fail(error_kind::MemoryLimit, "no room for the body now");
-    Entry.ReservedBytes = Bytes;
+  /// Refuses a body that finds no room before it is read. Only what has come
+  /// is reserved, so an announced length keeps no room from others.
+  result<void> makeRoom(entry &Entry, std::size_t BodyBytes) {
+    std::size_t Wanted = std::max(heldBytes(Entry), BodyBytes);
+    while (Wanted > MaxUnrefusedBytes &&
+           Wanted > Entry.ReservedBytes + Memory.available())
+      if (!evictFor(Entry, memory_use::IncompleteRequest, Wanted))
+        return fail(error_kind::MemoryLimit, "no room for the body now");
     return {};
   }
 
+  /// Brings the account to what a connection holds.
+  void claimHeld(entry &Entry) {
+    if (Entry.Broken)
+      return;
+    std::size_t Held = heldBytes(Entry);
+    if (Held >= Entry.ReservedBytes)
+      Memory.reserve(Held - Entry.ReservedBytes);
+    else
+      Memory.release(Entry.ReservedBytes - Held);
+    Entry.ReservedBytes = Held;
+  }
+
+  std::size_t heldBytes(const entry &Entry) const {
+    return Entry.State.heldBytes() + Entry.RequestBytes +
+           (Settings.LimitsUnreadAnswers ? Entry.UnsentBytes : 0);
+  }
+
+  static memory_use useOf(const entry &Entry) {
+    if (Entry.UnsentBytes != 0)
+      return memory_use::UnreadAnswer;
+    return Entry.State.inProgress() ? memory_use::RequestInProgress
+                                    : memory_use::IncompleteRequest;
+  }
+
+  /// Whether a connection gave way to another one.
+  bool evictFor(const entry &Wanting, memory_use Use, std::size_t Bytes) {
+    std::vector<memory_claim> Claims;
+    for (const auto &[Id, Entry] : Connections)
+      if (!Entry.Closing)
+        Claims.push_back(
+            {Id, useOf(Entry), Entry.ReservedBytes, Entry.LastProgress});
+    auto Chosen = chooseEviction(
+        Claims, {Wanting.Peer->getID(), Use, Bytes, {}}, steadyNow());
+    if (!Chosen)
+      return false;
+    entry &Evicted = Connections.at(*Chosen);
+    reportEviction(Evicted);
+    if (Evicted.State.inProgress())
+      close(Evicted);
+    else
+      refuse(Evicted, {error_kind::MemoryLimit, "others need the room"});
+    return true;
+  }
+
+  /// A crowd would fill the log.
+  void reportEviction(const entry &Evicted) {
+    ++UnreportedEvictions;
+    steady_time Now = steadyNow();
+    if (Now < NextEvictionReport)
+      return;
+    NextEvictionReport = Now + EvictionReportInterval;
+    event_line("caller_evicted", event_level::Warning)
+        .with("caller_connection", Evicted.Peer->getID())
+        .with("bytes", Evicted.ReservedBytes)
+        .with("answer_unread", Evicted.UnsentBytes != 0)
+        .with("since_last_line", std::exchange(UnreportedEvictions, 0));
+  }
+
   void releaseMemory(entry &Entry) {
     Memory.release(std::exchange(Entry.ReservedBytes, 0));
   }
@@ -308,6 +446,8 @@
     Entry.ContinueSent = false;
     Entry.BytesSent = 0;
     Entry.Framing = body_framing::None;
+    Entry.RequestBytes = Request.Frame.HeadBytes + Request.Body.size();
+    claimHeld(Entry);
     Entry.Owner = To.onRequest(ticket(Entry), std::move(Request));
   }
 
@@ -323,6 +463,7 @@
     Entry.KeepAlive = false;
     Entry.AnswerEnded = true;
     Entry.BytesSent = 0;
+    Entry.State.discardBytes();
     releaseMemory(Entry);
     expectBy(Entry, LingerTime);
     send(Entry, answerHeadText(Head, body_framing::Length, false) + Body, 0);
@@ -383,6 +524,10 @@
     if (Entry->Framing == body_framing::Chunked)
       Piece.Bytes = chunkText(Piece.Bytes);
     send(*Entry, std::move(Piece.Bytes), Size);
+    while (Settings.LimitsUnreadAnswers && Entry->UnsentBytes != 0 &&
+           Memory.overdrawn() &&
+           evictFor(*Entry, memory_use::UnreadAnswer, Entry->UnsentBytes)) {
+    }
   }
 
   void take(response_end &End) {
@@ -429,9 +574,13 @@
   /// What the socket does not take now leaves as the caller reads; a caller
   /// that stalls holds no more than what is queued for it.
   void send(entry &Entry, std::string Text, std::size_t PieceBytes) {
+    if (Entry.Unsent.empty())
+      Entry.LastProgress = steadyNow();
+    Entry.UnsentBytes += Text.size();
     Entry.Unsent.push_back({std::move(Text), PieceBytes});
     if (!Entry.AwaitsWritable)
       sendUnsent(Entry);
+    claimHeld(Entry);
   }
 
   void sendUnsent(entry &Entry) {
@@ -444,6 +593,9 @@
         return breakConnection(*Entry.Peer);
       First.Sent += *Sent;
       Entry.BytesSent += *Sent;
+      Entry.UnsentBytes -= *Sent;
+      if (*Sent != 0)
+        Entry.LastProgress = steadyNow();
       if (First.Sent < First.Text.size())
         return awaitWritable(Entry, true);
       std::size_t PieceBytes = First.PieceBytes;
@@ -457,7 +609,7 @@
 
   void awaitWritable(entry &Entry, bool Wanted) {
     if (std::exchange(Entry.AwaitsWritable, Wanted) != Wanted)
-      WatchWritable(Entry.Peer->fd(), Wanted);
+      Watch(Entry.Peer->fd(), Wanted);
   }
 
   void finishIfSent(entry &Entry) {
@@ -474,7 +626,7 @@
     }
     if (!Entry.State.inProgress())
       return;
-    releaseMemory(Entry);
+    Entry.RequestBytes = 0;
     Entry.AnswerEnded = false;
     Entry.State.finishResponse();
     if (Entry.State.hasBytes())
@@ -482,6 +634,8 @@
     else
       expectBy(Entry, Settings.IdleTimeout);
     takeRequests(Entry);
+    claimHeld(Entry);
+    resumeReading(Entry);
   }
 
   std::size_t Index;
@@ -493,9 +647,12 @@
   std::unordered_map<std::uint64_t, entry> Connections;
   std::unordered_map<int, std::uint64_t> ByDescriptor;
   connection_adopter Adopt;
-  writable_watch WatchWritable;
+  descriptor_watch Watch;
+  std::vector<char> ReadBuffer = std::vector<char>(PieceBytes);
   std::atomic<std::size_t> Count = 0;
   thread_lag Lag{"connection"};
+  std::size_t UnreportedEvictions = 0;
+  steady_time NextEvictionReport{};
   bool KeepNone = false;
   std::optional<std::promise<void>> Closed;
 };
--- a/src/libs/process/pool_scheduler.cpp
+++ b/src/libs/process/pool_scheduler.cpp
@@ -36,6 +36,11 @@
 /// server's own queue holds four times its slots.
 constexpr double MinQueueShare = 0.34;
 constexpr double MaxQueueShare = 3;
+/// Share of the time for which short requests may be queued that the queue of
+/// a server may take up when a long request joins it.
+constexpr double LongQueueShare = 0.5;
+/// Number of servers that a request placed by remaining work is compared at.
+constexpr std::ptrdiff_t SampledServers = 2;
 /// A request that may not be retried stays queued rather than being sent to a
 /// server with a higher failure probability. A server of which nothing is known
 /// is below this limit.
@@ -127,16 +132,16 @@
 pool_scheduler::pool_scheduler(const service_definition &Definition,
                                std::uint64_t Seed)
     : Definition(Definition), Random(Seed) {
-  for (rank Rank : AllRanks)
-    Queues.emplace_back(Definition.QueueLimit[rankIndex(Rank)]);
+  for (std::size_t Index = 0; Index < PrecedenceCount; ++Index)
+    Queues.emplace_back(Definition.QueueLimit[Index % RankCount]);
 }
 
 void pool_scheduler::configure(const service_definition &NewDefinition,
                                std::span<const backend_server> Listed,
                                steady_time Now) {
   Definition = NewDefinition;
-  for (rank Rank : AllRanks)
-    Queues[rankIndex(Rank)].setLimit(Definition.QueueLimit[rankIndex(Rank)]);
+  for (std::size_t Index = 0; Index < PrecedenceCount; ++Index)
+    Queues[Index].setLimit(Definition.QueueLimit[Index % RankCount]);
   for (pooled_server &Server : Servers)
     if (std::exchange(Server.Delisted, true))
       Server.Leaving = false;
@@ -189,20 +194,69 @@
   return std::max(Request.Target / MinQueueTimeDivisor, MaxTime);
 }
 
-/// Returns whether more requests are queued than can start in time, so that
-/// another one would only be rejected later.
+/// Returns whether more requests are ahead than can start in time, so that the
+/// request would only be rejected later.
 bool pool_scheduler::isBacklogged(const waiting_request &Request,
-                                  steady_time Now) const {
+                                  std::size_t Ahead, steady_time Now) const {
   double Rate = std::max(MinStartRate, StartRate.perSecond(Now));
   double QueueTime =
       std::chrono::duration<double>(maxQueueTime(Request)).count();
-  return static_cast<double>(waiting()) > Rate * QueueTime * MaxBacklogShare;
+  return static_cast<double>(Ahead) > Rate * QueueTime * MaxBacklogShare;
+}
+
+/// Returns whether the request's organisation has exceeded its share and has
+/// more requests queued than start at its own pace before a refusal is late.
+bool pool_scheduler::isFlooding(const waiting_request &Request,
+                                steady_time Now) const {
+  if (!Shares.exceedsShare(Request.Organisation, Request.OrganisationWeight,
+                           Now))
+    return false;
+  double Rate = Shares.startsPerSecond(Request.Organisation, Now);
+  double QueueTime =
+      std::chrono::duration<double>(Request.Target / MinQueueTimeDivisor)
+          .count();
+  const rank_queue &Queue = Queues[Request.precedenceOf().index()];
+  return static_cast<double>(Queue.count(Request.Organisation)) >
+         Rate * QueueTime * MaxBacklogShare;
+}
+
+/// Number of queued requests that are served before the given one, if it is
+/// queued now.
+std::size_t
+pool_scheduler::requestsAhead(const waiting_request &Request) const {
+  std::size_t Own = Request.precedenceOf().index();
+  auto Urgent = Queues | std::views::take(Own) | std::views::common;
+  return std::transform_reduce(Urgent.begin(), Urgent.end(),
+                               Queues[Own].ahead(Request.Organisation),
+                               std::plus{}, std::mem_fn(&rank_queue::size));
+}
+
+/// Removes the request that would be served last, if it can't start in time any
+/// more because of one that has been added: one that is less urgent, or of an
+/// organisation with more queued requests.
+std::optional<request_id>
+pool_scheduler::takeDisplaced(const waiting_request &Added, steady_time Now) {
+  auto Own = static_cast<std::ptrdiff_t>(Added.precedenceOf().index());
+  auto LeastUrgentFirst =
+      std::ranges::subrange(Queues.begin() + Own, Queues.end()) |
+      std::views::reverse;
+  auto Last = std::ranges::find_if_not(LeastUrgentFirst, &rank_queue::empty);
+  const waiting_request *Displaced = Last->last(Now);
+  if (Displaced->precedenceOf() == Added.precedenceOf() &&
+      Displaced->Organisation == Added.Organisation)
+    return std::nullopt;
+  if (!isBacklogged(*Displaced, requestsAhead(*Displaced) - 1, Now))
+    return std::nullopt;
+  request_id Id = Displaced->Id;
+  Last->remove(Id);
+  return Id;
 }
 
 std::optional<request_id> pool_scheduler::submit(waiting_request Request,
                                                  steady_time Now) {
-  Retries.onRequest(Request.Rank);
-  if (isBacklogged(Request, Now))
+  Retries.onRequest(Request.precedenceOf());
+  if (isBacklogged(Request, requestsAhead(Request), Now) ||
+      isFlooding(Request, Now))
     return Request.Id;
   // The queue expires a request when its usual time no longer fits before the
   // deadline.
@@ -210,15 +264,16 @@
                               Now + maxQueueTime(Request) + Request.UsualTime);
   if (!canStartInTime(Request, Now))
     return Request.Id;
-  rank_queue &Queue = Queues[rankIndex(Request.Rank)];
-  auto Dropped = Queue.push(std::move(Request), Now);
-  return Dropped ? std::optional(Dropped->Id) : std::nullopt;
+  rank_queue &Queue = Queues[Request.precedenceOf().index()];
+  if (auto Dropped = Queue.push(Request, Now))
+    return Dropped->Id;
+  return takeDisplaced(Request, Now);
 }
 
 void pool_scheduler::resubmit(waiting_request Request, steady_time Now) {
   Request.Deadline = std::min(Request.Deadline,
                               Now + maxQueueTime(Request) + Request.UsualTime);
-  rank_queue &Queue = Queues[rankIndex(Request.Rank)];
+  rank_queue &Queue = Queues[Request.precedenceOf().index()];
   Queue.pushFront(std::move(Request));
 }
 
@@ -258,17 +313,62 @@
          MaxExcludedShare * static_cast<double>(Usable);
 }
 
+bool pool_scheduler::placesByWork(const waiting_request &Request) const {
+  return Placement == placement_measure::RemainingWork &&
+         Request.Cost.known() && PoolWork.isMixed();
+}
+
+double pool_scheduler::timeLeftPerRequest(const waiting_request &Request,
+                                          const pooled_server &Server,
+                                          steady_time Now) const {
+  if (!placesByWork(Request) || Server.used() == 0)
+    return std::max(1.0, inMilliseconds(Request.UsualTime));
+  auto Used = static_cast<double>(Server.used());
+  // Of the requests placed by others, as many as exceed the slots have not
+  // begun.
+  double QueuedShare =
+      std::max(0.0, 1 - static_cast<double>(Server.Slots) / Used);
+  double PerUnknown = QueuedShare * PoolWork.mean() +
+                      (1 - QueuedShare) * PoolWork.meanRemaining();
+  auto Unknown =
+      Used - static_cast<double>(std::min(Server.Work.size(), Server.InUse));
+  return std::max(1.0,
+                  (Server.Work.remaining(Now) + Unknown * PerUnknown) / Used);
+}
+
+double pool_scheduler::expectedWait(const waiting_request &Request,
+                                    const pooled_server &Server,
+                                    steady_time Now) const {
+  auto Slots = static_cast<double>(Server.Slots);
+  auto Used = static_cast<double>(Server.used());
+  return std::max(0.0, Used + 1 - Slots) / Slots *
+         timeLeftPerRequest(Request, Server, Now);
+}
+
+double pool_scheduler::maxWait(const waiting_request &Request,
+                               steady_time Now) const {
+  double Own =
+      inMilliseconds(Request.Target) * MaxTargetShare -
+      SlowAnswerFactor * std::max(1.0, inMilliseconds(Request.UsualTime));
+  // A long request with much time left would fill the queues of the servers
+  // with work that short ones can't wait for. It waits here instead, but for
+  // no more than half of its time.
+  bool GivesWay = placesByWork(Request) &&
+                  Request.Cost.mean() > PoolWork.mean() &&
+                  Now < Request.Arrived + maxQueueTime(Request) / 2;
+  return GivesWay ? std::min(Own, PoolWork.slackOfShort() * LongQueueShare)
+                  : Own;
+}
+
 std::size_t pool_scheduler::capacityFor(const waiting_request &Request,
                                         const pooled_server &Server,
                                         steady_time Now) const {
   auto Slots = static_cast<double>(Server.Slots);
   if (Now < Server.ColdUntil)
     Slots = std::max(1.0, Slots / ColdDivisor);
-  double Usual = std::max(1.0, inMilliseconds(Request.UsualTime));
-  double MaxWait = inMilliseconds(Request.Target) * MaxTargetShare -
-                   SlowAnswerFactor * Usual;
-  double Queued = std::clamp(MaxWait / Usual * Slots, Slots * MinQueueShare,
-                             Slots * MaxQueueShare);
+  double Queued = std::clamp(
+      maxWait(Request, Now) / timeLeftPerRequest(Request, Server, Now) * Slots,
+      Slots * MinQueueShare, Slots * MaxQueueShare);
   auto Capacity = static_cast<std::size_t>(Slots + Queued);
   return Now < Server.FullUntil ? std::min(Capacity, Server.FullLimit)
                                 : Capacity;
@@ -279,8 +379,7 @@
                               steady_time Now) const {
   auto Slots = static_cast<double>(Server.Slots);
   auto Used = static_cast<double>(Server.used());
-  double Usual = std::max(1.0, inMilliseconds(Request.UsualTime));
-  double Wait = std::max(0.0, Used + 1 - Slots) / Slots * Usual;
+  double Wait = expectedWait(Request, Server, Now);
   double Target = std::max(1.0, inMilliseconds(Request.Target));
   double Cost = Server.Health.unhealthyProbability(Now) *
                     (mayRetry(Request) ? RetryableFailureCost : FailureCost) +
@@ -313,7 +412,7 @@
 /// attempt.
 bool pool_scheduler::mayRetry(const waiting_request &Request) const {
   return Request.Idempotent && Request.Avoid.empty() &&
-         Retries.available(Request.Rank);
+         Retries.available(retry_claim{Request.precedenceOf()});
 }
 
 /// Returns why the request can't be sent to the server now, if so.
@@ -325,6 +424,11 @@
   if (!isReachable(Server, Now))
     return idle_reason::Unreachable;
   std::size_t Capacity = capacityFor(Request, Server, Now);
+  // Requests are queued at a server in the order of their arrival: those of a
+  // flood would delay the others, and less urgent ones those that wait here.
+  if (MoreUrgentWaiting || Shares.exceedsShare(Request.Organisation,
+                                               Request.OrganisationWeight, Now))
+    Capacity = std::min(Capacity, Server.Slots);
   if (Server.used() >= Capacity)
     return Server.InUse >= Capacity ? idle_reason::FullLocally
                                     : idle_reason::FullRemotely;
@@ -510,15 +614,11 @@
 pool_scheduler::chooseServer(const waiting_request &Request, steady_time Now) {
   if (pooled_server *Idle = chooseIdleServer(Request, Now))
     return Idle;
-  struct choice {
-    pooled_server *Server = nullptr;
-    double Cost = 0;
-  };
   std::uniform_real_distribution<double> TieBreak(0, MaxTieBreak);
   bool ExcludeFailing = !mostAreFailing(Now);
   bool PrefersWaiting = ExcludeFailing && !mayRetry(Request) &&
                         Now < Request.Arrived + maxQueueTime(Request) / 2;
-  choice Best;
+  std::vector<choice> Choices;
   for (pooled_server &Server : Servers) {
     if (!canAccept(Request, Server, Now))
       continue;
@@ -530,21 +630,58 @@
     if (PrefersWaiting &&
         Server.Health.unhealthyProbability(Now) > MaxRiskWhileWaiting)
       continue;
-    double Cost = costOf(Request, Server, Now) + TieBreak(Random);
-    if (!Best.Server || Cost < Best.Cost)
-      Best = {&Server, Cost};
+    Choices.push_back(
+        {&Server, costOf(Request, Server, Now) + TieBreak(Random)});
   }
-  return Best.Server;
+  if (SamplesServers || placesByWork(Request))
+    Choices = sampleChoices(Request, std::move(Choices), Now);
+  auto Best = std::ranges::min_element(Choices, {}, &choice::Cost);
+  return Best == Choices.end() ? nullptr : Best->Server;
+}
+
+/// Entries that place many requests between two reports of each other would
+/// all choose the server that had the least work left. Each compares two of the
+/// servers that are probably sound, and two elsewhere for bulk work.
+std::vector<pool_scheduler::choice>
+pool_scheduler::sampleChoices(const waiting_request &Request,
+                              std::vector<choice> Choices, steady_time Now) {
+  auto Unsound = std::ranges::partition(Choices, [&](const choice &Each) {
+    return Each.Server->Health.unhealthyProbability(Now) <=
+               UnhealthyThreshold &&
+           Each.Server->Slowness.unhealthyProbability(Now) <=
+               UnhealthyThreshold;
+  });
+  if (Unsound.begin() != Choices.begin())
+    Choices.erase(Unsound.begin(), Choices.end());
+  auto Others = std::ranges::partition(Choices, [&](const choice &Each) {
+    return !Request.Bulk || Each.Server->DataCentre == DataCentre;
+  });
+  std::vector<choice> Sample;
+  std::ranges::sample(Choices.begin(), Others.begin(),
+                      std::back_inserter(Sample), SampledServers, Random);
+  std::ranges::sample(Others, std::back_inserter(Sample), SampledServers,
+                      Random);
+  return Sample;
 }
 
 std::optional<slot_assignment> pool_scheduler::next(steady_time Now) {
+  MoreUrgentWaiting = false;
   for (rank_queue &Queue : Queues) {
     if (Queue.empty())
       continue;
     pooled_server *Server = chooseServer(*Queue.front(Now), Now);
-    if (!Server)
+    if (!Server) {
+      MoreUrgentWaiting = true;
       continue;
+    }
     waiting_request Request = Queue.pop(Now);
+    if (Request.Cost.known()) {
+      PoolWork.recordStart(Request.Cost, maxWait(Request, Now));
+      Server->Work.add(Request.Id, Request.Cost,
+                       Now + std::chrono::duration_cast<steady_time::duration>(
+                                 std::chrono::duration<double, std::milli>(
+                                     expectedWait(Request, *Server, Now))));
+    }
     ++Server->InUse;
     if (Now >= Server->RecentStartsSince + FastFailureWindow) {
       Server->RecentStarts = 0;
@@ -557,6 +694,7 @@
           std::chrono::duration_cast<milliseconds>(Now - Server->LastUsed);
     Server->PendingUntil = Now + ArrivalTimeout;
     StartRate.record(Now);
+    Shares.recordStart(Request.Organisation, Request.OrganisationWeight, Now);
     return slot_assignment{
         Request.Id,       Server->Address,
         Server->Instance, Server->Health.unhealthyProbability(Now),
@@ -585,6 +723,11 @@
   removeDelisted(Now);
 }
 
+void pool_scheduler::recordWorkEnd(std::string_view Address, request_id Id) {
+  if (pooled_server *Server = find(Address))
+    Server->Work.remove(Id);
+}
+
 void pool_scheduler::observe(std::string_view Address, attempt_signal Signal,
                              steady_time Now, milliseconds Age) {
   pooled_server *Server = find(Address);
--- a/src/libs/process/traffic_thread.h
+++ b/src/libs/process/traffic_thread.h
@@ -12,6 +12,7 @@
 #include "process/idempotency_key.h"
 #include "process/key_registry.h"
 #include "process/mailbox.h"
+#include "process/memory_budget.h"
 #include "process/message_dialect.h"
 #include "process/metrics.h"
 #include "process/overload_controller.h"
@@ -53,6 +54,10 @@
   /// Retries that the operator allows for the whole fleet, if limited.
   retry_allowance Retries{};
   quota_settings Quotas{};
+  /// What a server's load is measured by where all proxies share the pool.
+  placement_measure Placement = placement_measure::SlotsInUse;
+  /// Whether requests are compared at two servers drawn at random in all pools.
+  bool SamplesServers = false;
   /// Responses up to this size are buffered until they are complete, so that
   /// the request can be retried if the connection is lost in the middle of one.
   std::size_t MaxBufferedBytes = std::size_t{64} * 1024;
@@ -66,6 +71,9 @@
   /// Told when requests are taken up. Null if nothing asks for it. Must outlive
   /// the thread.
   overload_controller *Overload = nullptr;
+  /// Account of the memory for callers, which buffered responses count toward.
+  /// Null if they don't. Must outlive the thread.
+  memory_budget *CallerMemory = nullptr;
 };
 
 /// Processes the requests of the services assigned to this thread. One thread
@@ -217,12 +225,17 @@
       return true;
     if (Active->UnwrittenBytes + Active->Buffered.size() >
         maxUnwrittenBytes()) {
+      // Only what is written makes the response go on.
+      if (!Active->Buffered.empty())
+        forwardBuffered(*Active);
       Active->Paused = true;
       return false;
     }
     Active->Buffered.append(Piece);
-    if (Active->HeadSent || Active->Buffered.size() > Settings.MaxBufferedBytes)
-      Responses.forwardBuffered(*Active);
+    if (Active->HeadSent || Active->Buffered.size() > maxBufferedBytes())
+      forwardBuffered(*Active);
+    else
+      holdBuffered(*Active);
     return true;
   }
 
@@ -340,14 +353,40 @@
     return UsualDetail;
   }
 
+  void forwardBuffered(active_request &Active) {
+    Responses.forwardBuffered(Active);
+    holdBuffered(Active);
+  }
+
+  void holdBuffered(active_request &Active) {
+    if (!Active.BufferedHold)
+      Active.BufferedHold.emplace(Settings.CallerMemory);
+    Active.BufferedHold->resize(Active.Buffered.size());
+  }
+
+  bool isShortOfMemory() const {
+    return Settings.CallerMemory && Settings.CallerMemory->overdrawn();
+  }
+  std::size_t maxBufferedBytes() const {
+    return isShortOfMemory()
+               ? std::min(ScarceBufferedBytes, Settings.MaxBufferedBytes)
+               : Settings.MaxBufferedBytes;
+  }
   std::size_t maxUnwrittenBytes() const {
-    return MaxUnwrittenBytes + Settings.MaxBufferedBytes;
+    return isShortOfMemory() ? 2 * ScarceBufferedBytes
+                             : MaxUnwrittenBytes + Settings.MaxBufferedBytes;
   }
 
+  /// Limit for buffered responses while the memory for callers is used up.
+  static constexpr std::size_t ScarceBufferedBytes = std::size_t{16} * 1024;
+
   /// Limit for the bytes of one response that are waiting to be written to the
   /// caller, in addition to MaxBufferedBytes.
   static constexpr std::size_t MaxUnwrittenBytes = std::size_t{448} * 1024;
   static constexpr milliseconds ReportPeriod{1'000};
+  static constexpr std::chrono::seconds CostReportPeriod{10};
+  /// Number of routes of a service whose costs are reported.
+  static constexpr std::size_t MaxReportedRoutes = 4;
   /// A version that takes longer than this to reach the thread is logged.
   static constexpr milliseconds LateVersionThreshold{200};
 
@@ -421,7 +460,12 @@
   }
 
   void handle(quota_shares &Answer, steady_time Now) {
-    Quotas.onShares(Answer.Shares, Now);
+    // Without a version there is nothing to report, and nobody to report to.
+    if (!Version || !Version->Organisations)
+      return;
+    // Without a version there is nothing to report, and nobody to report to.
+    if (Version && Version->Organisations)
+      Quotas.onShares(Answer.Shares, Now);
   }
 
   /// Runs a step of a request and responds with the error if the step fails.
@@ -488,7 +532,8 @@
     }
   }
 
-  /// Rejects the queued requests whose access key is no longer valid.
+  /// Rejects the queued requests whose access key is no longer valid and whose
+  /// route needs one.
   void rejectRevoked(const organisation_table &Organisations, steady_time Now) {
     auto IsRevoked = [&](const active_request &Active) {
       const auto &Hash = Active.Request.AccessKeyHash;
@@ -500,6 +545,10 @@
         Revoked.push_back(Id);
     for (request_id Id : Revoked) {
       active_request &Active = Requests.at(Id);
+      if (Active.Request.Public) {
+        forgetOrganisation(Active, Now);
+        continue;
+      }
       stateOf(Active).Scheduler.cancel(Id);
       respondWithError(Active, error_kind::UnknownAccessKey,
                        "the access key was removed while the request waited",
@@ -507,6 +556,13 @@
     }
   }
 
+  void forgetOrganisation(active_request &Active, steady_time Now) {
+    Quotas.takeBack(Active, Now);
+    Active.Request.Organisation.clear();
+    Active.Request.OrganisationRank.reset();
+    Active.Request.AccessKeyHash.reset();
+  }
+
   void handle(servers_confirmed &, steady_time Now) {
     for (const std::string &Name : Services | std::views::keys)
       startNext(Name, Now);
@@ -727,7 +783,37 @@
             Request.Kind->LatencyTarget,
             Request.Deadline,
             State.answerTimes(*Request.Kind).usual(),
-            Active.FailedServers};
+            Active.FailedServers,
+            Request.OrganisationRank,
+            Request.OrganisationWeight,
+            sharing_scheduler<Policy> ? State.Costs.estimate(traitsOf(Request))
+                                      : cost_estimate{}};
+  }
+
+  static request_traits traitsOf(const caller_request &Request) {
+    return {Request.Kind->Name,   Request.Method,
+            Request.path(),       Request.Body.size(),
+            Request.Organisation, Request.Kind->LatencyTarget};
+  }
+
+  /// Time for which the server has worked on the attempt, without the time
+  /// spent waiting for a slot.
+  static microseconds workTime(const running_attempt &Attempt,
+                               steady_time Now) {
+    return std::chrono::duration_cast<microseconds>(
+        std::chrono::duration<double>(Now - Attempt.Started) /
+        Attempt.Target.queueingFactor());
+  }
+
+  /// Records an attempt that ends without an answer of its server. Its cost is
+  /// known to be no less than what it has taken.
+  void recordUnansweredWork([[maybe_unused]] const active_request &Active,
+                            [[maybe_unused]] const running_attempt &Attempt,
+                            [[maybe_unused]] steady_time Now) {
+    if constexpr (sharing_scheduler<Policy>)
+      if (Attempt.Connected && !Attempt.Head && !Attempt.Rejected)
+        stateOf(Active).Costs.recordCensored(traitsOf(Active.Request),
+                                             workTime(Attempt, Now));
   }
 
   state &stateOf(const active_request &Active) {
@@ -765,6 +851,8 @@
     State.Scheduler.configure(Service->Definition, Servers, Now);
     if constexpr (sharing_scheduler<Policy>) {
       State.Scheduler.setDataCentre(Settings.DataCentre);
+      State.Scheduler.setPlacementMeasure(Settings.Placement);
+      State.Scheduler.setSamplesServers(Settings.SamplesServers);
       State.Scheduler.setRetryLimits(
           Settings.Retries.limitsFor(Version->EntryCount));
       State.Scheduler.setTrialPartition(
@@ -885,7 +973,7 @@
     const proxy_member *Observer =
         chooseObserver(*Version, *Server, NextAttempt);
     if (!Observer)
-      return State.Opinions.onNoPeerAvailable(*Server);
+      return State.Opinions.onNoPeerAvailable(*Server, Now);
     auto Request = State.Scheduler.takeForTrial(Now);
     if (!Request)
       return;
@@ -1015,11 +1103,10 @@
           signalOf(error_kind::BackendError, Active, Attempt, Now), Now);
       return std::nullopt;
     }
-    // Exclude the time spent waiting for a slot, which is not processing time.
-    auto WorkTime = std::chrono::duration<double>(Now - Attempt.Started) /
-                    Attempt.Target.queueingFactor();
-    State.answerTimes(*Active.Request.Kind)
-        .add(std::chrono::duration_cast<microseconds>(WorkTime), Now);
+    State.answerTimes(*Active.Request.Kind).add(workTime(Attempt, Now), Now);
+    if constexpr (sharing_scheduler<Policy>)
+      State.Costs.recordAnswer(traitsOf(Active.Request),
+                               workTime(Attempt, Now));
     recordAccepted(Active, Now);
     if (Attempt.SlowReports == 0)
       State.recordSignal(Attempt.Target.Server, attempt_signal::Good, Now);
@@ -1062,7 +1149,8 @@
             Active.MayHaveRun,
             std::chrono::duration_cast<milliseconds>(Request.Deadline - Now),
             State.answerTimes(*Request.Kind).usual(),
-            State.Scheduler.retries().available(Request.Kind->Rank),
+            State.Scheduler.retries().available(
+                makeWaitingRequest(Active, State).claimAt(Now)),
             Request.Kind->MaxAttempts};
   }
 
@@ -1083,6 +1171,8 @@
       return;
     Policy &Scheduler = stateOf(Active).Scheduler;
     releaseSlot(Active, Attempt, Now);
+    if (End.Failure)
+      recordUnansweredWork(Active, Attempt, Now);
     if (!End.Failure) {
       Scheduler.retries().onSuccess(Active.Request.Kind->Rank);
       Quarantine.clear(Active.Fingerprint);
@@ -1125,6 +1215,7 @@
     state &State = stateOf(Active);
     State.Scheduler.release(Attempt.Target.Server, Active.Request.Kind->Rank,
                             Now);
+    State.recordWorkEnd(Attempt.Target.Server, Active.Request.Id);
     State.recordUse(Attempt.Target.Server, Now);
   }
 
@@ -1164,8 +1255,10 @@
     Transport.cancel(Attempt.Id);
     if (Attempt.Target.Route != attempt_route::Peer)
       Deaths.onEnd(Attempt.Target.Server, Attempt.Id);
-    if (Attempt.Target.Route == attempt_route::Slot)
+    if (Attempt.Target.Route == attempt_route::Slot) {
       releaseSlot(Active, Attempt, Now);
+      recordUnansweredWork(Active, Attempt, Now);
+    }
     return Attempt;
   }
 
@@ -1237,9 +1330,11 @@
     if (!Attempt.StaleConnection)
       Active.FailedServers.push_back(Attempt.Target.Server);
     Active.Buffered.clear();
+    Active.BufferedHold.reset();
     state &State = stateOf(Active);
     if (usesRetryBudget(Failure))
-      State.Scheduler.retries().take(Active.Request.Kind->Rank);
+      State.Scheduler.retries().take(
+          makeWaitingRequest(Active, State).claimAt(Now));
     Metrics.onRetry(Name);
     if (Attempt.goesToPeer()) {
       runStep(Active, Now, [&] { return forwardOrQueue(Active, Now); });
@@ -1265,6 +1360,7 @@
     if (Active.CallerGone) {
       if (Active.HoldsKey)
         Keys.forget(keyOf(Active.Request));
+      Quotas.takeBack(Active, Now);
       removeRequest(Active);
       return;
     }
@@ -1482,8 +1578,23 @@
             server_death{Service->second, Fingerprint, Death.Server});
   }
 
+  /// Reports expected and true costs of the busiest routes of each service.
+  void reportCosts(steady_time Now) {
+    if (Now < NextCostReport)
+      return;
+    NextCostReport = Now + CostReportPeriod;
+    for (auto &[Name, State] : Services) {
+      auto Routes = State.Costs.takeAccuracy(MaxReportedRoutes);
+      for (const cost_model::accuracy &Route : Routes)
+        request_log::costEstimated(Name, Route);
+      if (!Routes.empty())
+        Metrics.setCosts(Name, std::move(Routes));
+    }
+  }
+
   void reportStatus(steady_time Now) {
     NextReport = Now + ReportPeriod;
+    reportCosts(Now);
     Quarantine.expire(Now);
     Keys.expire(Now);
     Quotas.expire(Now);
@@ -1564,6 +1675,7 @@
   attempt_id NextAttempt = 1;
   /// When queued requests may get a server without any other event.
   std::optional<steady_time> ScheduledWake;
+  steady_time NextCostReport;
   steady_time NextReport;
   thread_lag Lag{"traffic"};
   bool Finishing = false;
